--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -43,6 +43,9 @@
 	recovery = 1500 * time.Millisecond
 	// latencyShare is the weight of the latest latency in the mean.
 	latencyShare = 0.15
+	// overlayTime is how long a registration may take to show what an order
+	// has changed: a heartbeat, and readings.
+	overlayTime = 4 * time.Second
 	// othersAge is how long the counts of other instances are used.
 	othersAge = 3 * time.Second
 )
@@ -118,12 +121,17 @@
 type Overlay struct {
 	Server string `msgpack:"s"`
 	Life   string `msgpack:"l"`
-	// Orders is the server's count of orders with this one.
-	Orders int64  `msgpack:"o"`
 	Key    string `msgpack:"k"`
 	Held   bool   `msgpack:"h"`
 }
 
+// told is an overlay that counts until the registration agrees, or must have
+// caught up.
+type told struct {
+	Overlay
+	until time.Time
+}
+
 type server struct {
 	registrar.Server
 	held    map[string]bool
@@ -140,21 +148,21 @@
 	random   *rand.Rand
 	servers  map[string]*server
 	order    []*server
-	overlays map[string][]Overlay
+	overlays map[string][]told
 	latency  float64
-	told     time.Time
+	heard    time.Time
 }
 
 // NewCore returns a core of an instance in a zone.
 func NewCore(zone string, seed uint64) *Core {
 	return &Core{
 		zone: zone, random: rand.New(rand.NewPCG(seed, 1)),
-		servers: map[string]*server{}, overlays: map[string][]Overlay{}, latency: defaultService,
+		servers: map[string]*server{}, overlays: map[string][]told{}, latency: defaultService,
 	}
 }
 
 // Update takes the servers of the service over from the registry.
-func (c *Core) Update(list []registrar.Server) {
+func (c *Core) Update(now time.Time, list []registrar.Server) {
 	kept := make(map[string]*server, len(list))
 	c.order = c.order[:0]
 	for _, r := range list {
@@ -163,7 +171,7 @@
 			s = &server{latency: c.latency}
 		}
 		s.Server = r
-		c.hold(s)
+		c.hold(now, s)
 		kept[r.ID] = s
 		c.order = append(c.order, s)
 	}
@@ -178,7 +186,7 @@
 
 // hold works out what a server holds, from its registration and the orders
 // that are newer.
-func (c *Core) hold(s *server) {
+func (c *Core) hold(now time.Time, s *server) {
 	s.held = map[string]bool{}
 	for _, h := range s.Holdings {
 		s.held[h.Model] = true
@@ -188,7 +196,7 @@
 	}
 	newer := c.overlays[s.ID][:0]
 	for _, o := range c.overlays[s.ID] {
-		if o.Life == s.Life && o.Orders > s.Orders {
+		if o.Life == s.Life && now.Before(o.until) && s.held[o.Key] != o.Held {
 			newer = append(newer, o)
 			s.held[o.Key] = o.Held
 		}
@@ -201,12 +209,15 @@
 }
 
 // Ordered takes over what orders changed.
-func (c *Core) Ordered(list []Overlay) {
+func (c *Core) Ordered(now time.Time, list []Overlay) {
 	for _, o := range list {
-		c.overlays[o.Server] = append(c.overlays[o.Server], o)
-		if s, ok := c.servers[o.Server]; ok {
-			c.hold(s)
+		s, ok := c.servers[o.Server]
+		if !ok || s.Life != o.Life {
+			continue
 		}
+		others := slices.DeleteFunc(c.overlays[o.Server], func(t told) bool { return t.Key == o.Key })
+		c.overlays[o.Server] = append(others, told{o, now.Add(overlayTime)})
+		c.hold(now, s)
 	}
 }
 
@@ -262,7 +273,7 @@
 
 func (c *Core) cost(now time.Time, s *server, q Request) float64 {
 	f := s.own
-	if now.Sub(c.told) < othersAge {
+	if now.Sub(c.heard) < othersAge {
 		f = f.Add(s.others)
 	}
 	cost := c.random.Float64()*jitter + failureCost*s.failing(now)
@@ -341,7 +352,7 @@
 
 // Others takes over what the other instances have in flight.
 func (c *Core) Others(now time.Time, flights map[string]Flight) {
-	c.told = now
+	c.heard = now
 	for id, s := range c.servers {
 		s.others = flights[id]
 	}
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -57,6 +57,7 @@
 func (f *Fleet) Update(list []registrar.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clock.Now()
 	services := map[string][]registrar.Server{}
 	pools := make(map[string]*connector.Pool, len(list))
 	for _, s := range list {
@@ -78,7 +79,7 @@
 		f.core(name)
 	}
 	for name, c := range f.cores {
-		c.Update(services[name])
+		c.Update(now, services[name])
 	}
 	f.wake()
 }
@@ -104,14 +105,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clock.Now()
 	for _, c := range f.cores {
-		var own []Overlay
-		for _, o := range list {
-			if _, ok := c.servers[o.Server]; ok {
-				own = append(own, o)
-			}
-		}
-		c.Ordered(own)
+		c.Ordered(now, list)
 	}
 	f.wake()
 }
--- a/cmd/primrosehook/main.go
+++ b/cmd/primrosehook/main.go
@@ -15,6 +15,9 @@
 )
 
 func main() {
+	// A changed settings file takes effect with the next start; without this
+	// the signal that tells of it would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	result := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
--- a/composer/composer.go
+++ b/composer/composer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -17,9 +18,13 @@
 	"go.uber.org/zap"
 
 	"primrosehook/balancer"
+	"primrosehook/booter"
+	"primrosehook/coordinator"
+	"primrosehook/messenger"
 	"primrosehook/platform"
 	"primrosehook/quarantiner"
 	"primrosehook/relayer"
+	"primrosehook/sender"
 	"primrosehook/tailer"
 )
 
@@ -30,6 +35,9 @@
 	// serversPace is the pause between reads of the registry, a fraction of
 	// the time within which a leaving server must get no new request.
 	serversPace = 4
+	// relief is for how long what the coordinator passes on stands for an own
+	// reading of the store.
+	relief = 800 * time.Millisecond
 	// memoryShare of the process's memory is the collector's soft limit.
 	memoryShare = 0.7
 	// headerTimeout and idleTimeout bound connections of clients; the latter
@@ -62,6 +70,9 @@
 	relayer  *relayer.Relayer
 	registry *registry
 	config   *configuration
+	tails    struct{ config, registry *tailer.Tailer }
+	duties   *coordinator.Coordinator
+	peers    *messenger.Client
 	stopping atomic.Bool
 	work     sync.WaitGroup
 }
@@ -76,27 +87,36 @@
 func newEntry(s platform.Settings, clock clockwork.Clock, log *zap.Logger) *Entry {
 	log = log.With(zap.String("instance", s.Instance))
 	e := &Entry{settings: s, clock: clock, log: log}
-	e.store = platform.NewStore(s.Store, storeClient())
+	e.store = platform.NewStore(s.Store, sender.NewClient())
 	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock)
 	// Until the number of instances is known, the slack is shared among as
 	// many as are run today, twice over.
 	burst := max(int(float64(s.RetrySlack)*budgetShare/assumedInstances), 1)
-	e.relayer = relayer.New(platform.Codec{}, e.fleet, quarantiner.NewGuard(clock, quarantiner.Standard()), clock, log,
+	suspects := quarantiner.NewGuard(clock, quarantiner.Standard())
+	e.relayer = relayer.New(platform.Codec{}, e.fleet, suspects, clock, log,
 		relayer.WithRetries(s.RetryRatio*budgetShare, burst),
 		relayer.WithInFlight(max((s.Descriptors-filesReserved)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
 	e.config = &configuration{relayer: e.relayer, log: log}
+	e.tails.config = tailer.New("config", e.store.Topic(platform.TopicOperator), e.config, clock, log,
+		tailer.WithWait(configWait), tailer.WithRelief(relief))
+	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
+		tailer.WithPace(func() time.Duration { return s.Drain / serversPace }), tailer.WithRelief(relief))
+	e.peers = messenger.NewClient(clock, messenger.WithSilence(time.Second))
+	e.duties = coordinator.New(coordinator.Parts{
+		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control,
+		Apart: s.Lease, Ceiling: s.CeilingWindow, Lease: e.store.Leases(), Engines: platform.NewEngines(sender.NewClient()),
+		Fleet: e.fleet, Suspects: suspects, Registry: e.tails.registry, Config: e.tails.config,
+		Table: e.relayer.Table, Clock: clock, Boot: booter.System{}, Log: log, Peers: e.peers,
+	})
+	e.config.published = e.duties.Configured
+	e.registry.registered = e.duties.Registered
 	return e
 }
 
 // assumedInstances is how many instances share the retry budget's slack.
 const assumedInstances = 9
 
-func storeClient() *http.Client {
-	d := &net.Dialer{Timeout: time.Second, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}}
-}
-
 func (e *Entry) serve(ctx context.Context) error {
 	front, err := net.Listen("tcp", e.settings.Front)
 	if err != nil {
@@ -106,6 +126,10 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for readiness checks")
 	}
+	control, err := net.Listen("tcp", e.settings.Control)
+	if err != nil {
+		return eris.Wrap(err, "listen for instances")
+	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	servers := &http.Server{
@@ -113,14 +137,16 @@
 		ErrorLog: zap.NewStdLog(e.log),
 	}
 	checks := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout}
-	config := tailer.New("config", e.store.Topic(platform.TopicOperator), e.config, e.clock, e.log, tailer.WithWait(configWait))
-	registry := tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, e.clock, e.log,
-		tailer.WithPace(func() time.Duration { return e.settings.Drain / serversPace }))
+	messages := messenger.NewServer(e.log)
+	e.duties.Serve(messages)
 	failed := make(chan error, 2)
 	e.start(func() { e.listen(servers, front, failed) })
 	e.start(func() { e.listen(checks, ready, failed) })
-	e.start(func() { config.Run(work) })
-	e.start(func() { registry.Run(work) })
+	e.start(func() { e.tails.config.Run(work) })
+	e.start(func() { e.tails.registry.Run(work) })
+	e.start(func() { e.duties.Run(work) })
+	e.start(func() { e.listenControl(work, messages, control, failed) })
+	e.start(func() { e.run(work) })
 	e.start(func() { e.registry.run(work) })
 	e.log.Info("entry: started", zap.String("front", e.settings.Front), zap.String("zone", e.settings.Zone))
 	select {
@@ -145,12 +171,36 @@
 	}
 }
 
+func (e *Entry) listenControl(ctx context.Context, s *messenger.Server, l net.Listener, failed chan<- error) {
+	if err := s.Serve(ctx, l); err != nil && ctx.Err() == nil {
+		failed <- eris.Wrap(err, "serve instances")
+	}
+}
+
+// run keeps this instance's share of the retry budget in line with the number
+// of instances.
+func (e *Entry) run(ctx context.Context) {
+	t := e.clock.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+			if n := e.duties.Instances(); n > 0 {
+				e.relayer.Share(max(int(float64(e.settings.RetrySlack)*budgetShare/float64(n)), 1))
+			}
+		}
+	}
+}
+
 // stop takes the instance out of rotation, waits until clients have noticed,
 // and finishes the requests in flight.
 func (e *Entry) stop(front *http.Server) {
 	e.log.Info("entry: stopping")
 	e.stopping.Store(true)
 	begun := e.clock.Now()
+	e.start(e.release)
 	front.SetKeepAlivesEnabled(false)
 	e.clock.Sleep(min(lingering, e.settings.Grace/2))
 	left := e.settings.Grace - e.clock.Since(begun) - stopMargin
@@ -162,6 +212,17 @@
 	}
 }
 
+// release hands the duties over while clients leave.
+func (e *Entry) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	e.duties.Release(ctx)
+}
+
+// releaseTimeout bounds the release of the lease at a planned stop; after it
+// the term lapses.
+const releaseTimeout = time.Second
+
 // ready answers the platform's checks.
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
 	if e.stopping.Load() || e.relayer.Table() == nil || !e.registry.known() {
--- a/composer/sinks.go
+++ b/composer/sinks.go
@@ -19,6 +19,8 @@
 type configuration struct {
 	relayer *relayer.Relayer
 	log     *zap.Logger
+	// published takes the record of each version that came into force.
+	published func(x tailer.Record, version int64)
 }
 
 // Full implements tailer.Sink.
@@ -37,6 +39,7 @@
 		}
 		if c.relayer.Use(t) {
 			c.log.Info("config: in force", zap.Int64("version", t.Version))
+			c.published(list[i], t.Version)
 		}
 		return
 	}
@@ -47,6 +50,8 @@
 	fleet *balancer.Fleet
 	clock clockwork.Clock
 	log   *zap.Logger
+	// registered takes the records read and the servers they make.
+	registered func(list []tailer.Record, servers []registrar.Server)
 
 	mu   sync.Mutex
 	core *registrar.Core
@@ -85,7 +90,7 @@
 		r.put(now, x)
 	}
 	r.core.Retain(now, shown, next)
-	r.fleet.Update(r.core.Servers(now))
+	r.pass(now, list)
 }
 
 // Apply implements tailer.Sink.
@@ -94,19 +99,30 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	r.core.Read(now)
+	news := list[:0:0]
 	for _, x := range list {
-		r.put(now, x)
+		if r.put(now, x) {
+			news = append(news, x)
+		}
 	}
-	if len(list) > 0 {
-		r.fleet.Update(r.core.Servers(now))
+	r.read = r.read || len(list) > 0
+	if len(news) > 0 {
+		r.pass(now, news)
 	}
 }
 
-func (r *registry) put(now time.Time, x tailer.Record) {
+// pass hands the view on.
+func (r *registry) pass(now time.Time, list []tailer.Record) {
+	servers := r.core.Servers(now)
+	r.fleet.Update(servers)
+	r.registered(list, servers)
+}
+
+// put takes one record over and reports whether it says anything new.
+func (r *registry) put(now time.Time, x tailer.Record) bool {
 	if x.Value == nil {
 		r.log.Info("registry: server left", zap.String("server", x.Key))
-		r.core.Remove(now, x.Key, x.Offset)
-		return
+		return r.core.Remove(now, x.Key, x.Offset)
 	}
 	s, err := platform.DecodeServer(x.Key, x.Value)
 	if err != nil {
@@ -114,11 +130,10 @@
 			r.bad[x.Key] = true
 			r.log.Warn("registry: entry names no server", zap.String("key", x.Key), zap.Error(err))
 		}
-		r.core.Remove(now, x.Key, x.Offset)
-		return
+		return r.core.Remove(now, x.Key, x.Offset)
 	}
 	delete(r.bad, x.Key)
-	r.core.Put(x.Offset, s)
+	return r.core.Put(x.Offset, s)
 }
 
 // run drops doubted servers once the doubt has ended.
@@ -141,9 +156,10 @@
 	if !r.core.Doubted() {
 		return
 	}
+	now := r.clock.Now()
 	before := r.core.Changes()
-	list := r.core.Servers(r.clock.Now())
+	r.core.Servers(now)
 	if r.core.Changes() != before {
-		r.fleet.Update(list)
+		r.pass(now, nil)
 	}
 }
--- /dev/null
+++ b/coordinator/lease.go
@@ -0,0 +1,311 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"primrosehook/booter"
+	"primrosehook/leaser"
+	"primrosehook/replayer"
+)
+
+const (
+	// term is how long a claim holds: short, since nobody gives orders between
+	// a holder's end and its successor's start, and three renewals long.
+	term = 2 * time.Second
+	// leaseMargin is what others wait beyond the term, for clocks that run at
+	// different speeds.
+	leaseMargin = 200 * time.Millisecond
+	// stagger keeps instances from claiming at once; ranks is how many places
+	// there are.
+	stagger = 80 * time.Millisecond
+	ranks   = 6
+	// onTheWay is the longest that an order of a former holder may be under
+	// way beyond its lease.
+	onTheWay = 300 * time.Millisecond
+	// sendMargin must be left of the lease when an order is sent.
+	sendMargin = 250 * time.Millisecond
+	// leaseWait is how long a read of the lease waits for a new entry.
+	leaseWait = 400 * time.Millisecond
+	// leaseTimeout bounds a call about the lease beyond that.
+	leaseTimeout = 700 * time.Millisecond
+	// leaseCheck is how often it is checked whether something is due.
+	leaseCheck = 50 * time.Millisecond
+	// heardAge is how long a reply of the holder stands for a reading of the
+	// lease.
+	heardAge = 700 * time.Millisecond
+)
+
+// Entry is one record of the lease. Each is appended on the condition that it
+// follows the entry last read, so that every entry in the log is valid.
+type Entry struct {
+	Instance string `msgpack:"i"`
+	// Machine tells whether a successor runs where the holder ran.
+	Machine string `msgpack:"m"`
+	Address string `msgpack:"a"`
+	// Fence is the fencing token; zero means the entry's own offset plus one.
+	Fence   int64 `msgpack:"f"`
+	Release bool  `msgpack:"r"`
+}
+
+// LogRecord is one record of the lease's log.
+type LogRecord struct {
+	Offset int64
+	Value  []byte
+}
+
+// ErrMoved is returned by an append whose condition does not hold.
+var ErrMoved = errors.New("the log ends at another offset")
+
+// Log is where the lease is kept.
+type Log interface {
+	// Read returns the records from an offset on, or those that are kept if
+	// older ones were deleted, and where to read on.
+	Read(ctx context.Context, from int64, wait time.Duration) ([]LogRecord, int64, error)
+	// Append adds a record if the log ends at an offset. After an error other
+	// than ErrMoved the record may stand, now or later.
+	Append(ctx context.Context, value []byte, at int64) error
+}
+
+// lease keeps this instance's view of the lease, and claims it when nobody
+// holds it.
+type lease struct {
+	self  Entry
+	log   Log
+	boot  booter.Clock
+	clock clockwork.Clock
+	zap   *zap.Logger
+	// apart is how far apart orders of two holders must be.
+	apart time.Duration
+	taken func()
+
+	mu     sync.Mutex
+	keeper *leaser.Keeper
+	last   Entry
+	next   int64
+	from   time.Time
+	heard  time.Time
+	ending bool
+}
+
+func newLease(self Entry, apart time.Duration, log Log, boot booter.Clock, clock clockwork.Clock, z *zap.Logger, taken func()) *lease {
+	settings := leaser.Settings{Term: term, Margin: leaseMargin, Stagger: stagger}
+	return &lease{
+		self: self, log: log, boot: boot, clock: clock, zap: z, apart: apart, taken: taken,
+		keeper: leaser.NewKeeper(self.Instance, settings),
+	}
+}
+
+// Holder returns the address of the last known holder, empty if there is none.
+func (l *lease) holder() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.last.Release {
+		return ""
+	}
+	return l.last.Address
+}
+
+// valid reports whether this instance holds the lease.
+func (l *lease) valid() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper.Valid(l.boot.Now())
+}
+
+// mayOrder reports whether an order may be sent now.
+func (l *lease) mayOrder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.boot.Now()
+	return l.keeper.Valid(now.Add(sendMargin)) && !now.Before(l.from)
+}
+
+// fence returns the fencing token of the lease last seen.
+func (l *lease) fence() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last.Fence
+}
+
+// hear notes a reply of the holder.
+func (l *lease) hear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = l.boot.Now()
+}
+
+func (l *lease) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if l.relieved() {
+			l.sleep(ctx)
+			continue
+		}
+		if !l.mine() {
+			l.read(ctx)
+		}
+		l.claim(ctx)
+		l.sleep(ctx)
+	}
+}
+
+func (l *lease) sleep(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-l.clock.After(leaseCheck):
+	}
+}
+
+func (l *lease) mine() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper.Mine() && !l.ending
+}
+
+// relieved reports whether the holder was heard lately, so that the log need
+// not be read.
+func (l *lease) relieved() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.keeper.Mine() && l.boot.Now().Sub(l.heard) < heardAge
+}
+
+// read takes over the entries that others have appended.
+func (l *lease) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseWait+leaseTimeout)
+	defer cancel()
+	l.mu.Lock()
+	from := l.next
+	l.mu.Unlock()
+	list, next, err := l.log.Read(ctx, from, leaseWait)
+	if err != nil {
+		if ctx.Err() == nil {
+			l.zap.Debug("lease: log can't be read", zap.Error(err))
+		}
+		l.clock.Sleep(leaseCheck)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.boot.Now()
+	l.next = next
+	if len(list) == 0 {
+		if next == 0 {
+			l.keeper.Observe(now, leaser.NewState())
+		}
+		return
+	}
+	r := list[len(list)-1]
+	var e Entry
+	if err := msgpack.Unmarshal(r.Value, &e); err != nil {
+		// Counts as a holder that never renews, so that its term is waited out.
+		l.zap.Warn("lease: entry can't be read", zap.Int64("offset", r.Offset), zap.Error(err))
+		e = Entry{Instance: "unknown"}
+	}
+	l.observe(now, r.Offset, e)
+}
+
+// observe takes over the newest entry.
+func (l *lease) observe(now time.Time, offset int64, e Entry) {
+	if e.Fence == 0 {
+		e.Fence = offset + 1
+	}
+	if e.Instance != l.last.Instance || e.Release != l.last.Release {
+		l.zap.Info("lease: holder", zap.String("holder", e.Instance), zap.Int64("fence", e.Fence), zap.Bool("released", e.Release))
+	}
+	l.last = e
+	s := leaser.State{Holder: e.Instance, Fence: replayer.Position(e.Fence), Last: replayer.Position(offset), Term: term}
+	if e.Release {
+		s.Holder = ""
+	}
+	l.keeper.Observe(now, s)
+}
+
+// claim appends a claim or a renewal if one is due.
+func (l *lease) claim(ctx context.Context) {
+	l.mu.Lock()
+	now := l.boot.Now()
+	before := l.last
+	mine := l.keeper.Mine()
+	_, due := l.keeper.Next(now, l.rank(before.Fence))
+	if !due || l.ending {
+		if due {
+			l.keeper.Settled(false)
+		}
+		l.mu.Unlock()
+		return
+	}
+	e := l.self
+	if mine {
+		e.Fence = before.Fence
+	}
+	at := l.next
+	l.mu.Unlock()
+	err := l.append(ctx, e, at)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keeper.Settled(err == nil)
+	if err != nil {
+		l.zap.Info("lease: claim failed", zap.Bool("renewal", mine), zap.Error(err))
+		l.mu.Unlock()
+		l.read(ctx)
+		l.mu.Lock()
+		return
+	}
+	l.next = at + 1
+	l.observe(l.boot.Now(), at, e)
+	if mine {
+		return
+	}
+	l.from = now
+	if before.Instance != "" && before.Machine != l.self.Machine {
+		l.from = l.boot.Now().Add(l.apart + onTheWay)
+	}
+	l.zap.Info("lease: taken", zap.Int64("fence", l.last.Fence), zap.Duration("orders_after", l.from.Sub(now)))
+	l.taken()
+}
+
+// rank spreads the claims of instances, in another order for each term.
+func (l *lease) rank(fence int64) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(l.self.Instance)) // a hash takes all
+	_, _ = h.Write([]byte{byte(fence), byte(fence >> 8)})
+	return int(h.Sum32() % ranks)
+}
+
+func (l *lease) append(ctx context.Context, e Entry, at int64) error {
+	raw, err := msgpack.Marshal(e)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	return l.log.Append(ctx, raw, at)
+}
+
+// release gives the lease back at a planned stop.
+func (l *lease) release(ctx context.Context) {
+	l.mu.Lock()
+	mine := l.keeper.Mine()
+	l.ending = true
+	e := l.self
+	e.Release, e.Fence = true, l.last.Fence
+	at := l.next
+	if mine {
+		l.keeper.Release()
+	}
+	l.mu.Unlock()
+	if !mine {
+		return
+	}
+	if err := l.append(ctx, e, at); err != nil {
+		l.zap.Info("lease: release failed, the term lapses", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/coordinator/orders.go
@@ -0,0 +1,426 @@
+package coordinator
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primrosehook/balancer"
+	"primrosehook/matcher"
+	"primrosehook/registrar"
+	"primrosehook/stocker"
+)
+
+const (
+	// orderTimeout bounds an order's call: an order is answered at once, or
+	// its answer is lost.
+	orderTimeout = 500 * time.Millisecond
+	// orderPause is the pause before an order is sent again.
+	orderPause = 80 * time.Millisecond
+	// orderTries bounds how often an order is sent.
+	orderTries = 12
+	// adapterTime is how long an adapter's load takes, and a margin.
+	adapterTime = 12 * time.Millisecond
+	// unloadTime is when an unload that waits for no run is first checked.
+	unloadTime = 40 * time.Millisecond
+	// checkPause is the pause between checks whether a load or an unload is
+	// done, and checkLimit when it is given up.
+	checkPause = 100 * time.Millisecond
+	checkLimit = 15 * time.Second
+	// planPause is the pause between plans.
+	planPause = 100 * time.Millisecond
+	// registryLag is how long the registry may take to show what an order has
+	// changed: a heartbeat, and readings.
+	registryLag = 3 * time.Second
+	// shun is how long a server that answers no order takes no further one.
+	shun = 2 * time.Second
+)
+
+// Outcome is what a server says to an order.
+type Outcome int
+
+// The outcomes of an order.
+const (
+	// Unknown orders may be carried out, now or later.
+	Unknown Outcome = iota
+	// Accepted orders are being carried out.
+	Accepted
+	// Holds means that what was ordered is so already.
+	Holds
+	// Conflict means that another order is under way or that the server has
+	// accepted other orders than expected.
+	Conflict
+	// Rejected orders can't be carried out there.
+	Rejected
+)
+
+// Order is what is sent to a server.
+type Order struct {
+	stocker.Order
+	// Expected is the server's count of orders before this one.
+	Expected int64
+	Holder   string
+	Fence    int64
+}
+
+// Engines sends orders to servers.
+type Engines interface {
+	// Send sends an order once. Guard is asked right before it is written;
+	// if it says no, nothing is written and the outcome is Rejected.
+	Send(ctx context.Context, s registrar.Server, o Order, guard func() bool) (Outcome, error)
+	// Report asks a server what it holds.
+	Report(ctx context.Context, s registrar.Server) (Stock, error)
+}
+
+// Stock is what a server says of itself, as of some hundred milliseconds ago.
+type Stock struct {
+	// Orders counts the orders that it has accepted; Busy is set while one is
+	// under way.
+	Orders   int64
+	Busy     bool
+	Holdings []registrar.Holding
+}
+
+// belief is what the coordinator takes a server to hold.
+type belief struct {
+	server registrar.Server
+	held   map[string][]string
+	// orders is the server's count of orders, negative if it is not known.
+	orders int64
+	// changed is when an order last changed what the server holds. Until the
+	// registry has caught up, it is not heard.
+	changed time.Time
+	pending *stocker.Order
+	until   time.Time
+}
+
+// foreman gives the orders that plans ask for.
+type foreman struct {
+	*Coordinator
+	work sync.WaitGroup
+
+	mu      sync.Mutex
+	beliefs map[string]*belief
+	// colds are the times of loads from the weight store, by service.
+	colds map[string][]time.Time
+}
+
+func newForeman(c *Coordinator) *foreman {
+	return &foreman{Coordinator: c, beliefs: map[string]*belief{}, colds: map[string][]time.Time{}}
+}
+
+// assume counts the loads that a former holder may have started.
+func (f *foreman) assume() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.colds)
+	clear(f.beliefs)
+	table := f.table()
+	if table == nil {
+		return
+	}
+	now := f.clock.Now()
+	for name, s := range table.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for range int(s.Engine.Loads * f.ceiling.Seconds() / 2) {
+			f.colds[name] = append(f.colds[name], now)
+		}
+	}
+}
+
+func (f *foreman) run(ctx context.Context) {
+	defer f.work.Wait()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.hub.kick:
+		case <-f.clock.After(planPause):
+		}
+		if table := f.table(); table != nil && f.lease.mayOrder() {
+			f.plan(ctx, table)
+		}
+	}
+}
+
+func (f *foreman) plan(ctx context.Context, table *matcher.Table) {
+	running := f.hub.running()
+	servers := f.hub.registered()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	f.refresh(now, servers)
+	for name, service := range table.Services {
+		if service.Engine == nil {
+			continue
+		}
+		demand, waiting := f.hub.asked(name)
+		state := stocker.State{Engine: service.Engine, Demand: demand, Waiting: waiting, Loads: f.allowed(now, name, service.Engine)}
+		for _, b := range f.beliefs {
+			if b.server.Service == name {
+				state.Servers = append(state.Servers, b.planned(now, running[b.server.ID]))
+			}
+		}
+		for _, o := range stocker.Plan(state) {
+			f.give(ctx, now, name, service.Engine, o)
+		}
+	}
+}
+
+// refresh takes over what the registry says. It is older than what orders have
+// changed until its count of orders has caught up.
+func (f *foreman) refresh(now time.Time, servers []registrar.Server) {
+	seen := map[string]bool{}
+	for _, s := range servers {
+		seen[s.ID] = true
+		b, ok := f.beliefs[s.ID]
+		if !ok || b.server.Life != s.Life {
+			b = &belief{orders: -1}
+			f.beliefs[s.ID] = b
+		}
+		b.server = s
+		if b.pending == nil && now.Sub(b.changed) > registryLag {
+			b.adopt(s.Holdings)
+		}
+	}
+	maps.DeleteFunc(f.beliefs, func(id string, b *belief) bool { return !seen[id] && b.pending == nil })
+}
+
+func (b *belief) adopt(list []registrar.Holding) {
+	b.held = make(map[string][]string, len(list))
+	for _, h := range list {
+		b.held[h.Model] = h.Adapters
+	}
+}
+
+// planned returns a server as it will be once what is under way is done.
+func (b *belief) planned(now time.Time, running int) stocker.Server {
+	s := stocker.Server{
+		ID: b.server.ID, Zone: b.server.Zone, Leaving: b.server.Draining,
+		Busy: b.pending != nil || now.Before(b.until), Held: maps.Clone(b.held), Warm: map[string]bool{}, Running: running,
+	}
+	if s.Held == nil {
+		s.Held = map[string][]string{}
+	}
+	for _, m := range slices.Concat(b.server.InMemory, b.server.OnDisk) {
+		s.Warm[m] = true
+	}
+	if o := b.pending; o != nil {
+		b.apply(s.Held, *o)
+	}
+	return s
+}
+
+// apply changes holdings as an order does.
+func (*belief) apply(held map[string][]string, o stocker.Order) {
+	switch {
+	case o.Op == stocker.Load && o.Adapter == "":
+		held[o.Model] = nil
+	case o.Op == stocker.Load:
+		if !slices.Contains(held[o.Model], o.Adapter) {
+			held[o.Model] = append(slices.Clone(held[o.Model]), o.Adapter)
+		}
+	case o.Adapter == "":
+		delete(held, o.Model)
+	default:
+		held[o.Model] = slices.DeleteFunc(slices.Clone(held[o.Model]), func(a string) bool { return a == o.Adapter })
+	}
+}
+
+// allowed is how many loads from the weight store may begin now.
+func (f *foreman) allowed(now time.Time, service string, e *matcher.Engine) int {
+	f.colds[service] = slices.DeleteFunc(f.colds[service], func(t time.Time) bool { return now.Sub(t) > f.ceiling })
+	return int(e.Loads*f.ceiling.Seconds()) - len(f.colds[service])
+}
+
+// give starts an order.
+func (f *foreman) give(ctx context.Context, now time.Time, service string, e *matcher.Engine, o stocker.Order) {
+	b := f.beliefs[o.Server]
+	b.pending = &o
+	if o.Cold {
+		f.colds[service] = append(f.colds[service], now)
+	}
+	f.log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
+		zap.String("key", balancer.Key(o.Model, o.Adapter)), zap.Int64("expected", b.orders), zap.Bool("cold", o.Cold), zap.String("why", o.Why))
+	j := &job{foreman: f, belief: b, order: o, spec: e.Models[o.Model], server: b.server}
+	f.work.Go(func() { j.run(ctx) })
+}
+
+// job carries one order out.
+type job struct {
+	*foreman
+	belief *belief
+	order  stocker.Order
+	spec   matcher.Model
+	server registrar.Server
+}
+
+func (j *job) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, checkLimit)
+	defer cancel()
+	if j.order.Op == stocker.Unload {
+		j.tell(false)
+	}
+	done := j.send(ctx)
+	if done {
+		done = j.finish(ctx)
+	}
+	j.mu.Lock()
+	now := j.clock.Now()
+	if done {
+		j.belief.apply(j.belief.held, j.order)
+		j.belief.changed = now
+	} else {
+		j.belief.until = now.Add(shun)
+		j.belief.orders = -1
+	}
+	j.belief.pending = nil
+	j.mu.Unlock()
+	if done == (j.order.Op == stocker.Load) {
+		j.tell(true)
+	}
+	if !done {
+		j.log.Info("orders: not carried out", zap.String("server", j.server.ID), zap.Stringer("op", j.order.Op),
+			zap.String("key", balancer.Key(j.order.Model, j.order.Adapter)))
+	}
+	j.hub.wake()
+}
+
+// tell passes on that the server holds, or does not hold, what the order is
+// about.
+func (j *job) tell(held bool) {
+	j.mu.Lock()
+	o := balancer.Overlay{Server: j.server.ID, Life: j.server.Life, Key: balancer.Key(j.order.Model, j.order.Adapter), Held: held}
+	list := []balancer.Overlay{o}
+	if j.order.Op == stocker.Unload && j.order.Adapter == "" {
+		for _, a := range j.belief.held[j.order.Model] {
+			o.Key = balancer.Key(j.order.Model, a)
+			list = append(list, o)
+		}
+	}
+	j.mu.Unlock()
+	j.hub.tell(list)
+}
+
+// send sends the order until the server has answered it. An order whose answer
+// was lost is sent again with the same expected count: whichever comes first is
+// carried out, the other is refused.
+func (j *job) send(ctx context.Context) bool {
+	for range orderTries {
+		j.mu.Lock()
+		expected := j.belief.orders
+		j.mu.Unlock()
+		if expected < 0 {
+			if !j.learn(ctx) {
+				return false
+			}
+			continue
+		}
+		if !j.lease.mayOrder() {
+			return false
+		}
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		out, err := j.engines.Send(call, j.server, Order{
+			Order: j.order, Expected: expected, Holder: j.lease.self.Machine, Fence: j.lease.fence(),
+		}, j.lease.mayOrder)
+		cancel()
+		switch out {
+		case Accepted:
+			j.mu.Lock()
+			j.belief.orders = expected + 1
+			j.mu.Unlock()
+			return true
+		case Holds:
+			return j.learn(ctx)
+		case Conflict:
+			if !j.learn(ctx) {
+				return false
+			}
+			j.mu.Lock()
+			changed := j.belief.orders != expected
+			j.mu.Unlock()
+			if changed {
+				return false
+			}
+		case Rejected:
+			j.log.Info("orders: rejected", zap.String("server", j.server.ID), zap.Error(err))
+			return false
+		case Unknown:
+			j.log.Info("orders: no answer", zap.String("server", j.server.ID), zap.Int64("expected", expected), zap.Error(err))
+		}
+		if !j.sleep(ctx, orderPause) {
+			return false
+		}
+	}
+	return false
+}
+
+// learn takes over what the server itself says.
+func (j *job) learn(ctx context.Context) bool {
+	s, ok := j.report(ctx)
+	if !ok {
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if s.Orders >= j.belief.orders {
+		j.belief.orders = s.Orders
+		j.belief.adopt(s.Holdings)
+		j.belief.changed = j.clock.Now()
+	}
+	return true
+}
+
+func (j *job) report(ctx context.Context) (Stock, bool) {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	s, err := j.engines.Report(call, j.server)
+	if err != nil {
+		j.log.Info("orders: no report", zap.String("server", j.server.ID), zap.Error(err))
+	}
+	return s, err == nil
+}
+
+// finish waits until an accepted order has been carried out.
+func (j *job) finish(ctx context.Context) bool {
+	if j.order.Adapter != "" {
+		return j.sleep(ctx, adapterTime)
+	}
+	expected := unloadTime
+	if j.order.Op == stocker.Load {
+		expected = j.spec.Warm
+		if j.order.Cold {
+			expected = j.spec.Cold
+		}
+	}
+	for j.sleep(ctx, expected) {
+		expected = checkPause
+		s, ok := j.report(ctx)
+		j.mu.Lock()
+		current := ok && !s.Busy && s.Orders >= j.belief.orders
+		j.mu.Unlock()
+		if !current {
+			continue
+		}
+		held := slices.ContainsFunc(s.Holdings, func(h registrar.Holding) bool { return h.Model == j.order.Model })
+		if held == (j.order.Op == stocker.Load) {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *job) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-j.clock.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/coordinator/run.go
@@ -0,0 +1,225 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"primrosehook/balancer"
+	"primrosehook/booter"
+	"primrosehook/matcher"
+	"primrosehook/messenger"
+	"primrosehook/quarantiner"
+	"primrosehook/registrar"
+	"primrosehook/tailer"
+)
+
+// Parts are what a Coordinator works with.
+type Parts struct {
+	// Instance names this life of the instance, Machine where it runs, and
+	// Address is where others reach it.
+	Instance, Machine, Address string
+	// Apart is how far apart orders of two holders must be.
+	Apart time.Duration
+	// Ceiling is the window in which loads from the weight store are counted.
+	Ceiling  time.Duration
+	Lease    Log
+	Engines  Engines
+	Fleet    *balancer.Fleet
+	Suspects *quarantiner.Guard
+	Registry *tailer.Tailer
+	Config   *tailer.Tailer
+	// Table returns the table in force, nil if there is none.
+	Table func() *matcher.Table
+	Clock clockwork.Clock
+	Boot  booter.Clock
+	Log   *zap.Logger
+	// Peers calls other instances.
+	Peers *messenger.Client
+}
+
+// Coordinator is this instance's part in the coordination.
+type Coordinator struct {
+	Parts
+	clock   clockwork.Clock
+	log     *zap.Logger
+	engines Engines
+	table   func() *matcher.Table
+	ceiling time.Duration
+	hub     *hub
+	lease   *lease
+	foreman *foreman
+	// instances is how many instances the holder last counted.
+	instances atomic.Int64
+
+	told  int
+	fence int64
+}
+
+// New returns a coordinator.
+func New(p Parts) *Coordinator {
+	c := &Coordinator{
+		Parts: p, clock: p.Clock, log: p.Log, engines: p.Engines, table: p.Table, ceiling: p.Ceiling,
+		hub: newHub(p.Clock),
+	}
+	self := Entry{Instance: p.Instance, Machine: p.Machine, Address: p.Address}
+	c.lease = newLease(self, p.Apart, p.Lease, p.Boot, p.Clock, p.Log, c.taken)
+	c.foreman = newForeman(c)
+	return c
+}
+
+// Serve answers the messages of other instances.
+func (c *Coordinator) Serve(s *messenger.Server) { s.Handle(kindExchange, c.answer) }
+
+// Run takes part until the context ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	var work sync.WaitGroup
+	work.Go(func() { c.lease.run(ctx) })
+	work.Go(func() { c.foreman.run(ctx) })
+	c.run(ctx)
+	work.Wait()
+}
+
+// Release gives the duties back before a planned stop.
+func (c *Coordinator) Release(ctx context.Context) { c.lease.release(ctx) }
+
+// Instances returns how many instances there are as far as is known, 0 if not.
+func (c *Coordinator) Instances() int { return int(c.instances.Load()) }
+
+// Registered takes over what the registry says.
+func (c *Coordinator) Registered(list []tailer.Record, servers []registrar.Server) {
+	c.hub.record(list, servers)
+}
+
+// Configured takes over the record of a version in force.
+func (c *Coordinator) Configured(x tailer.Record, version int64) { c.hub.publish(x, version) }
+
+func (c *Coordinator) taken() {
+	c.hub.reset()
+	c.foreman.assume()
+}
+
+// run reports to the holder again and again.
+func (c *Coordinator) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.exchange(ctx)
+		pause := max(leastInterval, time.Duration(c.Instances())*perInstance)
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Fleet.Missed():
+		case <-c.clock.After(pause):
+		}
+	}
+}
+
+// exchange reports to the holder and takes over its reply. While requests
+// wait for an order it goes on until the holder has nothing new to say.
+func (c *Coordinator) exchange(ctx context.Context) {
+	for range 20 {
+		address := c.lease.holder()
+		if address == "" {
+			return
+		}
+		wants := c.Fleet.Wants()
+		r := Report{
+			Instance: c.Instance, Wants: wants, Flights: c.Fleet.Flights(),
+			Registry: c.Registry.Next(), Config: c.version(), Overlay: c.told, Fence: c.fence,
+			Suspects: c.Suspects.Export(), Waiting: waits(wants),
+		}
+		reply, err := c.call(ctx, address, r)
+		if err != nil {
+			c.log.Debug("coordinator: no reply", zap.String("holder", address), zap.Error(err))
+			return
+		}
+		if !reply.Holds {
+			return
+		}
+		c.apply(reply)
+		if !r.Waiting || len(reply.Overlays) == 0 {
+			return
+		}
+	}
+}
+
+func waits(wants []balancer.Want) bool {
+	for _, w := range wants {
+		if w.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) version() int64 {
+	if t := c.table(); t != nil {
+		return t.Version
+	}
+	return -1
+}
+
+func (c *Coordinator) call(ctx context.Context, address string, r Report) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	if address == c.Address {
+		return c.serve(ctx, r), nil
+	}
+	var reply Reply
+	err := c.Peers.Call(ctx, address, kindExchange, r, &reply)
+	return reply, eris.Wrap(err, "report to the holder")
+}
+
+// answer is serve for a report that came as a message.
+func (c *Coordinator) answer(ctx context.Context, body msgpack.RawMessage) (any, error) {
+	var r Report
+	if err := msgpack.Unmarshal(body, &r); err != nil {
+		return nil, eris.Wrap(err, "decode report")
+	}
+	return c.serve(ctx, r), nil
+}
+
+// serve takes a report and returns what its instance has not been told yet.
+func (c *Coordinator) serve(ctx context.Context, r Report) Reply {
+	if !c.lease.valid() {
+		return Reply{}
+	}
+	c.Suspects.Merge(r.Suspects)
+	c.hub.take(r)
+	if r.Fence != c.lease.fence() {
+		r.Overlay = 0
+	}
+	// Read before the records are collected, so that none up to it is missed.
+	next := c.Registry.Next()
+	reply, changed := c.hub.reply(r)
+	if r.Waiting && len(reply.Overlays) == 0 {
+		c.hub.await(ctx, changed)
+		next = c.Registry.Next()
+		reply, _ = c.hub.reply(r)
+	}
+	reply.Fence = c.lease.fence()
+	reply.Next = next
+	reply.RegistryFresh = c.Registry.Age() < freshAge
+	reply.ConfigFresh = c.Config.Age() < freshAge
+	reply.Suspects = c.Suspects.Export()
+	return reply
+}
+
+// apply takes over a reply.
+func (c *Coordinator) apply(r Reply) {
+	c.lease.hear()
+	c.fence, c.told = r.Fence, r.Overlay
+	c.instances.Store(int64(r.Instances))
+	c.Fleet.Others(r.Flights)
+	c.Suspects.Merge(r.Suspects)
+	if !c.lease.valid() {
+		c.Registry.Feed(r.Registry, r.Next, r.RegistryFresh)
+		c.Config.Feed(r.Config, r.ConfigNext, r.ConfigFresh)
+	}
+	c.Fleet.Ordered(r.Overlays)
+}
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"primrosehook/decayer"
 	"primrosehook/driver"
 	"primrosehook/router"
 )
@@ -31,28 +32,9 @@
 	deferred bool
 }
 
-// decayed is a count that loses half of itself in each half-life.
-type decayed struct {
-	count float64
-	at    time.Time
-}
-
-func (d *decayed) add(now time.Time, half time.Duration, count float64) {
-	d.count = d.value(now, half) + count
-	d.at = now
-}
-
-func (d *decayed) value(now time.Time, half time.Duration) float64 {
-	if d.count == 0 {
-		return 0
-	}
-	age := max(now.Sub(d.at), 0)
-	return d.count * math.Exp2(-age.Seconds()/half.Seconds())
-}
-
 type demandEntry struct {
-	all    decayed
-	missed decayed
+	all    decayer.Counter
+	missed decayer.Counter
 }
 
 // demand counts arrivals with an exponential decay, which needs no timer.
@@ -60,11 +42,11 @@
 	half    time.Duration
 	entries map[demandKey]*demandEntry
 	// models sums the entries of each model up.
-	models map[string]*decayed
+	models map[string]*decayer.Counter
 }
 
 func newDemand(half time.Duration) demand {
-	return demand{half: half, entries: map[demandKey]*demandEntry{}, models: map[string]*decayed{}}
+	return demand{half: half, entries: map[demandKey]*demandEntry{}, models: map[string]*decayer.Counter{}}
 }
 
 // maxDemand bounds the entries, so that unknown names cannot fill the memory.
@@ -84,45 +66,44 @@
 }
 
 func (d *demand) count(now time.Time, w Work) {
-	d.entry(&w).all.add(now, d.half, 1)
+	d.entry(&w).all.Add(now, d.half, 1)
 	m, ok := d.models[w.Model]
 	if !ok {
 		if len(d.models) >= maxDemand {
 			return
 		}
-		m = &decayed{}
+		m = &decayer.Counter{}
 		d.models[w.Model] = m
 	}
-	m.add(now, d.half, 1)
+	m.Add(now, d.half, 1)
 }
 
-// rate returns the demand for a model. A steady rate r holds the decayed count
-// at r * half / ln 2.
+// rate returns the demand for a model.
 func (d *demand) rate(now time.Time, model string) float64 {
 	m, ok := d.models[model]
 	if !ok {
 		return 0
 	}
-	return m.value(now, d.half) * math.Ln2 / d.half.Seconds()
+	return m.Rate(now, d.half)
 }
 
 func (d *demand) miss(now time.Time, w Work, status router.Status) {
 	if status == router.Absent {
-		d.entry(&w).missed.add(now, d.half, 1)
+		d.entry(&w).missed.Add(now, d.half, 1)
 	}
 }
 
 // rates returns the demand in a fixed order, and forgets what has faded.
 func (d *demand) rates(now time.Time) []Demand {
 	for model, m := range d.models {
-		if m.value(now, d.half) < faded {
+		if m.Value(now, d.half) < faded {
 			delete(d.models, model)
 		}
 	}
 	scale := math.Ln2 / d.half.Seconds()
 	all := make([]Demand, 0, len(d.entries))
 	for key, e := range d.entries {
-		count := e.all.value(now, d.half)
+		count := e.all.Value(now, d.half)
 		if count < faded {
 			delete(d.entries, key)
 			continue
@@ -132,7 +113,7 @@
 			Class:    key.class,
 			Deferred: key.deferred,
 			Rate:     count * scale,
-			Missed:   e.missed.value(now, d.half) * scale,
+			Missed:   e.missed.Value(now, d.half) * scale,
 		})
 	}
 	slices.SortFunc(all, func(a, b Demand) int {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -6,7 +6,10 @@
 // view until the registry has been readable again for the grace period.
 package registrar
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // Holding is a model that a server holds, with its adapters.
 type Holding struct {
@@ -28,8 +31,8 @@
 	// Remaining is how long a server that is taken away at short notice has
 	// left from the registration's arrival; zero if it was given no limit.
 	Remaining time.Duration
-	// Orders counts the orders that the server has accepted in this life.
-	Orders   int64
+	// Beat counts the registrations of this life.
+	Beat     int64
 	Holdings []Holding
 	// Copies are the models whose weights the server keeps in host memory or
 	// on disk.
@@ -86,23 +89,39 @@
 	c.last = now
 }
 
-// Put takes over the registration that stands at an offset.
-func (c *Core) Put(offset int64, s Server) {
+// Put takes over the registration that stands at an offset, and reports
+// whether it says anything new. One that was overtaken by a later registration
+// of the same life says nothing.
+func (c *Core) Put(offset int64, s Server) bool {
 	if c.stale(s.ID, offset) {
-		return
+		return false
 	}
 	delete(c.gone, s.ID)
+	old, ok := c.entries[s.ID]
+	if ok && old.server.Life == s.Life && s.Beat < old.server.Beat {
+		old.offset = offset
+		return false
+	}
 	c.entries[s.ID] = &entry{server: s, offset: offset}
+	if ok && old.lapsed.IsZero() {
+		beat := old.server
+		beat.Beat = s.Beat
+		if reflect.DeepEqual(beat, s) {
+			return false
+		}
+	}
 	c.changes++
+	return true
 }
 
-// Remove takes the removal at an offset.
-func (c *Core) Remove(now time.Time, id string, offset int64) {
+// Remove takes the removal at an offset, and reports whether it is news.
+func (c *Core) Remove(now time.Time, id string, offset int64) bool {
 	if c.stale(id, offset) {
-		return
+		return false
 	}
 	c.gone[id] = offset
 	c.lapse(now, id)
+	return true
 }
 
 // Retain drops the servers that a complete reading of the registry, up to the
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -163,6 +163,19 @@
 	return r.budget(service).Retry()
 }
 
+// Share sets the burst of this instance's share of the retries.
+func (r *Relayer) Share(burst int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.slack == burst {
+		return
+	}
+	r.slack = burst
+	for _, b := range r.budgets {
+		b.Resize(burst)
+	}
+}
+
 func (r *Relayer) budget(service string) *limiter.Budget {
 	b, ok := r.budgets[service]
 	if !ok {
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -48,6 +49,15 @@
 	retryMost  = 800 * time.Millisecond
 )
 
+// unread is the offset of a stream that was never read.
+const unread = -1
+
+// never is the age of what was never read.
+const never = time.Hour
+
+// relievedCheck is how often it is checked whether a peer still feeds.
+const relievedCheck = 100 * time.Millisecond
+
 // Tailer follows one stream.
 type Tailer struct {
 	name   string
@@ -56,9 +66,15 @@
 	clock  clockwork.Clock
 	log    *zap.Logger
 	wait   time.Duration
+	relief time.Duration
 	pace   func() time.Duration
 	wake   chan struct{}
-	ready  chan struct{}
+
+	mu   sync.Mutex
+	next int64
+	read time.Time
+	// fed is when a peer last gave records that were fresh.
+	fed time.Time
 }
 
 // Option sets one option of a Tailer.
@@ -70,12 +86,15 @@
 // WithPace sets the pause between two reads, asked for before each.
 func WithPace(pace func() time.Duration) Option { return func(t *Tailer) { t.pace = pace } }
 
+// WithRelief sets for how long records fed by a peer stand for an own reading.
+func WithRelief(d time.Duration) Option { return func(t *Tailer) { t.relief = d } }
+
 // New returns a tailer.
 func New(name string, source Source, sink Sink, clock clockwork.Clock, log *zap.Logger, set ...Option) *Tailer {
 	t := &Tailer{
 		name: name, source: source, sink: sink, clock: clock, log: log,
 		pace: func() time.Duration { return 0 },
-		wake: make(chan struct{}, 1), ready: make(chan struct{}),
+		wake: make(chan struct{}, 1), next: unread,
 	}
 	for _, o := range set {
 		o(t)
@@ -91,27 +110,30 @@
 	}
 }
 
-// Ready is closed once the stream was read the first time.
-func (t *Tailer) Ready() <-chan struct{} { return t.ready }
-
 // Run follows the stream until the context ends.
 func (t *Tailer) Run(ctx context.Context) { t.run(ctx) }
 
 func (t *Tailer) run(ctx context.Context) {
-	next, away := int64(-1), false
+	away := false
 	pause := retryLeast
 	for ctx.Err() == nil {
-		got, err := t.step(ctx, next)
+		if t.relieved() {
+			t.rest(ctx, relievedCheck)
+			continue
+		}
+		err := t.step(ctx)
 		switch {
 		case err == nil:
 			if away {
 				t.log.Info(t.name + ": store is back")
 			}
-			next, away, pause = got, false, retryLeast
+			away, pause = false, retryLeast
 			t.rest(ctx, t.pace())
 		case errors.Is(err, ErrTrimmed):
-			t.log.Info(t.name+": history is gone, reading the newest records", zap.Int64("offset", next))
-			next = -1
+			t.log.Info(t.name + ": history is gone, reading the newest records")
+			t.mu.Lock()
+			t.next = unread
+			t.mu.Unlock()
 		case ctx.Err() != nil:
 		default:
 			if !away {
@@ -124,29 +146,71 @@
 	}
 }
 
-// step reads once and returns where to read on.
-func (t *Tailer) step(ctx context.Context, next int64) (int64, error) {
+// step reads once.
+func (t *Tailer) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, t.wait+callTimeout)
 	defer cancel()
-	if next >= 0 {
-		list, end, err := t.source.Read(ctx, next, t.wait)
+	from := t.Next()
+	if from != unread {
+		list, end, err := t.source.Read(ctx, from, t.wait)
 		if err != nil {
-			return next, err
+			return err
 		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		t.sink.Apply(list)
-		return end, nil
+		t.next = max(t.next, end)
+		t.read = t.clock.Now()
+		return nil
 	}
 	list, end, err := t.source.Newest(ctx)
 	if err != nil {
-		return next, err
+		return err
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.sink.Full(list, end)
-	select {
-	case <-t.ready:
-	default:
-		close(t.ready)
+	t.next = end
+	t.read = t.clock.Now()
+	return nil
+}
+
+// Next returns the offset at which reading goes on, negative if the stream was
+// never read.
+func (t *Tailer) Next() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next
+}
+
+// Age returns how long ago the store was last read here.
+func (t *Tailer) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.read.IsZero() {
+		return never
+	}
+	return t.clock.Since(t.read)
+}
+
+// Feed takes records that a peer read, up to an offset. Fresh says whether the
+// peer reads the store at its usual pace; if so this instance need not.
+func (t *Tailer) Feed(list []Record, next int64, fresh bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if next > t.next {
+		t.sink.Apply(list)
+		t.next = next
+	}
+	if fresh {
+		t.fed = t.clock.Now()
 	}
-	return end, nil
+}
+
+func (t *Tailer) relieved() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.fed.IsZero() && t.clock.Since(t.fed) < t.relief
 }
 
 func (t *Tailer) rest(ctx context.Context, d time.Duration) {
