Leave a silent server only for a reserved one; check loads against reports

Ruled out: read deadlines on the connection: a chunked body can't be read on after one. Trusting the registry after a fixed time since the last order: its newest entry may be older than the order. Conclusion: silence alone ends nothing; what a server holds is asked of it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -11,6 +11,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"primrosehook/registrar"
@@ -140,6 +141,9 @@
 	failure float64
 	judged  time.Time
 	latency float64
+	// heard is when a byte last came from the server, in nanoseconds since the
+	// fleet began.
+	heard *atomic.Int64
 }
 
 // Core holds the servers of one service. It is not safe for concurrent use.
@@ -168,7 +172,7 @@
 	for _, r := range list {
 		s, ok := c.servers[r.ID]
 		if !ok || s.Life != r.Life {
-			s = &server{latency: c.latency}
+			s = &server{latency: c.latency, heard: new(atomic.Int64)}
 		}
 		s.Server = r
 		c.hold(now, s)
@@ -302,6 +306,13 @@
 	}
 }
 
+// Cancel takes Sent back.
+func (c *Core) Cancel(id string, q Request) {
+	if s, ok := c.servers[id]; ok {
+		s.own = s.own.Sub(Flight{Reading: q.Prompt, Started: 1})
+	}
+}
+
 // First notes the first event of an answer, which came after a delay.
 func (c *Core) First(id string, q Request, delay time.Duration) {
 	if s, ok := c.servers[id]; ok {
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -29,6 +30,7 @@
 	zone  string
 	seed  uint64
 	clock clockwork.Clock
+	begun time.Time
 	Dials connector.Dials
 
 	mu      sync.Mutex
@@ -43,7 +45,7 @@
 // NewFleet returns a fleet without servers.
 func NewFleet(zone string, seed uint64, clock clockwork.Clock) *Fleet {
 	return &Fleet{
-		zone: zone, seed: seed, clock: clock,
+		zone: zone, seed: seed, clock: clock, begun: clock.Now(),
 		cores: map[string]*Core{}, pools: map[string]*connector.Pool{},
 		arrived: map[wantKey]int{}, waiting: map[wantKey]int{},
 		changed: make(chan struct{}), missed: make(chan struct{}, 1),
@@ -131,6 +133,7 @@
 	request Request
 	first   bool
 	sent    time.Time
+	heard   *atomic.Int64
 }
 
 // Take chooses a server, and counts the request there.
@@ -152,7 +155,7 @@
 	}
 	s, _ := c.Server(id)
 	c.Sent(id, q)
-	return &Lease{Server: s, Pool: f.pools[s.Life+s.Address], fleet: f, service: service, request: q, sent: now}, Found
+	return &Lease{Server: s, Pool: f.pools[s.Life+s.Address], fleet: f, service: service, request: q, sent: now, heard: c.servers[id].heard}, Found
 }
 
 // Await is Take that waits until a server holds the model or the context ends.
@@ -199,6 +202,26 @@
 	}
 }
 
+// Heard notes that bytes came from the server.
+func (l *Lease) Heard() { l.heard.Store(int64(l.fleet.clock.Since(l.fleet.begun))) }
+
+// Silence is how long nothing has come from the server, since the request was
+// sent at most.
+func (l *Lease) Silence() time.Duration {
+	f := l.fleet
+	return min(f.clock.Since(f.begun)-time.Duration(l.heard.Load()), f.clock.Since(l.sent))
+}
+
+// Cancel gives the server back without a request having been sent.
+func (l *Lease) Cancel() {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cores[l.service]; ok {
+		c.Cancel(l.ID, l.request)
+	}
+}
+
 // Done notes the end of the request at the server.
 func (l *Lease) Done(failed bool) {
 	f := l.fleet
--- a/composer/sinks.go
+++ b/composer/sinks.go
@@ -106,8 +106,11 @@
 		}
 	}
 	r.read = r.read || len(list) > 0
-	if len(news) > 0 {
+	switch {
+	case len(news) > 0:
 		r.pass(now, news)
+	case len(list) > 0:
+		r.registered(nil, r.core.Servers(now))
 	}
 }
 
@@ -133,7 +136,7 @@
 		return r.core.Remove(now, x.Key, x.Offset)
 	}
 	delete(r.bad, x.Key)
-	return r.core.Put(x.Offset, s)
+	return r.core.Put(now, x.Offset, s)
 }
 
 // run drops doubted servers once the doubt has ended.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -57,8 +57,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Until bounds the wait for the head of the answer; zero for no bound.
-	Until time.Time
 }
 
 // Answer is the head of an answer, with its body to be read.
@@ -256,9 +254,6 @@
 	if !beside {
 		b.Write(q.Body)
 	}
-	if err := c.conn.SetReadDeadline(q.Until); err != nil {
-		return nil, failed(err, true)
-	}
 	if n, err := c.conn.Write(b.Bytes()); err != nil {
 		return nil, failed(err, n == 0)
 	}
@@ -321,9 +316,10 @@
 	a.pool.put(c)
 }
 
-// Deadline bounds the wait for the next bytes; the zero time lifts it.
-func (a *Answer) Deadline(t time.Time) error {
-	return eris.Wrap(a.conn.conn.SetReadDeadline(t), "set read deadline")
+// Broken reports whether an error means that the upstream ended the connection,
+// rather than that it was silent or that this side closed it.
+func Broken(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
 func failed(err error, unsent bool) error {
--- a/coordinator/hub.go
+++ b/coordinator/hub.go
@@ -177,7 +177,9 @@
 		maps.DeleteFunc(h.latest, func(_ string, x tailer.Record) bool { return x.Value == nil })
 	}
 	h.servers = servers
-	h.wake()
+	if len(list) > 0 {
+		h.wake()
+	}
 }
 
 func (h *hub) publish(x tailer.Record, version int64) {
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -155,7 +155,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	f.refresh(now, servers)
+	f.refresh(servers)
 	for name, service := range table.Services {
 		if service.Engine == nil {
 			continue
@@ -175,7 +175,7 @@
 
 // refresh takes over what the registry says. It is older than what orders have
 // changed until its count of orders has caught up.
-func (f *foreman) refresh(now time.Time, servers []registrar.Server) {
+func (f *foreman) refresh(servers []registrar.Server) {
 	seen := map[string]bool{}
 	for _, s := range servers {
 		seen[s.ID] = true
@@ -185,7 +185,7 @@
 			f.beliefs[s.ID] = b
 		}
 		b.server = s
-		if b.pending == nil && now.Sub(b.changed) > registryLag {
+		if b.pending == nil && s.Seen.Sub(b.changed) > registryLag {
 			b.adopt(s.Holdings)
 		}
 	}
@@ -248,7 +248,7 @@
 	}
 	f.log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
 		zap.String("key", balancer.Key(o.Model, o.Adapter)), zap.Int64("expected", b.orders), zap.Bool("cold", o.Cold), zap.String("why", o.Why))
-	j := &job{foreman: f, belief: b, order: o, spec: e.Models[o.Model], server: b.server}
+	j := &job{foreman: f, belief: b, order: o, engine: e, server: b.server}
 	f.work.Go(func() { j.run(ctx) })
 }
 
@@ -257,7 +257,7 @@
 	*foreman
 	belief *belief
 	order  stocker.Order
-	spec   matcher.Model
+	engine *matcher.Engine
 	server registrar.Server
 }
 
@@ -312,9 +312,15 @@
 // was lost is sent again with the same expected count: whichever comes first is
 // carried out, the other is refused.
 func (j *job) send(ctx context.Context) bool {
+	// The registry may be old, and weights that do not fit crash the server:
+	// what it holds is asked of the server itself.
+	if j.order.Op == stocker.Load && j.order.Adapter == "" && !j.learn(ctx) {
+		return false
+	}
 	for range orderTries {
 		j.mu.Lock()
 		expected := j.belief.orders
+		fits := stocker.Fits(j.engine, j.belief.held, j.order)
 		j.mu.Unlock()
 		if expected < 0 {
 			if !j.learn(ctx) {
@@ -322,6 +328,10 @@
 			}
 			continue
 		}
+		if !fits {
+			j.log.Info("orders: server holds other models than the registry says", zap.String("server", j.server.ID))
+			return false
+		}
 		if !j.lease.mayOrder() {
 			return false
 		}
@@ -394,9 +404,9 @@
 	}
 	expected := unloadTime
 	if j.order.Op == stocker.Load {
-		expected = j.spec.Warm
+		expected = j.engine.Models[j.order.Model].Warm
 		if j.order.Cold {
-			expected = j.spec.Cold
+			expected = j.engine.Models[j.order.Model].Cold
 		}
 	}
 	for j.sleep(ctx, expected) {
--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -10,14 +10,15 @@
 
 // Guard is a Quarantiner for concurrent use that reads the time itself.
 type Guard struct {
-	clock clockwork.Clock
-	mu    sync.Mutex
-	core  *Quarantiner
+	clock  clockwork.Clock
+	mu     sync.Mutex
+	core   *Quarantiner
+	losses *Losses
 }
 
 // NewGuard returns a guard around a fresh quarantiner.
 func NewGuard(clock clockwork.Clock, options Options) *Guard {
-	return &Guard{clock: clock, core: New(options)}
+	return &Guard{clock: clock, core: New(options), losses: NewLosses()}
 }
 
 // Held reports how long yet a digest is in quarantine, zero if it is not.
@@ -34,6 +35,25 @@
 	g.core.Crash(g.clock.Now(), digest, engine, beside)
 }
 
+// Broke notes that the connection of a request to an engine's life broke.
+func (g *Guard) Broke(digest uint64, life string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.losses.Broke(g.clock.Now(), digest, life)
+}
+
+// Lost notes that an engine's life has ended by a crash, and marks the requests
+// whose connections broke with it.
+func (g *Guard) Lost(life string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	list := g.losses.Lost(now, life)
+	for _, digest := range list {
+		g.core.Crash(now, digest, life, len(list))
+	}
+}
+
 // Finished clears a digest whose request came to a clean end.
 func (g *Guard) Finished(digest uint64) {
 	g.mu.Lock()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -41,6 +41,8 @@
 	Born time.Time
 	// Life tells lives of the same ID apart.
 	Life string
+	// Seen is when the registration was last read, also if it said nothing new.
+	Seen time.Time
 }
 
 // Settings are the times of the policy.
@@ -92,7 +94,7 @@
 // Put takes over the registration that stands at an offset, and reports
 // whether it says anything new. One that was overtaken by a later registration
 // of the same life says nothing.
-func (c *Core) Put(offset int64, s Server) bool {
+func (c *Core) Put(now time.Time, offset int64, s Server) bool {
 	if c.stale(s.ID, offset) {
 		return false
 	}
@@ -102,10 +104,11 @@
 		old.offset = offset
 		return false
 	}
+	s.Seen = now
 	c.entries[s.ID] = &entry{server: s, offset: offset}
 	if ok && old.lapsed.IsZero() {
 		beat := old.server
-		beat.Beat = s.Beat
+		beat.Beat, beat.Seen = s.Beat, now
 		if reflect.DeepEqual(beat, s) {
 			return false
 		}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,17 +21,6 @@
 const (
 	// answerLimit bounds an answer that is not a stream, in bytes.
 	answerLimit = 16 << 20
-	// firstPatience times the objective is how long the first event of a
-	// stream that may go on elsewhere is awaited, and at least firstLeast.
-	firstPatience = 2
-	firstLeast    = 1200 * time.Millisecond
-	// gapPatience times the longest pause on time is how long the next event
-	// is awaited, and at least gapLeast.
-	gapPatience = 3
-	gapLeast    = 900 * time.Millisecond
-	// callPatience times the objective is how long the answer to an
-	// idempotent call is awaited if it may go elsewhere.
-	callPatience = 2
 	// readSize is that of a read from a stream, in bytes.
 	readSize = 4 << 10
 	// late is how long after the end of the time an answer is still awaited.
@@ -43,23 +33,25 @@
 	now := x.clock.Now()
 	ctx, cancel := context.WithCancel(x.context)
 	defer cancel()
+	w := x.watch(l, cancel)
+	defer w.stop()
 	answer, err := l.Pool.Do(ctx, connector.Request{
 		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Body: x.body,
 		Header: x.codec.Forward(x.request.Header, Send{
 			Server: l.ID, Left: x.until.Sub(now), Priority: x.route.Priority, LastEvent: x.meta.LastEvent,
 		}),
-		Until: x.headUntil(now),
 	}, x.own)
 	if err != nil {
 		return x.broken(l, err)
 	}
+	w.heard(false)
 	x.sends++
 	facts := x.codec.Answer(answer.StatusCode, answer.Header)
 	if facts.KeepAlive > 0 {
 		l.Pool.KeepIdle(facts.KeepAlive)
 	}
 	if x.route.Kind == matcher.Streaming && answer.StatusCode == http.StatusOK && facts.Signed && !facts.Encoded {
-		return x.stream(l, answer)
+		return x.stream(l, answer, w)
 	}
 	return x.whole(l, answer, facts)
 }
@@ -70,22 +62,6 @@
 	return f.ID == x.meta.ID || f.ID == "" && f.Refused
 }
 
-// headUntil is when the head of an answer is given up.
-func (x *exchange) headUntil(now time.Time) time.Time {
-	until := x.until.Add(late)
-	if !x.route.Repeatable() || x.sends+1 >= x.route.Attempts {
-		return until
-	}
-	patience := callPatience * x.route.Target
-	if x.route.Kind == matcher.Streaming {
-		patience = max(firstPatience*x.route.Target, firstLeast)
-	}
-	if t := now.Add(patience); patience > 0 && t.Before(until) {
-		return t
-	}
-	return until
-}
-
 // broken judges a request whose connection broke before the answer's head.
 func (x *exchange) broken(l *balancer.Lease, err error) bool {
 	verdict := judge.Of(err)
@@ -101,6 +77,12 @@
 		x.giveUp("client left")
 		return false
 	}
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		x.suspects.Lost(l.Life)
+	case verdict != judge.NotRun && connector.Broken(errors.Unwrap(err)):
+		x.suspects.Broke(x.digest, l.Life)
+	}
 	if verdict == judge.NotRun || x.route.Repeatable() {
 		return true
 	}
@@ -157,16 +139,12 @@
 
 // stream passes events on as they come. It reports whether the stream may go
 // on at another server.
-func (x *exchange) stream(l *balancer.Lease, a *connector.Answer) bool {
+func (x *exchange) stream(l *balancer.Lease, a *connector.Answer, w *watch) bool {
 	events := streamer.After(x.meta.LastEvent)
 	buffer := make([]byte, readSize)
 	first := false
-	sent := x.clock.Now()
 	var err error
 	for {
-		if err = a.Deadline(x.eventUntil(sent, first)); err != nil {
-			break
-		}
 		var n int
 		n, err = a.Body.Read(buffer)
 		if n > 0 {
@@ -175,6 +153,7 @@
 				err = bad
 				break
 			}
+			w.heard(len(out) > 0)
 			if len(out) > 0 {
 				if !first {
 					first = true
@@ -217,6 +196,9 @@
 		x.giveUp("client left")
 		return false
 	}
+	if connector.Broken(err) {
+		x.suspects.Broke(x.digest, l.Life)
+	}
 	if x.route.Resumable && x.sends < x.route.Attempts {
 		x.Counts.Resumed.Add(1)
 		return true
@@ -225,23 +207,6 @@
 	return false
 }
 
-// eventUntil is when the next event of a stream is given up.
-func (x *exchange) eventUntil(sent time.Time, first bool) time.Time {
-	until := x.until.Add(late)
-	if !x.route.Resumable || x.sends >= x.route.Attempts {
-		return until
-	}
-	now := x.clock.Now()
-	patience := max(gapPatience*x.route.Gap, gapLeast)
-	if !first {
-		now, patience = sent, max(firstPatience*x.route.Target, firstLeast)
-	}
-	if t := now.Add(patience); t.Before(until) {
-		return t
-	}
-	return until
-}
-
 // write gives events to the client. It reports whether the client is there.
 func (x *exchange) write(a *connector.Answer, b []byte) bool {
 	if !x.headed {
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -110,7 +111,16 @@
 		}
 		x.query.Session = balancer.Hash(session)
 	}
-	x.digest = balancer.Hash(x.request.Method + " " + x.request.RequestURI + " " + string(x.body))
+	x.digest = balancer.Hash(x.request.Method + " " + caller(x.request) + " " + x.request.RequestURI + " " + string(x.body))
+}
+
+// caller returns the address that a request came from, without its port.
+func caller(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
 }
 
 // run sends the request until it has an answer, or none can come in time.
@@ -125,13 +135,26 @@
 	x.context = ctx
 	x.fresh(x.service)
 	x.fleet.Arrived(x.service, x.query)
+	var reserved *balancer.Lease
 	for {
-		lease, status := x.take()
+		lease, status := reserved, balancer.Found
+		if lease == nil {
+			lease, status = x.take()
+		}
+		reserved = nil
 		if lease == nil {
 			x.giveUp("no server", zap.Stringer("status", status))
 			return
 		}
 		again := x.attempt(lease)
+		if next := x.reserved(); next != nil {
+			if again {
+				x.query.Exclude = append(x.query.Exclude, lease.ID)
+				reserved = next
+				continue
+			}
+			next.Cancel()
+		}
 		if !again {
 			return
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -80,7 +80,10 @@
 
 // Suspects tells requests that crash servers.
 type Suspects interface {
-	Crashed(digest uint64, server string, beside int)
+	// Broke notes that a request's connection to a server's life broke, Lost
+	// that the life has ended.
+	Broke(digest uint64, life string)
+	Lost(life string)
 	Finished(digest uint64)
 	Held(digest uint64) time.Duration
 }
@@ -206,4 +209,8 @@
 	mayRun  bool
 	headed  bool
 	context context.Context
+
+	// next is the server that was reserved because the present one is silent.
+	mu   sync.Mutex
+	next *balancer.Lease
 }
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -87,6 +87,34 @@
 	Why string
 }
 
+// Fits reports whether a server that holds some models has room for what an
+// order loads.
+func Fits(e *matcher.Engine, held map[string][]string, o Order) bool {
+	if o.Op != Load {
+		return true
+	}
+	spec := e.Models[o.Model]
+	if o.Adapter == "" {
+		_, ok := held[o.Model]
+		return ok || used(e, held)+spec.Size <= e.Memory
+	}
+	slots := e.AdapterSlots
+	for _, adapters := range held {
+		slots -= len(adapters)
+	}
+	return slices.Contains(held[o.Model], o.Adapter) || slots > 0 && used(e, held)+spec.AdapterSize <= e.Memory
+}
+
+// used is the memory that models and adapters take, in MB.
+func used(e *matcher.Engine, held map[string][]string) float64 {
+	total := 0.0
+	for m, adapters := range held {
+		spec := e.Models[m]
+		total += spec.Size + float64(len(adapters))*spec.AdapterSize
+	}
+	return total
+}
+
 type planner struct {
 	State
 	servers []*Server
@@ -263,15 +291,7 @@
 	return n
 }
 
-// used is the memory that a server's models and adapters take, in MB.
-func (p *planner) used(s *Server) float64 {
-	total := 0.0
-	for m, adapters := range s.Held {
-		spec := p.Engine.Models[m]
-		total += spec.Size + float64(len(adapters))*spec.AdapterSize
-	}
-	return total
-}
+func (p *planner) used(s *Server) float64 { return used(p.Engine, s.Held) }
 
 func (p *planner) slots(s *Server) int {
 	n := 0
