Do not take a quiet registry for one that can't be read

An instance that the coordinator feeds reads only what is new; more than 1.5 s without news counted as an outage of the store, and a server that left after it was kept for two seconds of doubt. Conclusion: a fresh reading that found nothing is told to the sink.

--- a/composer/sinks.go
+++ b/composer/sinks.go
@@ -136,7 +136,12 @@
 		return r.core.Remove(now, x.Key, x.Offset)
 	}
 	delete(r.bad, x.Key)
-	return r.core.Put(now, x.Offset, s)
+	if !r.core.Put(now, x.Offset, s) {
+		return false
+	}
+	r.log.Info("registry: server registered", zap.String("server", s.ID), zap.String("service", s.Service), zap.String("address", s.Address),
+		zap.Bool("draining", s.Draining), zap.Int64("beat", s.Beat), zap.Int64("offset", x.Offset), zap.Int("models", len(s.Holdings)))
+	return true
 }
 
 // run drops doubted servers once the doubt has ended.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -59,6 +59,9 @@
 	return Settings{Away: 1500 * time.Millisecond, Grace: 2 * time.Second}
 }
 
+// leftKept bounds the lives that are remembered after their end.
+const leftKept = 4096
+
 type entry struct {
 	server Server
 	offset int64
@@ -72,7 +75,9 @@
 	entries  map[string]*entry
 	// gone holds the offsets of removals, so that a stale page does not bring
 	// a server back.
-	gone     map[string]int64
+	gone map[string]int64
+	// left holds the last registration of lives that have ended.
+	left     map[string]int64
 	last     time.Time
 	returned time.Time
 	changes  uint64
@@ -80,7 +85,7 @@
 
 // NewCore returns an empty view.
 func NewCore(settings Settings) *Core {
-	return &Core{settings: settings, entries: map[string]*entry{}, gone: map[string]int64{}}
+	return &Core{settings: settings, entries: map[string]*entry{}, gone: map[string]int64{}, left: map[string]int64{}}
 }
 
 // Read notes that the registry was read, before the records read are given.
@@ -98,12 +103,17 @@
 	if c.stale(s.ID, offset) {
 		return false
 	}
-	delete(c.gone, s.ID)
 	old, ok := c.entries[s.ID]
 	if ok && old.server.Life == s.Life && s.Beat < old.server.Beat {
 		old.offset = offset
 		return false
 	}
+	if beat, left := c.left[s.Life]; left && s.Beat <= beat {
+		// A registration from before the server left, written late.
+		return false
+	}
+	delete(c.left, s.Life)
+	delete(c.gone, s.ID)
 	s.Seen = now
 	c.entries[s.ID] = &entry{server: s, offset: offset}
 	if ok && old.lapsed.IsZero() {
@@ -177,6 +187,10 @@
 		return
 	}
 	c.changes++
+	if len(c.left) >= leftKept {
+		clear(c.left)
+	}
+	c.left[e.server.Life] = e.server.Beat
 	if now.Sub(c.returned) <= c.settings.Grace && !c.returned.IsZero() {
 		if e.lapsed.IsZero() {
 			e.lapsed = now
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -198,7 +198,9 @@
 func (t *Tailer) Feed(list []Record, next int64, fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if next > t.next {
+	// The sink is told of a fresh reading that found nothing, too: it must
+	// not take a quiet time for one without the store.
+	if next > t.next || fresh && next == t.next {
 		t.sink.Apply(list)
 		t.next = next
 	}
