--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -37,6 +37,15 @@
 )
 
 const (
+	// readingLimit is how many prompt tokens may wait at a server, in all: half
+	// of the tightest objective's time.
+	readingLimit = 6600
+	// cacheShare of a server's cache may be spoken for; beyond it running
+	// requests are put back and read anew.
+	cacheShare = 0.95
+	// absentTime is how long a server that said it does not hold a model is
+	// believed against its registration.
+	absentTime = 1500 * time.Millisecond
 	// failureShare is the weight of the latest outcome in the failure rate.
 	failureShare = 0.3
 	// recovery is how fast a failure rate halves without new outcomes, so
@@ -59,6 +68,12 @@
 	// that other requests share.
 	Prompt int
 	Shared int
+	// Output is how many tokens are expected to be generated.
+	Output int
+	// Priority is the rank, 0 first. Aim is when the first event should be
+	// there, Leave when the client goes or the answer is not worth waiting for.
+	Priority   int
+	Aim, Leave time.Time
 	// Session is the hash of the shared parts; zero if there are none.
 	Session uint64
 	// Exclude are servers that must not be chosen.
@@ -83,18 +98,20 @@
 	// tokens of the others.
 	Running int `msgpack:"r"`
 	Reading int `msgpack:"t"`
+	// Tokens is what the requests may come to take of the server's cache.
+	Tokens int `msgpack:"k"`
 	// Started counts requests in flight, whatever their state.
 	Started int `msgpack:"s"`
 }
 
 // Add returns the sum.
 func (f Flight) Add(g Flight) Flight {
-	return Flight{f.Running + g.Running, f.Reading + g.Reading, f.Started + g.Started}
+	return Flight{f.Running + g.Running, f.Reading + g.Reading, f.Tokens + g.Tokens, f.Started + g.Started}
 }
 
 // Sub returns the difference, not below zero.
 func (f Flight) Sub(g Flight) Flight {
-	return Flight{max(f.Running-g.Running, 0), max(f.Reading-g.Reading, 0), max(f.Started-g.Started, 0)}
+	return Flight{max(f.Running-g.Running, 0), max(f.Reading-g.Reading, 0), max(f.Tokens-g.Tokens, 0), max(f.Started-g.Started, 0)}
 }
 
 // Status says why there is a choice or none.
@@ -106,15 +123,17 @@
 	Found Status = iota
 	// Absent means that servers are there but none holds the model.
 	Absent
-	// Full means that all servers which hold the model are full.
+	// Full means that all servers which hold the model are full for now.
 	Full
+	// Spent means that no server is left that the request may go to.
+	Spent
 	// Empty means that the service has no servers.
 	Empty
 )
 
 // String returns the status for logs.
 func (s Status) String() string {
-	return [...]string{"found", "absent", "full", "empty"}[s]
+	return [...]string{"found", "absent", "full", "spent", "empty"}[s]
 }
 
 // Overlay is what an order changed at a server, told before its registration
@@ -155,6 +174,7 @@
 	overlays map[string][]told
 	latency  float64
 	heard    time.Time
+	cache    int
 }
 
 // NewCore returns a core of an instance in a zone.
@@ -225,6 +245,20 @@
 	}
 }
 
+// Absent notes that a server does not hold what it was said to.
+func (c *Core) Absent(now time.Time, id, key string) {
+	s, ok := c.servers[id]
+	if !ok || key == "" {
+		return
+	}
+	others := slices.DeleteFunc(c.overlays[id], func(t told) bool { return t.Key == key })
+	c.overlays[id] = append(others, told{Overlay{Server: id, Life: s.Life, Key: key}, now.Add(absentTime)})
+	c.hold(now, s)
+}
+
+// Resize sets how many tokens a server's cache takes, 0 if that is not known.
+func (c *Core) Resize(tokens int) { c.cache = tokens }
+
 // Choose returns the server for a request.
 func (c *Core) Choose(now time.Time, q Request) (string, Status) {
 	if len(c.order) == 0 {
@@ -239,6 +273,12 @@
 			continue
 		}
 		if slices.Contains(q.Exclude, s.ID) {
+			if status == Absent {
+				status = Spent
+			}
+			continue
+		}
+		if q.Model != "" && c.full(now, s, q) {
 			status = Full
 			continue
 		}
@@ -275,11 +315,28 @@
 	return best
 }
 
-func (c *Core) cost(now time.Time, s *server, q Request) float64 {
-	f := s.own
+// flight is what all instances have at a server, as far as is known.
+func (c *Core) flight(now time.Time, s *server) Flight {
 	if now.Sub(c.heard) < othersAge {
-		f = f.Add(s.others)
+		return s.own.Add(s.others)
+	}
+	return s.own
+}
+
+// full reports whether a server should get no more work for now: a request that
+// it would hold back may as well wait here, where it can still go elsewhere and
+// more urgent ones can go first.
+func (c *Core) full(now time.Time, s *server, q Request) bool {
+	f := c.flight(now, s)
+	if f.Started == 0 {
+		return false
 	}
+	return f.Reading > readingLimit || s.Slots > 0 && f.Started >= s.Slots ||
+		c.cache > 0 && float64(f.Tokens+q.Prompt+q.Output) > cacheShare*float64(c.cache)
+}
+
+func (c *Core) cost(now time.Time, s *server, q Request) float64 {
+	f := c.flight(now, s)
 	cost := c.random.Float64()*jitter + failureCost*s.failing(now)
 	if s.Zone != c.zone {
 		cost += zoneCost
@@ -301,15 +358,14 @@
 // Sent notes that a request went to a server.
 func (c *Core) Sent(id string, q Request) {
 	if s, ok := c.servers[id]; ok {
-		s.own.Started++
-		s.own.Reading += q.Prompt
+		s.own = s.own.Add(Flight{Reading: q.Prompt, Tokens: q.Prompt + q.Output, Started: 1})
 	}
 }
 
 // Cancel takes Sent back.
 func (c *Core) Cancel(id string, q Request) {
 	if s, ok := c.servers[id]; ok {
-		s.own = s.own.Sub(Flight{Reading: q.Prompt, Started: 1})
+		s.own = s.own.Sub(Flight{Reading: q.Prompt, Tokens: q.Prompt + q.Output, Started: 1})
 	}
 }
 
@@ -328,12 +384,13 @@
 	if !ok {
 		return
 	}
-	s.own.Started = max(s.own.Started-1, 0)
+	ended := Flight{Tokens: q.Prompt + q.Output, Started: 1}
 	if first {
-		s.own.Running = max(s.own.Running-1, 0)
+		ended.Running = 1
 	} else {
-		s.own.Reading = max(s.own.Reading-q.Prompt, 0)
+		ended.Reading = q.Prompt
 	}
+	s.own = s.own.Sub(ended)
 	rate := s.failing(now) * (1 - failureShare)
 	if failed {
 		rate += failureShare
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -38,7 +38,7 @@
 	pools   map[string]*connector.Pool
 	arrived map[wantKey]int
 	waiting map[wantKey]int
-	changed chan struct{}
+	lines   map[string]*Line
 	missed  chan struct{}
 }
 
@@ -48,7 +48,7 @@
 		zone: zone, seed: seed, clock: clock, begun: clock.Now(),
 		cores: map[string]*Core{}, pools: map[string]*connector.Pool{},
 		arrived: map[wantKey]int{}, waiting: map[wantKey]int{},
-		changed: make(chan struct{}), missed: make(chan struct{}, 1),
+		lines: map[string]*Line{}, missed: make(chan struct{}, 1),
 	}
 }
 
@@ -83,7 +83,7 @@
 	for name, c := range f.cores {
 		c.Update(now, services[name])
 	}
-	f.wake()
+	f.wakeAll()
 }
 
 func (f *Fleet) core(service string) *Core {
@@ -95,11 +95,6 @@
 	return c
 }
 
-func (f *Fleet) wake() {
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
 // Ordered takes over what orders changed.
 func (f *Fleet) Ordered(list []Overlay) {
 	if len(list) == 0 {
@@ -111,7 +106,7 @@
 	for _, c := range f.cores {
 		c.Ordered(now, list)
 	}
-	f.wake()
+	f.wakeAll()
 }
 
 // Arrived counts a request for a model.
@@ -158,39 +153,118 @@
 	return &Lease{Server: s, Pool: f.pools[s.Life+s.Address], fleet: f, service: service, request: q, sent: now, heard: c.servers[id].heard}, Found
 }
 
-// Await is Take that waits until a server holds the model or the context ends.
+// Await is Take that waits for a server to come free, or to load the model. It
+// refuses at once if the wait is predicted to be too long.
 func (f *Fleet) Await(ctx context.Context, service string, q Request) (*Lease, Status) {
-	key := wantKey{service, q.Key()}
-	f.mu.Lock()
-	f.waiting[key]++
-	f.mu.Unlock()
-	select {
-	case f.missed <- struct{}{}:
-	default:
+	l, w, status := f.join(service, q)
+	if w == nil {
+		return l, status
 	}
-	defer func() {
-		f.mu.Lock()
-		if f.waiting[key]--; f.waiting[key] <= 0 {
-			delete(f.waiting, key)
+	if status == Absent {
+		select {
+		case f.missed <- struct{}{}:
+		default:
 		}
-		f.mu.Unlock()
-	}()
-	for {
-		f.mu.Lock()
-		l, status := f.take(service, q)
-		changed := f.changed
-		f.mu.Unlock()
-		if status == Found {
-			return l, status
+	}
+	wait := f.clock.NewTimer(max(q.Leave.Sub(f.clock.Now()), 0))
+	defer wait.Stop()
+	select {
+	case l := <-w.granted:
+		return l, Found
+	case <-wait.Chan():
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unwait(service, q)
+	if f.line(service).Remove(w) {
+		return nil, status
+	}
+	return <-w.granted, Found
+}
+
+// join takes a server, or puts the request into the line if it is worth it.
+func (f *Fleet) join(service string, q Request) (*Lease, *Waiter, Status) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	line := f.line(service)
+	l, status := f.take(service, q)
+	switch status {
+	case Found:
+		line.Granted(now, q.Key())
+		return l, nil, Found
+	case Full:
+		if now.Add(line.Predict(now, q)).After(q.Leave) {
+			return nil, nil, Full
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, status
+	case Absent:
+	default:
+		return nil, nil, status
+	}
+	w := &Waiter{Request: q, granted: make(chan *Lease, 1)}
+	line.Add(w)
+	if status == Absent {
+		f.waiting[wantKey{service, q.Key()}]++
+	}
+	return nil, w, status
+}
+
+// unwait takes a request off the count of those that wait for a model.
+func (f *Fleet) unwait(service string, q Request) {
+	key := wantKey{service, q.Key()}
+	if f.waiting[key] > 1 {
+		f.waiting[key]--
+		return
+	}
+	delete(f.waiting, key)
+}
+
+func (f *Fleet) line(service string) *Line {
+	l, ok := f.lines[service]
+	if !ok {
+		l = NewLine()
+		f.lines[service] = l
+	}
+	return l
+}
+
+// wake offers servers to the requests that wait.
+func (f *Fleet) wake(service string) {
+	f.line(service).Serve(f.clock.Now(), func(w *Waiter) bool {
+		l, status := f.take(service, w.Request)
+		if status != Found {
+			return false
 		}
+		f.unwait(service, w.Request)
+		w.granted <- l
+		return true
+	})
+}
+
+func (f *Fleet) wakeAll() {
+	for service := range f.lines {
+		f.wake(service)
+	}
+}
+
+// Absent notes that the server does not hold what it was said to.
+func (l *Lease) Absent() {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cores[l.service]; ok {
+		c.Absent(f.clock.Now(), l.ID, l.request.Key())
 	}
 }
 
+// Resize tells how many tokens the cache of each server of a service takes.
+func (f *Fleet) Resize(service string, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.core(service).Resize(tokens)
+}
+
 // First notes the first event of the answer.
 func (l *Lease) First() {
 	f := l.fleet
@@ -199,6 +273,7 @@
 	if c, ok := f.cores[l.service]; ok && !l.first {
 		l.first = true
 		c.First(l.ID, l.request, f.clock.Since(l.sent))
+		f.wake(l.service)
 	}
 }
 
@@ -219,6 +294,7 @@
 	defer f.mu.Unlock()
 	if c, ok := f.cores[l.service]; ok {
 		c.Cancel(l.ID, l.request)
+		f.wake(l.service)
 	}
 }
 
@@ -230,6 +306,7 @@
 	if c, ok := f.cores[l.service]; ok {
 		now := f.clock.Now()
 		c.Done(now, l.ID, l.request, l.first, failed, now.Sub(l.sent))
+		f.wake(l.service)
 	}
 }
 
@@ -268,4 +345,5 @@
 	for _, c := range f.cores {
 		c.Others(now, flights)
 	}
+	f.wakeAll()
 }
--- a/coordinator/hub.go
+++ b/coordinator/hub.go
@@ -18,7 +18,7 @@
 // Half-lives of the demand: the fast one rises with a shift, the slow one keeps
 // what is asked for now and then. The larger rate counts.
 const (
-	fastHalf = 1500 * time.Millisecond
+	fastHalf = time.Second
 	slowHalf = 8 * time.Second
 )
 
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -84,7 +84,7 @@
 	zap   *zap.Logger
 	// apart is how far apart orders of two holders must be.
 	apart time.Duration
-	taken func()
+	taken func(former bool)
 
 	mu     sync.Mutex
 	keeper *leaser.Keeper
@@ -95,7 +95,7 @@
 	ending bool
 }
 
-func newLease(self Entry, apart time.Duration, log Log, boot booter.Clock, clock clockwork.Clock, z *zap.Logger, taken func()) *lease {
+func newLease(self Entry, apart time.Duration, log Log, boot booter.Clock, clock clockwork.Clock, z *zap.Logger, taken func(former bool)) *lease {
 	settings := leaser.Settings{Term: term, Margin: leaseMargin, Stagger: stagger}
 	return &lease{
 		self: self, log: log, boot: boot, clock: clock, zap: z, apart: apart, taken: taken,
@@ -269,7 +269,7 @@
 		l.from = l.boot.Now().Add(l.apart + onTheWay)
 	}
 	l.zap.Info("lease: taken", zap.Int64("fence", l.last.Fence), zap.Duration("orders_after", l.from.Sub(now)))
-	l.taken()
+	l.taken(before.Instance != "")
 }
 
 // rank spreads the claims of instances, in another order for each term.
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -18,7 +18,7 @@
 const (
 	// orderTimeout bounds an order's call: an order is answered at once, or
 	// its answer is lost.
-	orderTimeout = 500 * time.Millisecond
+	orderTimeout = 250 * time.Millisecond
 	// orderPause is the pause before an order is sent again.
 	orderPause = 80 * time.Millisecond
 	// orderTries bounds how often an order is sent.
@@ -33,6 +33,9 @@
 	checkLimit = 15 * time.Second
 	// planPause is the pause between plans.
 	planPause = 100 * time.Millisecond
+	// ceilingSlack is what the weight store takes beyond its rate in a window:
+	// three, less one that may be under way.
+	ceilingSlack = 2
 	// registryLag is how long the registry may take to show what an order has
 	// changed: a heartbeat, and readings.
 	registryLag = 3 * time.Second
@@ -113,14 +116,15 @@
 	return &foreman{Coordinator: c, beliefs: map[string]*belief{}, colds: map[string][]time.Time{}}
 }
 
-// assume counts the loads that a former holder may have started.
-func (f *foreman) assume() {
+// assume counts the loads that a former holder may have started, and forgets
+// what an own former term believed.
+func (f *foreman) assume(former bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.colds)
 	clear(f.beliefs)
 	table := f.table()
-	if table == nil {
+	if table == nil || !former {
 		return
 	}
 	now := f.clock.Now()
@@ -128,7 +132,7 @@
 		if s.Engine == nil {
 			continue
 		}
-		for range int(s.Engine.Loads * f.ceiling.Seconds() / 2) {
+		for range ceiling(s.Engine, f.Ceiling, f.Overage) {
 			f.colds[name] = append(f.colds[name], now)
 		}
 	}
@@ -233,10 +237,15 @@
 	}
 }
 
+// ceiling is how many loads from the weight store may begin in a window.
+func ceiling(e *matcher.Engine, window time.Duration, overage float64) int {
+	return int(e.Loads*window.Seconds()*overage) + ceilingSlack
+}
+
 // allowed is how many loads from the weight store may begin now.
 func (f *foreman) allowed(now time.Time, service string, e *matcher.Engine) int {
-	f.colds[service] = slices.DeleteFunc(f.colds[service], func(t time.Time) bool { return now.Sub(t) > f.ceiling })
-	return int(e.Loads*f.ceiling.Seconds()) - len(f.colds[service])
+	f.colds[service] = slices.DeleteFunc(f.colds[service], func(t time.Time) bool { return now.Sub(t) > f.Ceiling })
+	return ceiling(e, f.Ceiling, f.Overage) - len(f.colds[service])
 }
 
 // give starts an order.
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -28,7 +28,9 @@
 	// Apart is how far apart orders of two holders must be.
 	Apart time.Duration
 	// Ceiling is the window in which loads from the weight store are counted.
-	Ceiling  time.Duration
+	Ceiling time.Duration
+	// Overage times the weight store's rate may be used in a window.
+	Overage  float64
 	Lease    Log
 	Engines  Engines
 	Fleet    *balancer.Fleet
@@ -51,7 +53,6 @@
 	log     *zap.Logger
 	engines Engines
 	table   func() *matcher.Table
-	ceiling time.Duration
 	hub     *hub
 	lease   *lease
 	foreman *foreman
@@ -65,7 +66,7 @@
 // New returns a coordinator.
 func New(p Parts) *Coordinator {
 	c := &Coordinator{
-		Parts: p, clock: p.Clock, log: p.Log, engines: p.Engines, table: p.Table, ceiling: p.Ceiling,
+		Parts: p, clock: p.Clock, log: p.Log, engines: p.Engines, table: p.Table,
 		hub: newHub(p.Clock),
 	}
 	self := Entry{Instance: p.Instance, Machine: p.Machine, Address: p.Address}
@@ -100,9 +101,9 @@
 // Configured takes over the record of a version in force.
 func (c *Coordinator) Configured(x tailer.Record, version int64) { c.hub.publish(x, version) }
 
-func (c *Coordinator) taken() {
+func (c *Coordinator) taken(former bool) {
 	c.hub.reset()
-	c.foreman.assume()
+	c.foreman.assume(former)
 }
 
 // run reports to the holder again and again.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -101,6 +101,9 @@
 		x.giveUp("client left")
 		return false
 	}
+	if f.Absent {
+		l.Absent()
+	}
 	if f.Refused {
 		x.log.Info("relay: server refused", zap.String("server", l.ID), zap.Int("status", a.StatusCode))
 		return true
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -102,7 +102,10 @@
 	}
 	x.until = x.started.Add(limit)
 	x.service = x.route.Service(balancer.Hash(x.meta.ID))
-	x.query = balancer.Request{Model: x.meta.Model, Adapter: x.meta.Adapter, Prompt: x.meta.TokensIn}
+	x.query = balancer.Request{
+		Model: x.meta.Model, Adapter: x.meta.Adapter, Prompt: x.meta.TokensIn, Output: x.output(),
+		Priority: x.route.Priority, Aim: x.started.Add(x.route.Target), Leave: x.leave(),
+	}
 	if n := len(x.meta.Parts); n > 1 {
 		session := x.query.Key()
 		for _, p := range x.meta.Parts[:n-1] {
@@ -114,6 +117,28 @@
 	x.digest = balancer.Hash(x.request.Method + " " + caller(x.request) + " " + x.request.RequestURI + " " + string(x.body))
 }
 
+// output is how many tokens the answer is expected to have.
+func (x *exchange) output() int {
+	if x.meta.Expected > 0 {
+		return min(x.meta.Expected, max(x.meta.TokensOut, 1))
+	}
+	return x.meta.TokensOut
+}
+
+// leave is until when the request may wait for a server: time must be left for
+// the first event to reach the client before it goes.
+func (x *exchange) leave() time.Time {
+	wait := x.until.Sub(x.started) - answerMargin
+	if x.route.Kind == matcher.Streaming {
+		wait = min(wait, time.Duration(waitShare*float64(clientPatience(x.route))))
+	}
+	return x.started.Add(wait)
+}
+
+// waitShare of the time after which clients leave a silent stream is spent on
+// waiting for a server at most.
+const waitShare = 0.6
+
 // caller returns the address that a request came from, without its port.
 func caller(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -171,32 +196,20 @@
 	}
 }
 
-// take chooses a server. A request for a model that no server holds waits for
-// a load.
+// take chooses a server. The request waits while all are busy or none holds its
+// model, as long as the client can still get something for it.
 func (x *exchange) take() (*balancer.Lease, balancer.Status) {
 	if x.context.Err() != nil {
-		return nil, balancer.Full
+		return nil, balancer.Spent
 	}
-	lease, status := x.fleet.Take(x.service, x.query)
-	if status != balancer.Absent {
-		return lease, status
+	lease, status := x.fleet.Await(x.context, x.service, x.query)
+	if lease == nil {
+		x.log.Info("relay: no server taken", zap.String("key", x.query.Key()), zap.Stringer("status", status),
+			zap.Duration("after", x.clock.Since(x.started)))
 	}
-	wait := x.patience()
-	x.log.Info("relay: no server holds the model", zap.String("key", x.query.Key()), zap.Duration("wait", wait))
-	ctx, cancel := context.WithTimeout(x.context, wait)
-	defer cancel()
-	return x.fleet.Await(ctx, x.service, x.query)
+	return lease, status
 }
 
-// patience is how long a request waits for its model: until a load from the
-// weight store would have come, within the client's time.
-func (x *exchange) patience() time.Duration {
-	return min(loadPatience, x.until.Sub(x.clock.Now())-answerMargin)
-}
-
-// loadPatience covers an order, a load from the weight store and its report.
-const loadPatience = 2500 * time.Millisecond
-
 // giveUp answers a request for which no server is left to try.
 func (x *exchange) giveUp(why string, fields ...zap.Field) {
 	x.Counts.Failed.Add(1)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -144,6 +144,11 @@
 			return false
 		}
 		if r.table.CompareAndSwap(old, t) {
+			for name, s := range t.Services {
+				if s.Engine != nil {
+					r.fleet.Resize(name, s.Engine.Cache)
+				}
+			}
 			return true
 		}
 	}
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -97,7 +97,12 @@
 	if r.Kind != matcher.Streaming {
 		return 2 * softFirst * r.Target
 	}
-	return time.Duration(hardShare * float64(max(leaveLeast, leaveTargets*r.Target, leaveGaps*r.Gap)))
+	return time.Duration(hardShare * float64(clientPatience(r)))
+}
+
+// clientPatience is how long clients wait for the next event of a stream.
+func clientPatience(r *matcher.Route) time.Duration {
+	return max(leaveLeast, leaveTargets*r.Target, leaveGaps*r.Gap)
 }
 
 func (w *watch) check() {
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -21,11 +21,11 @@
 const (
 	// copyDemand is the demand for one copy, in requests a second, from which
 	// on a further copy shortens the wait for a first token noticeably: some
-	// 70 ms of prefill each, at a third of an engine's time.
-	copyDemand = 4.0
+	// 70 ms of prefill each, at a fifth of an engine's time.
+	copyDemand = 2.5
 	// advantage is how many times as much demand a copy must get as the one
 	// that makes way.
-	advantage = 2.0
+	advantage = 1.5
 	// waitingDemand is how many requests a second one waiting request counts.
 	waitingDemand = 2.0
 )
@@ -256,10 +256,10 @@
 	best, least := "", 0.0
 	for v := range s.Held {
 		n := p.copies[v]
-		if n < 2 || p.used(s)-p.Engine.Models[v].Size+spec.Size > p.Engine.Memory || p.onlyAdapter(s, v) {
+		if n < 2 || p.used(s)-p.Engine.Models[v].Size+spec.Size > p.Engine.Memory {
 			continue
 		}
-		after := p.model[v] / float64(n-1)
+		after := p.model[v]/float64(n-1) + p.orphaned(s, v)
 		if !missing && after*advantage > p.model[m]/float64(p.copies[m]+1) {
 			continue
 		}
@@ -270,15 +270,17 @@
 	return best, best != ""
 }
 
-// onlyAdapter reports whether unloading a model would take along an adapter in
-// demand that no other server holds.
-func (p *planner) onlyAdapter(s *Server, m string) bool {
+// orphaned is the demand for adapters that unloading a model would take along,
+// and that no other server holds. They come back within milliseconds on another
+// copy.
+func (p *planner) orphaned(s *Server, m string) float64 {
+	total := 0.0
 	for _, a := range s.Held[m] {
-		if p.Demand[balancer.Key(m, a)] > 0 && p.holders(m, a) < 2 {
-			return true
+		if p.holders(m, a) < 2 {
+			total += p.Demand[balancer.Key(m, a)]
 		}
 	}
-	return false
+	return total
 }
 
 func (p *planner) holders(m, a string) int {
