Pace prompts so that running streams do not pause

Cause: on quiet seconds half of the streams came late with a first token after 80 ms: the engine read prompts in each step, so that four steps, one event, took over 300 ms. Ruled out: a smaller bound on prompts that wait at a server: it is refilled at once, so that the engine goes on reading in every step. Conclusion: a decayed count of prompt tokens, which adds up over instances.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"primrosehook/decayer"
 	"primrosehook/registrar"
 )
 
@@ -40,6 +41,14 @@
 	// readingLimit is how many prompt tokens may wait at a server, in all: half
 	// of the tightest objective's time.
 	readingLimit = 6600
+	// recentLimit is how many prompt tokens are sent to a server in about the
+	// time of the longest pause between events that is still on time. An engine
+	// that reads prompts all the time makes every running stream pause: each
+	// step then takes as long as a piece of a prompt, and an event is made in
+	// several steps. recentHalf is the half-life of the count: at a steady rate
+	// it makes the limit 60 in 100 of what an engine can read.
+	recentLimit = 4500
+	recentHalf  = 240 * time.Millisecond
 	// cacheShare of a server's cache may be spoken for; beyond it running
 	// requests are put back and read anew.
 	cacheShare = 0.95
@@ -80,6 +89,10 @@
 	Exclude []string
 }
 
+// fresh is how many tokens of the prompt have to be read: of the shared parts
+// about half are kept somewhere.
+func (q Request) fresh() int { return q.Prompt - q.Shared/2 }
+
 // Key returns what a server must hold to run the request; empty for services
 // without models.
 func (q Request) Key() string { return Key(q.Model, q.Adapter) }
@@ -102,16 +115,19 @@
 	Tokens int `msgpack:"k"`
 	// Started counts requests in flight, whatever their state.
 	Started int `msgpack:"s"`
+	// Recent is the prompt tokens sent lately, decayed by half each
+	// recentHalf. Sums of it over instances decay alike.
+	Recent int `msgpack:"c"`
 }
 
 // Add returns the sum.
 func (f Flight) Add(g Flight) Flight {
-	return Flight{f.Running + g.Running, f.Reading + g.Reading, f.Tokens + g.Tokens, f.Started + g.Started}
+	return Flight{f.Running + g.Running, f.Reading + g.Reading, f.Tokens + g.Tokens, f.Started + g.Started, f.Recent + g.Recent}
 }
 
 // Sub returns the difference, not below zero.
 func (f Flight) Sub(g Flight) Flight {
-	return Flight{max(f.Running-g.Running, 0), max(f.Reading-g.Reading, 0), max(f.Tokens-g.Tokens, 0), max(f.Started-g.Started, 0)}
+	return Flight{max(f.Running-g.Running, 0), max(f.Reading-g.Reading, 0), max(f.Tokens-g.Tokens, 0), max(f.Started-g.Started, 0), max(f.Recent-g.Recent, 0)}
 }
 
 // Status says why there is a choice or none.
@@ -160,6 +176,7 @@
 	failure float64
 	judged  time.Time
 	latency float64
+	recent  decayer.Counter
 	// heard is when a byte last came from the server, in nanoseconds since the
 	// fleet began.
 	heard *atomic.Int64
@@ -317,10 +334,14 @@
 
 // flight is what all instances have at a server, as far as is known.
 func (c *Core) flight(now time.Time, s *server) Flight {
-	if now.Sub(c.heard) < othersAge {
-		return s.own.Add(s.others)
+	f := s.own
+	f.Recent = int(s.recent.Value(now, recentHalf))
+	if age := now.Sub(c.heard); age < othersAge {
+		others := s.others
+		others.Recent = int(float64(others.Recent) * math.Exp2(-float64(age)/float64(recentHalf)))
+		return f.Add(others)
 	}
-	return s.own
+	return f
 }
 
 // full reports whether a server should get no more work for now: a request that
@@ -331,6 +352,9 @@
 	if f.Started == 0 {
 		return false
 	}
+	if float64(f.Recent+min(q.fresh(), recentLimit/2)) > recentLimit {
+		return true
+	}
 	return f.Reading > readingLimit || s.Slots > 0 && f.Started >= s.Slots ||
 		c.cache > 0 && float64(f.Tokens+q.Prompt+q.Output) > cacheShare*float64(c.cache)
 }
@@ -356,8 +380,9 @@
 }
 
 // Sent notes that a request went to a server.
-func (c *Core) Sent(id string, q Request) {
+func (c *Core) Sent(now time.Time, id string, q Request) {
 	if s, ok := c.servers[id]; ok {
+		s.recent.Add(now, recentHalf, float64(q.fresh()))
 		s.own = s.own.Add(Flight{Reading: q.Prompt, Tokens: q.Prompt + q.Output, Started: 1})
 	}
 }
@@ -408,11 +433,13 @@
 }
 
 // Flights returns what this instance has in flight.
-func (c *Core) Flights() map[string]Flight {
+func (c *Core) Flights(now time.Time) map[string]Flight {
 	m := make(map[string]Flight, len(c.servers))
 	for id, s := range c.servers {
-		if s.own != (Flight{}) {
-			m[id] = s.own
+		f := s.own
+		f.Recent = int(s.recent.Value(now, recentHalf))
+		if f != (Flight{}) {
+			m[id] = f
 		}
 	}
 	return m
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -149,7 +149,7 @@
 		return nil, status
 	}
 	s, _ := c.Server(id)
-	c.Sent(id, q)
+	c.Sent(now, id, q)
 	return &Lease{Server: s, Pool: f.pools[s.Life+s.Address], fleet: f, service: service, request: q, sent: now, heard: c.servers[id].heard}, Found
 }
 
@@ -330,9 +330,10 @@
 func (f *Fleet) Flights() map[string]Flight {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clock.Now()
 	all := map[string]Flight{}
 	for _, c := range f.cores {
-		maps.Copy(all, c.Flights())
+		maps.Copy(all, c.Flights(now))
 	}
 	return all
 }
