--- /dev/null
+++ b/composer/composer_test.go
@@ -0,0 +1,191 @@
+package composer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"primrosehook/composer"
+	"primrosehook/faker"
+	"primrosehook/platform"
+)
+
+// port returns a free address of loopback.
+func port() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// ground is a store, two model servers and a plain service, with instances.
+type ground struct {
+	ledger  *faker.Ledger
+	store   string
+	engines []*faker.Pooled
+	stops   []context.CancelFunc
+	fronts  []string
+	readies []string
+	ended   []chan struct{}
+}
+
+const config = `{"version":%d,"routes":[
+ {"name":"chat","host":"h","path-prefix":"/chat/","kind":"streaming","timeout-ms":4000,"target-latency-ms":600,"service":"llm","max-attempts":2,"resumable":true,"gap-aim-ms":300},
+ {"name":"form","host":"h","path-prefix":"/%s/","kind":"idempotent","timeout-ms":2000,"target-latency-ms":100,"service":"api","max-attempts":2}],
+ "services":[{"name":"llm","engine":{"slots":8,"kv-capacity":100000,"weights-mb":230,"adapter-slots":8,"loads-per-s":2.8,
+  "models":[{"name":"m0","weights-mb":72,"load-s":0.05,"adapters":1,"adapter-mb":0.1},{"name":"m1","weights-mb":72,"load-s":0.05}]}},{"name":"api"}],
+ "limits":{"max-body-bytes":1000000}}`
+
+func newGround(instances int) *ground {
+	g := &ground{ledger: faker.NewLedger()}
+	s := httptest.NewServer(g.ledger)
+	DeferCleanup(s.Close)
+	g.store = s.Listener.Addr().String()
+	g.ledger.Put(platform.TopicOperator, platform.KeyConfig, []byte(fmt.Sprintf(config, 3, "form")))
+	for i, service := range []string{"llm", "llm", "api"} {
+		e := faker.NewPooled(fmt.Sprintf("i-%d", i), "m0")
+		e.Load = 50 * time.Millisecond
+		es := httptest.NewServer(e)
+		DeferCleanup(es.Close)
+		g.engines = append(g.engines, e)
+		g.ledger.Put(platform.TopicServers, e.ID, e.Registration(service, es.Listener.Addr().String(), "z1", "ready", 1))
+	}
+	g.ledger.Put(platform.TopicServers, "ghost", []byte("\x00 no registration"))
+	for i := range instances {
+		g.start(i)
+	}
+	return g
+}
+
+func (g *ground) start(i int) {
+	s := platform.Settings{
+		Instance: fmt.Sprintf("front-%d", i), IP: "127.0.0.1", Zone: "z1", Front: port(), Ready: port(), Control: port(), Store: g.store,
+		Memory: 284, Descriptors: 4100, Grace: 3 * time.Second, Drain: 2 * time.Second, Lease: 300 * time.Millisecond,
+		RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, CeilingWindow: 5 * time.Second, CeilingOverage: 1.1,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Expect(composer.Run(ctx, s, clockwork.NewRealClock(), zap.NewNop())).To(Succeed())
+	}()
+	g.stops, g.fronts, g.readies, g.ended = append(g.stops, stop), append(g.fronts, s.Front), append(g.readies, s.Ready), append(g.ended, done)
+	DeferCleanup(func() { stop(); <-done })
+}
+
+func (g *ground) ready(i int) int {
+	p, err := http.Get("http://" + g.readies[i] + "/-/readiness")
+	if err != nil {
+		return 0
+	}
+	_ = p.Body.Close()
+	return p.StatusCode
+}
+
+func (g *ground) send(i int, path, model string) (int, string) {
+	q, err := http.NewRequest("POST", "http://"+g.fronts[i]+path, strings.NewReader("x"))
+	Expect(err).NotTo(HaveOccurred())
+	q.Host = "h"
+	q.Header.Set("Primrosehook-Request-Id", "q")
+	q.Header.Set("Primrosehook-Request-Deadline", "4000")
+	if model != "" {
+		q.Header.Set("Primrosehook-Model", model)
+	}
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer p.Body.Close()
+	body, err := io.ReadAll(p.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return p.StatusCode, string(body)
+}
+
+func (g *ground) allReady() {
+	for i := range g.fronts {
+		Eventually(func() int { return g.ready(i) }, 10*time.Second).Should(Equal(200))
+	}
+}
+
+var _ = Describe("An entry instance", func() {
+	It("serves calls and streams, loads what is asked for, and leaves orders to one instance", func() {
+		g := newGround(2)
+		g.allReady()
+		for i := range g.fronts {
+			code, body := g.send(i, "/form/1", "")
+			Expect(code).To(Equal(200))
+			Expect(body).To(Equal("i-2 ran x"))
+			for _, model := range []string{"m0", "m0/a1", "m1"} {
+				Eventually(func() int { code, _ := g.send(i, "/chat/1", model); return code }, 10*time.Second).Should(Equal(200), model)
+			}
+		}
+		holders := map[string]bool{}
+		for _, e := range g.engines {
+			_, given := e.Accepted()
+			for _, h := range given {
+				holders[h] = true
+			}
+		}
+		Expect(holders).To(HaveLen(1))
+	})
+
+	It("is not ready and refuses with a time to come back until it knows a configuration", func() {
+		g := newGround(0)
+		g.ledger.Fail(true, false)
+		g.start(0)
+		Eventually(func() int { return g.ready(0) }, 5*time.Second).Should(Equal(503))
+		code, _ := g.send(0, "/form/1", "")
+		Expect(code).To(Equal(503))
+		g.ledger.Fail(false, false)
+		g.allReady()
+	})
+
+	It("puts a new configuration in force, and keeps it while the store is away or the record can't be read", func() {
+		g := newGround(2)
+		g.allReady()
+		g.ledger.Put(platform.TopicOperator, platform.KeyConfig, []byte(fmt.Sprintf(config, 5, "moved")))
+		for i := range g.fronts {
+			Eventually(func() int { code, _ := g.send(i, "/moved/1", ""); return code }, 5*time.Second).Should(Equal(200))
+		}
+		g.ledger.Put(platform.TopicOperator, platform.KeyConfig, []byte(`{"version":`))
+		g.ledger.Put(platform.TopicOperator, platform.KeyConfig, []byte(fmt.Sprintf(config, 4, "old")))
+		g.ledger.Fail(true, false)
+		Consistently(func() int { code, _ := g.send(0, "/moved/1", ""); return code }, time.Second, 100*time.Millisecond).Should(Equal(200))
+	})
+
+	It("finishes what it has read when it is told to stop, and takes new connections for a while", func() {
+		g := newGround(1)
+		g.allReady()
+		c, err := net.Dial("tcp", g.fronts[0])
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = io.WriteString(c, "POST /chat/1 HTTP/1.1\r\nHost: h\r\nPrimrosehook-Request-Id: q\r\nPrimrosehook-Model: m0\r\nContent-Length: 3\r\n\r\nx")
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		g.stops[0]()
+		Eventually(func() int { return g.ready(0) }).Should(Equal(503))
+		code, _ := g.send(0, "/form/1", "")
+		Expect(code).To(Equal(200))
+		_, err = io.WriteString(c, "xx")
+		Expect(err).NotTo(HaveOccurred())
+		p, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(p.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.StatusCode).To(Equal(200))
+		Expect(string(body)).To(And(ContainSubstring("id: 3\n"), HaveSuffix("\n\n")))
+		Eventually(g.ended[0], 5*time.Second).Should(BeClosed())
+	})
+})
--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,186 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"primrosehook/connector"
+	"primrosehook/judge"
+)
+
+// upstream answers each request on each connection with the next script.
+type upstream struct {
+	net.Listener
+	script func(n int, c net.Conn, r *bufio.Reader) bool
+}
+
+func listen(script func(n int, c net.Conn, r *bufio.Reader) bool) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	u := &upstream{Listener: l, script: script}
+	go u.run()
+	DeferCleanup(func() { _ = l.Close() })
+	return u
+}
+
+func (u *upstream) run() {
+	for {
+		c, err := u.Accept()
+		if err != nil {
+			return
+		}
+		go u.loop(c)
+	}
+}
+
+func (u *upstream) loop(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := 0; u.script(n, c, r); n++ {
+	}
+}
+
+func read(r *bufio.Reader) bool {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, q.Body)
+	return err == nil
+}
+
+func answer(c net.Conn, id, body string) bool {
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+	return err == nil
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + itoa(n%10)
+}
+
+var _ = Describe("Pool", func() {
+	var dials *connector.Dials
+	BeforeEach(func() { dials = &connector.Dials{} })
+	pool := func(u *upstream) *connector.Pool {
+		p := connector.NewPool(u.Addr().String(), clockwork.NewRealClock(), dials)
+		DeferCleanup(p.Close)
+		return p
+	}
+	own := func(_ int, h http.Header) bool { return h.Get("Id") == "q" }
+	get := connector.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}
+	fetch := func(p *connector.Pool, q connector.Request) (string, error) {
+		a, err := p.Do(context.Background(), q, own)
+		if err != nil {
+			return "", err
+		}
+		body, err := io.ReadAll(a.Body)
+		a.Close(err == nil)
+		return string(body), err
+	}
+
+	It("uses a connection again after a whole answer", func() {
+		p := pool(listen(func(_ int, c net.Conn, r *bufio.Reader) bool { return read(r) && answer(c, "q", "body") }))
+		for range 3 {
+			Expect(fetch(p, get)).To(Equal("body"))
+		}
+		Expect(dials.Count()).To(BeEquivalentTo(1))
+	})
+
+	It("drops a connection on which bytes follow the answer", func() {
+		p := pool(listen(func(_ int, c net.Conn, r *bufio.Reader) bool {
+			if !read(r) {
+				return false
+			}
+			both := "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 4\r\n\r\nbody"
+			_, err := io.WriteString(c, both+both)
+			return err == nil
+		}))
+		for range 3 {
+			Expect(fetch(p, get)).To(Equal("body"))
+		}
+		Expect(dials.Count()).To(BeEquivalentTo(3))
+	})
+
+	It("passes over a late answer to another request", func() {
+		p := pool(listen(func(_ int, c net.Conn, r *bufio.Reader) bool {
+			return read(r) && answer(c, "other", "wrong") && answer(c, "q", "body")
+		}))
+		Expect(fetch(p, get)).To(Equal("body"))
+	})
+
+	It("drops a connection that the upstream closed while it was idle", func() {
+		p := pool(listen(func(_ int, c net.Conn, r *bufio.Reader) bool { return read(r) && answer(c, "q", "body") && false }))
+		Expect(fetch(p, get)).To(Equal("body"))
+		time.Sleep(100 * time.Millisecond)
+		Expect(fetch(p, get)).To(Equal("body"))
+		Expect(dials.Count()).To(BeEquivalentTo(2))
+	})
+
+	It("says that a request did not run when no connection was made", func() {
+		u := listen(func(int, net.Conn, *bufio.Reader) bool { return false })
+		p := pool(u)
+		Expect(u.Close()).To(Succeed())
+		_, err := fetch(p, get)
+		Expect(judge.Of(err)).To(Equal(judge.NotRun))
+	})
+
+	It("sends a request once and says that it may have run when the connection breaks", func() {
+		sent := 0
+		p := pool(listen(func(_ int, _ net.Conn, r *bufio.Reader) bool { sent++; read(r); return false }))
+		_, err := fetch(p, get)
+		Expect(judge.Of(err)).To(Equal(judge.MayHaveRun))
+		Expect(sent).To(Equal(1))
+	})
+
+	It("does not use a connection again whose long body was answered early", func() {
+		p := pool(listen(func(_ int, c net.Conn, r *bufio.Reader) bool {
+			if _, err := http.ReadRequest(r); err != nil {
+				return false
+			}
+			answer(c, "q", "early")
+			time.Sleep(50 * time.Millisecond)
+			return false
+		}))
+		post := connector.Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 16<<20))}
+		Expect(fetch(p, post)).To(Equal("early"))
+		_, _ = fetch(p, get)
+		Expect(dials.Count()).To(BeEquivalentTo(2))
+	})
+
+	It("closes the connection when the context ends", func() {
+		gone := make(chan struct{})
+		p := pool(listen(func(_ int, _ net.Conn, r *bufio.Reader) bool {
+			read(r)
+			_, _ = r.ReadByte()
+			close(gone)
+			return false
+		}))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { time.Sleep(20 * time.Millisecond); cancel() }()
+		_, err := p.Do(ctx, get, own)
+		Expect(err).To(HaveOccurred())
+		Eventually(gone).Should(BeClosed())
+	})
+
+	It("tells an answer that ends early from a whole one", func() {
+		p := pool(listen(func(_ int, c net.Conn, r *bufio.Reader) bool {
+			read(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 50\r\n\r\nhalf")
+			return false
+		}))
+		_, err := fetch(p, get)
+		Expect(connector.Broken(err)).To(BeTrue())
+	})
+})
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -53,6 +53,9 @@
 	// Fence is the fencing token; zero means the entry's own offset plus one.
 	Fence   int64 `msgpack:"f"`
 	Release bool  `msgpack:"r"`
+	// Clear is set on a release by a holder that was free to order: all earlier
+	// holders have been silent for long enough.
+	Clear bool `msgpack:"c"`
 }
 
 // LogRecord is one record of the lease's log.
@@ -74,9 +77,9 @@
 	Append(ctx context.Context, value []byte, at int64) error
 }
 
-// lease keeps this instance's view of the lease, and claims it when nobody
+// Lease keeps this instance's view of the lease, and claims it when nobody
 // holds it.
-type lease struct {
+type Lease struct {
 	self  Entry
 	log   Log
 	boot  booter.Clock
@@ -90,21 +93,27 @@
 	keeper *leaser.Keeper
 	last   Entry
 	next   int64
-	from   time.Time
+	// from is when this instance may order at the earliest.
+	from time.Time
+	// taught is the fence that taken was called for.
+	taught int64
 	heard  time.Time
 	ending bool
 }
 
-func newLease(self Entry, apart time.Duration, log Log, boot booter.Clock, clock clockwork.Clock, z *zap.Logger, taken func(former bool)) *lease {
+// NewLease returns a lease that has read nothing yet. Orders of two holders must
+// be apart by the time given; taken is called with each new term, and told
+// whether there was a holder before.
+func NewLease(self Entry, apart time.Duration, log Log, boot booter.Clock, clock clockwork.Clock, z *zap.Logger, taken func(former bool)) *Lease {
 	settings := leaser.Settings{Term: term, Margin: leaseMargin, Stagger: stagger}
-	return &lease{
+	return &Lease{
 		self: self, log: log, boot: boot, clock: clock, zap: z, apart: apart, taken: taken,
 		keeper: leaser.NewKeeper(self.Instance, settings),
 	}
 }
 
 // Holder returns the address of the last known holder, empty if there is none.
-func (l *lease) holder() string {
+func (l *Lease) Holder() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.last.Release {
@@ -113,57 +122,61 @@
 	return l.last.Address
 }
 
-// valid reports whether this instance holds the lease.
-func (l *lease) valid() bool {
+// Valid reports whether this instance holds the lease.
+func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.keeper.Valid(l.boot.Now())
 }
 
-// mayOrder reports whether an order may be sent now.
-func (l *lease) mayOrder() bool {
+// MayOrder reports whether an order may be sent now.
+func (l *Lease) MayOrder() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.boot.Now()
 	return l.keeper.Valid(now.Add(sendMargin)) && !now.Before(l.from)
 }
 
-// fence returns the fencing token of the lease last seen.
-func (l *lease) fence() int64 {
+// Fence returns the fencing token of the lease last seen.
+func (l *Lease) Fence() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.last.Fence
 }
 
-// hear notes a reply of the holder.
-func (l *lease) hear() {
+// Hear notes a reply of the holder.
+func (l *Lease) Hear() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = l.boot.Now()
 }
 
-func (l *lease) run(ctx context.Context) {
+func (l *Lease) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if l.relieved() {
-			l.sleep(ctx)
-			continue
-		}
-		if !l.mine() {
-			l.read(ctx)
-		}
-		l.claim(ctx)
+		l.Step(ctx)
 		l.sleep(ctx)
 	}
 }
 
-func (l *lease) sleep(ctx context.Context) {
+// Step reads what others have appended, and claims or renews if that is due.
+func (l *Lease) Step(ctx context.Context) {
+	if l.relieved() {
+		return
+	}
+	if !l.mine() {
+		l.read(ctx)
+	}
+	l.claim(ctx)
+}
+
+func (l *Lease) sleep(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-l.clock.After(leaseCheck):
 	}
 }
 
-func (l *lease) mine() bool {
+func (l *Lease) mine() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.keeper.Mine() && !l.ending
@@ -171,14 +184,14 @@
 
 // relieved reports whether the holder was heard lately, so that the log need
 // not be read.
-func (l *lease) relieved() bool {
+func (l *Lease) relieved() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return !l.keeper.Mine() && l.boot.Now().Sub(l.heard) < heardAge
 }
 
 // read takes over the entries that others have appended.
-func (l *lease) read(ctx context.Context) {
+func (l *Lease) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaseWait+leaseTimeout)
 	defer cancel()
 	l.mu.Lock()
@@ -189,7 +202,6 @@
 		if ctx.Err() == nil {
 			l.zap.Debug("lease: log can't be read", zap.Error(err))
 		}
-		l.clock.Sleep(leaseCheck)
 		return
 	}
 	l.mu.Lock()
@@ -202,18 +214,35 @@
 		}
 		return
 	}
-	r := list[len(list)-1]
-	var e Entry
-	if err := msgpack.Unmarshal(r.Value, &e); err != nil {
-		// Counts as a holder that never renews, so that its term is waited out.
-		l.zap.Warn("lease: entry can't be read", zap.Int64("offset", r.Offset), zap.Error(err))
-		e = Entry{Instance: "unknown"}
+	for _, r := range list {
+		var e Entry
+		if err := msgpack.Unmarshal(r.Value, &e); err != nil {
+			// Counts as a holder that never renews, so that its term is waited out.
+			l.zap.Warn("lease: entry can't be read", zap.Int64("offset", r.Offset), zap.Error(err))
+			e = Entry{Instance: "unknown"}
+		}
+		l.foreign(now, e)
+		l.observe(now, r.Offset, e)
+	}
+}
+
+// foreign keeps this instance from ordering too soon after another machine.
+// Whoever appended an entry orders for a term after it at most, whether or not
+// it learns of the entries that followed.
+func (l *Lease) foreign(now time.Time, e Entry) {
+	switch {
+	case e.Machine == l.self.Machine:
+	case e.Release && e.Clear:
+		l.from = now.Add(l.apart + onTheWay)
+	default:
+		if from := now.Add(term + l.apart + onTheWay); from.After(l.from) {
+			l.from = from
+		}
 	}
-	l.observe(now, r.Offset, e)
 }
 
 // observe takes over the newest entry.
-func (l *lease) observe(now time.Time, offset int64, e Entry) {
+func (l *Lease) observe(now time.Time, offset int64, e Entry) {
 	if e.Fence == 0 {
 		e.Fence = offset + 1
 	}
@@ -229,7 +258,7 @@
 }
 
 // claim appends a claim or a renewal if one is due.
-func (l *lease) claim(ctx context.Context) {
+func (l *Lease) claim(ctx context.Context) {
 	l.mu.Lock()
 	now := l.boot.Now()
 	before := l.last
@@ -261,26 +290,23 @@
 	}
 	l.next = at + 1
 	l.observe(l.boot.Now(), at, e)
-	if mine {
+	if l.last.Fence == l.taught {
 		return
 	}
-	l.from = now
-	if before.Instance != "" && before.Machine != l.self.Machine {
-		l.from = l.boot.Now().Add(l.apart + onTheWay)
-	}
-	l.zap.Info("lease: taken", zap.Int64("fence", l.last.Fence), zap.Duration("orders_after", l.from.Sub(now)))
-	l.taken(before.Instance != "")
+	l.taught = l.last.Fence
+	l.zap.Info("lease: taken", zap.Int64("fence", l.last.Fence), zap.Duration("orders_after", max(l.from.Sub(now), 0)))
+	l.taken(!l.from.IsZero())
 }
 
 // rank spreads the claims of instances, in another order for each term.
-func (l *lease) rank(fence int64) int {
+func (l *Lease) rank(fence int64) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(l.self.Instance)) // a hash takes all
 	_, _ = h.Write([]byte{byte(fence), byte(fence >> 8)})
 	return int(h.Sum32() % ranks)
 }
 
-func (l *lease) append(ctx context.Context, e Entry, at int64) error {
+func (l *Lease) append(ctx context.Context, e Entry, at int64) error {
 	raw, err := msgpack.Marshal(e)
 	if err != nil {
 		return err
@@ -290,13 +316,15 @@
 	return l.log.Append(ctx, raw, at)
 }
 
-// release gives the lease back at a planned stop.
-func (l *lease) release(ctx context.Context) {
+// Release gives the lease back at a planned stop.
+func (l *Lease) Release(ctx context.Context) {
 	l.mu.Lock()
 	mine := l.keeper.Mine()
 	l.ending = true
 	e := l.self
 	e.Release, e.Fence = true, l.last.Fence
+	now := l.boot.Now()
+	e.Clear = l.keeper.Valid(now) && !now.Before(l.from)
 	at := l.next
 	if mine {
 		l.keeper.Release()
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -147,7 +147,7 @@
 		case <-f.hub.kick:
 		case <-f.clock.After(planPause):
 		}
-		if table := f.table(); table != nil && f.lease.mayOrder() {
+		if table := f.table(); table != nil && f.lease.MayOrder() {
 			f.plan(ctx, table)
 		}
 	}
@@ -341,13 +341,13 @@
 			j.log.Info("orders: server holds other models than the registry says", zap.String("server", j.server.ID))
 			return false
 		}
-		if !j.lease.mayOrder() {
+		if !j.lease.MayOrder() {
 			return false
 		}
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := j.engines.Send(call, j.server, Order{
-			Order: j.order, Expected: expected, Holder: j.lease.self.Machine, Fence: j.lease.fence(),
-		}, j.lease.mayOrder)
+			Order: j.order, Expected: expected, Holder: j.lease.self.Machine, Fence: j.lease.Fence(),
+		}, j.lease.MayOrder)
 		cancel()
 		switch out {
 		case Accepted:
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -54,7 +54,7 @@
 	engines Engines
 	table   func() *matcher.Table
 	hub     *hub
-	lease   *lease
+	lease   *Lease
 	foreman *foreman
 	// instances is how many instances the holder last counted.
 	instances atomic.Int64
@@ -70,7 +70,7 @@
 		hub: newHub(p.Clock),
 	}
 	self := Entry{Instance: p.Instance, Machine: p.Machine, Address: p.Address}
-	c.lease = newLease(self, p.Apart, p.Lease, p.Boot, p.Clock, p.Log, c.taken)
+	c.lease = NewLease(self, p.Apart, p.Lease, p.Boot, p.Clock, p.Log, c.taken)
 	c.foreman = newForeman(c)
 	return c
 }
@@ -88,7 +88,7 @@
 }
 
 // Release gives the duties back before a planned stop.
-func (c *Coordinator) Release(ctx context.Context) { c.lease.release(ctx) }
+func (c *Coordinator) Release(ctx context.Context) { c.lease.Release(ctx) }
 
 // Instances returns how many instances there are as far as is known, 0 if not.
 func (c *Coordinator) Instances() int { return int(c.instances.Load()) }
@@ -124,7 +124,7 @@
 // wait for an order it goes on until the holder has nothing new to say.
 func (c *Coordinator) exchange(ctx context.Context) {
 	for range 20 {
-		address := c.lease.holder()
+		address := c.lease.Holder()
 		if address == "" {
 			return
 		}
@@ -187,12 +187,12 @@
 
 // serve takes a report and returns what its instance has not been told yet.
 func (c *Coordinator) serve(ctx context.Context, r Report) Reply {
-	if !c.lease.valid() {
+	if !c.lease.Valid() {
 		return Reply{}
 	}
 	c.Suspects.Merge(r.Suspects)
 	c.hub.take(r)
-	if r.Fence != c.lease.fence() {
+	if r.Fence != c.lease.Fence() {
 		r.Overlay = 0
 	}
 	// Read before the records are collected, so that none up to it is missed.
@@ -203,7 +203,7 @@
 		next = c.Registry.Next()
 		reply, _ = c.hub.reply(r)
 	}
-	reply.Fence = c.lease.fence()
+	reply.Fence = c.lease.Fence()
 	reply.Next = next
 	reply.RegistryFresh = c.Registry.Age() < freshAge
 	reply.ConfigFresh = c.Config.Age() < freshAge
@@ -213,12 +213,12 @@
 
 // apply takes over a reply.
 func (c *Coordinator) apply(r Reply) {
-	c.lease.hear()
+	c.lease.Hear()
 	c.fence, c.told = r.Fence, r.Overlay
 	c.instances.Store(int64(r.Instances))
 	c.Fleet.Others(r.Flights)
 	c.Suspects.Merge(r.Suspects)
-	if !c.lease.valid() {
+	if !c.lease.Valid() {
 		c.Registry.Feed(r.Registry, r.Next, r.RegistryFresh)
 		c.Config.Feed(r.Config, r.ConfigNext, r.ConfigFresh)
 	}
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,109 @@
+package registrar_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"primrosehook/registrar"
+)
+
+var _ = Describe("Core", func() {
+	var (
+		core *registrar.Core
+		now  time.Time
+	)
+	BeforeEach(func() {
+		core = registrar.NewCore(registrar.DefaultSettings())
+		now = time.Unix(1000, 0)
+	})
+	ids := func() []string {
+		var list []string
+		for _, s := range core.Servers(now) {
+			list = append(list, s.ID)
+		}
+		return list
+	}
+	read := func(after time.Duration) {
+		now = now.Add(after)
+		core.Read(now)
+	}
+	server := func(id string, beat int64) registrar.Server {
+		return registrar.Server{ID: id, Life: id + "@1", Beat: beat}
+	}
+
+	It("tells what is new from a heartbeat", func() {
+		read(0)
+		Expect(core.Put(now, 1, server("a", 1))).To(BeTrue())
+		Expect(core.Put(now, 2, server("a", 2))).To(BeFalse())
+		s := server("a", 3)
+		s.Draining = true
+		Expect(core.Put(now, 3, s)).To(BeTrue())
+	})
+
+	It("drops a server that left while the registry is read, at once", func() {
+		read(0)
+		core.Put(now, 1, server("a", 1))
+		for range 10 {
+			read(500 * time.Millisecond)
+		}
+		core.Remove(now, "a", 2)
+		Expect(ids()).To(BeEmpty())
+	})
+
+	It("keeps a server that lapsed during an outage for the grace period, and drops it then", func() {
+		read(0)
+		core.Put(now, 1, server("a", 1))
+		read(5 * time.Second)
+		core.Remove(now, "a", 2)
+		Expect(ids()).To(ConsistOf("a"))
+		read(time.Second)
+		Expect(ids()).To(ConsistOf("a"))
+		read(1100 * time.Millisecond)
+		Expect(ids()).To(BeEmpty())
+	})
+
+	It("keeps a lapsed server that comes back in time", func() {
+		read(0)
+		core.Put(now, 1, server("a", 1))
+		read(5 * time.Second)
+		core.Remove(now, "a", 2)
+		core.Put(now, 3, server("a", 2))
+		for range 6 {
+			read(time.Second)
+		}
+		Expect(ids()).To(ConsistOf("a"))
+	})
+
+	It("ignores a registration that was written late, after the server left", func() {
+		read(0)
+		core.Put(now, 1, server("a", 7))
+		core.Remove(now, "a", 2)
+		Expect(core.Put(now, 3, server("a", 6))).To(BeFalse())
+		Expect(core.Put(now, 4, server("a", 7))).To(BeFalse())
+		Expect(ids()).To(BeEmpty())
+	})
+
+	It("takes a server that starts again under its id as a new life", func() {
+		read(0)
+		core.Put(now, 1, server("a", 7))
+		again := server("a", 1)
+		again.Life = "a@2"
+		Expect(core.Put(now, 2, again)).To(BeTrue())
+		Expect(core.Servers(now)[0].Life).To(Equal("a@2"))
+	})
+
+	It("ignores a page that is older than what it knows", func() {
+		read(0)
+		core.Put(now, 10, server("a", 7))
+		core.Remove(now, "a", 11)
+		core.Put(now, 9, server("a", 8))
+		Expect(ids()).To(BeEmpty())
+		core.Put(now, 12, server("b", 1))
+		core.Retain(now, map[string]bool{}, 12)
+		Expect(ids()).To(ConsistOf("b"))
+		core.Retain(now, map[string]bool{}, 13)
+		Expect(ids()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/stocker/stocker_test.go
@@ -0,0 +1,123 @@
+package stocker_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"primrosehook/matcher"
+	"primrosehook/stocker"
+)
+
+func engine(models, adapters int) *matcher.Engine {
+	e := &matcher.Engine{Memory: 230, AdapterSlots: 8, Models: map[string]matcher.Model{}}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		e.Models[name] = matcher.Model{Name: name, Size: 72, AdapterSize: 0.1, Adapters: adapters}
+	}
+	return e
+}
+
+func server(id string, models ...string) stocker.Server {
+	s := stocker.Server{ID: id, Held: map[string][]string{}, Warm: map[string]bool{}}
+	for _, m := range models {
+		s.Held[m] = nil
+	}
+	return s
+}
+
+var _ = Describe("Plan", func() {
+	It("loads a model that no server holds, asked for or not", func() {
+		orders := stocker.Plan(stocker.State{Engine: engine(2, 0), Servers: []stocker.Server{server("a", "m0")}, Loads: 5})
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0]).To(And(HaveField("Server", "a"), HaveField("Op", stocker.Load), HaveField("Model", "m1"), HaveField("Cold", true)))
+	})
+
+	It("prefers a server that need not fetch the weights, and then loads beyond the ceiling", func() {
+		warm := server("b", "m0")
+		warm.Warm["m1"] = true
+		state := stocker.State{Engine: engine(2, 0), Servers: []stocker.Server{server("a", "m0"), warm}, Loads: 0}
+		orders := stocker.Plan(state)
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0]).To(And(HaveField("Server", "b"), HaveField("Cold", false)))
+	})
+
+	It("loads nothing from the store beyond the ceiling", func() {
+		Expect(stocker.Plan(stocker.State{Engine: engine(2, 0), Servers: []stocker.Server{server("a", "m0")}, Loads: 0})).To(BeEmpty())
+	})
+
+	It("never unloads a last copy", func() {
+		state := stocker.State{
+			Engine:  engine(4, 0),
+			Servers: []stocker.Server{server("a", "m0", "m1", "m2")},
+			Demand:  map[string]float64{"m3": 50}, Loads: 5,
+		}
+		Expect(stocker.Plan(state)).To(BeEmpty())
+	})
+
+	It("spreads the model that most ask for over the copies of idle ones, one order a server", func() {
+		state := stocker.State{
+			Engine: engine(3, 0),
+			Servers: []stocker.Server{
+				server("a", "m0", "m1", "m2"), server("b", "m1", "m2"), server("c", "m1", "m2"), server("d", "m1", "m2"),
+			},
+			Demand: map[string]float64{"m0": 40}, Loads: 5,
+		}
+		orders := stocker.Plan(state)
+		Expect(orders).To(HaveLen(3))
+		for _, o := range orders {
+			Expect(o).To(And(HaveField("Op", stocker.Load), HaveField("Model", "m0")))
+		}
+	})
+
+	It("moves a copy although its adapters are nowhere else, when a shift leaves them unasked", func() {
+		old := server("a", "m0", "m1", "m2")
+		old.Held["m0"] = []string{"a1"}
+		state := stocker.State{
+			Engine:  engine(4, 0),
+			Servers: []stocker.Server{old, server("b", "m0", "m1", "m3"), server("c", "m0", "m2", "m1")},
+			Demand:  map[string]float64{"m3": 30, "m0/a1": 1, "m0": 1, "m1": 4, "m2": 4}, Loads: 5,
+		}
+		Expect(stocker.Plan(state)).To(ContainElement(And(HaveField("Op", stocker.Unload), HaveField("Model", "m0"))))
+	})
+
+	It("does not move copies to and fro between models in equal demand", func() {
+		state := stocker.State{
+			Engine:  engine(3, 0),
+			Servers: []stocker.Server{server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m2"), server("c", "m0", "m1", "m2")},
+			Demand:  map[string]float64{"m0": 30, "m1": 28, "m2": 33}, Loads: 5,
+		}
+		Expect(stocker.Plan(state)).To(BeEmpty())
+	})
+
+	It("loads every adapter somewhere, those in demand first, within the slots", func() {
+		full := server("a", "m0")
+		full.Held["m0"] = []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"}
+		state := stocker.State{Engine: engine(1, 10), Servers: []stocker.Server{full}, Demand: map[string]float64{"m0/a9": 2, "m0/a1": 3}}
+		Expect(stocker.Plan(state)).To(ConsistOf(And(HaveField("Op", stocker.Unload), HaveField("Adapter", Not(Equal("a1"))))))
+		state.Servers = append(state.Servers, server("b", "m0"))
+		Expect(stocker.Plan(state)).To(ContainElement(And(HaveField("Server", "b"), HaveField("Op", stocker.Load), HaveField("Adapter", "a9"))))
+	})
+
+	It("gives a leaving or busy server nothing, and loads a leaving server's last copy elsewhere", func() {
+		leaving := server("a", "m0")
+		leaving.Leaving = true
+		busy := server("b")
+		busy.Busy = true
+		state := stocker.State{Engine: engine(1, 0), Servers: []stocker.Server{leaving, busy, server("c")}, Loads: 5}
+		Expect(stocker.Plan(state)).To(ConsistOf(And(HaveField("Server", "c"), HaveField("Model", "m0"))))
+	})
+})
+
+var _ = Describe("Fits", func() {
+	e := engine(4, 9)
+	three := map[string][]string{"m0": {"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"}, "m1": nil, "m2": nil}
+	DescribeTable("counts weights and adapter slots",
+		func(o stocker.Order, want bool) { Expect(stocker.Fits(e, three, o)).To(Equal(want)) },
+		Entry("a fourth model", stocker.Order{Op: stocker.Load, Model: "m3"}, false),
+		Entry("a model held", stocker.Order{Op: stocker.Load, Model: "m1"}, true),
+		Entry("a ninth adapter", stocker.Order{Op: stocker.Load, Model: "m0", Adapter: "a9"}, false),
+		Entry("an unload", stocker.Order{Op: stocker.Unload, Model: "m0"}, true),
+	)
+})
