--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,6 +55,9 @@
 	// absentTime is how long a server that said it does not hold a model is
 	// believed against its registration.
 	absentTime = 1500 * time.Millisecond
+	// downTime is how long a server that took no connection is not tried: one
+	// that restarts takes seconds.
+	downTime = time.Second
 	// failureShare is the weight of the latest outcome in the failure rate.
 	failureShare = 0.3
 	// recovery is how fast a failure rate halves without new outcomes, so
@@ -177,6 +180,8 @@
 	judged  time.Time
 	latency float64
 	recent  decayer.Counter
+	// down is until when the server is taken to take no connection.
+	down time.Time
 	// heard is when a byte last came from the server, in nanoseconds since the
 	// fleet began.
 	heard *atomic.Int64
@@ -273,6 +278,24 @@
 	c.hold(now, s)
 }
 
+// Unreachable notes that a server takes no connection.
+func (c *Core) Unreachable(now time.Time, id string) {
+	if s, ok := c.servers[id]; ok {
+		s.down = now.Add(downTime)
+	}
+}
+
+// Down returns the lives of the servers that take no connection.
+func (c *Core) Down(now time.Time) []string {
+	var list []string
+	for _, s := range c.order {
+		if now.Before(s.down) {
+			list = append(list, s.Life)
+		}
+	}
+	return list
+}
+
 // Resize sets how many tokens a server's cache takes, 0 if that is not known.
 func (c *Core) Resize(tokens int) { c.cache = tokens }
 
@@ -289,7 +312,7 @@
 		if s.Draining || key != "" && !s.held[key] {
 			continue
 		}
-		if slices.Contains(q.Exclude, s.ID) {
+		if slices.Contains(q.Exclude, s.ID) || now.Before(s.down) {
 			if status == Absent {
 				status = Spent
 			}
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -160,7 +160,7 @@
 	if w == nil {
 		return l, status
 	}
-	if status == Absent {
+	if status != Full {
 		select {
 		case f.missed <- struct{}{}:
 		default:
@@ -176,8 +176,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.unwait(service, q)
 	if f.line(service).Remove(w) {
+		if w.starved {
+			f.unwait(service, q)
+		}
 		return nil, status
 	}
 	return <-w.granted, Found
@@ -199,12 +201,17 @@
 			return nil, nil, Full
 		}
 	case Absent:
+	case Spent:
+		// The last holder may have failed; a load elsewhere takes a second.
+		if q.Model == "" {
+			return nil, nil, status
+		}
 	default:
 		return nil, nil, status
 	}
-	w := &Waiter{Request: q, granted: make(chan *Lease, 1)}
+	w := &Waiter{Request: q, granted: make(chan *Lease, 1), starved: status != Full}
 	line.Add(w)
-	if status == Absent {
+	if status != Full {
 		f.waiting[wantKey{service, q.Key()}]++
 	}
 	return nil, w, status
@@ -236,7 +243,9 @@
 		if status != Found {
 			return false
 		}
-		f.unwait(service, w.Request)
+		if w.starved {
+			f.unwait(service, w.Request)
+		}
 		w.granted <- l
 		return true
 	})
@@ -258,6 +267,28 @@
 	}
 }
 
+// Unreachable notes that the server takes no connection.
+func (l *Lease) Unreachable() {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cores[l.service]; ok {
+		c.Unreachable(f.clock.Now(), l.ID)
+	}
+}
+
+// Down returns the lives of the servers that take no connection.
+func (f *Fleet) Down() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	now := f.clock.Now()
+	for _, c := range f.cores {
+		list = append(list, c.Down(now)...)
+	}
+	return list
+}
+
 // Resize tells how many tokens the cache of each server of a service takes.
 func (f *Fleet) Resize(service string, tokens int) {
 	f.mu.Lock()
--- a/balancer/waiting.go
+++ b/balancer/waiting.go
@@ -21,6 +21,8 @@
 type Waiter struct {
 	Request
 	granted chan *Lease
+	// starved is set if no server held the model when the request came.
+	starved bool
 }
 
 // Line holds the requests of one service that wait for a server, in the order
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -28,6 +28,8 @@
 	memberAge = 3 * time.Second
 	// exchangeTimeout bounds a report and its reply.
 	exchangeTimeout = 500 * time.Millisecond
+	// downAge is how long a report that a server is down counts.
+	downAge = time.Second
 	// attend is how long a reply is held back for an instance whose requests
 	// wait for an order.
 	attend = 150 * time.Millisecond
@@ -53,6 +55,8 @@
 	Overlay  int                   `msgpack:"o"`
 	Fence    int64                 `msgpack:"e"`
 	Suspects []quarantiner.Suspect `msgpack:"s"`
+	// Down are the lives of servers that take no connection.
+	Down []string `msgpack:"d"`
 	// Waiting is set while requests wait for an order.
 	Waiting bool `msgpack:"a"`
 }
--- a/coordinator/hub.go
+++ b/coordinator/hub.go
@@ -30,6 +30,7 @@
 	at      time.Time
 	flights map[string]balancer.Flight
 	waiting map[demandKey]int
+	down    []string
 }
 
 type demandKey struct{ service, key string }
@@ -75,7 +76,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	m := &member{at: now, flights: r.Flights, waiting: map[demandKey]int{}}
+	m := &member{at: now, flights: r.Flights, waiting: map[demandKey]int{}, down: r.Down}
 	h.members[r.Instance] = m
 	starved := false
 	for _, w := range r.Wants {
@@ -219,17 +220,21 @@
 	return demand, waiting
 }
 
-// running returns how many requests all instances have in flight at servers.
-func (h *hub) running() map[string]int {
+// down returns the lives of servers that some instance finds no connection to.
+func (h *hub) down() map[string]bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	total := map[string]int{}
+	now := h.clock.Now()
+	all := map[string]bool{}
 	for _, m := range h.members {
-		for id, f := range m.flights {
-			total[id] += f.Started
+		if now.Sub(m.at) > downAge {
+			continue
+		}
+		for _, life := range m.down {
+			all[life] = true
 		}
 	}
-	return total
+	return all
 }
 
 func (h *hub) registered() []registrar.Server {
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -154,7 +154,7 @@
 }
 
 func (f *foreman) plan(ctx context.Context, table *matcher.Table) {
-	running := f.hub.running()
+	down := f.hub.down()
 	servers := f.hub.registered()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -168,7 +168,7 @@
 		state := stocker.State{Engine: service.Engine, Demand: demand, Waiting: waiting, Loads: f.allowed(now, name, service.Engine)}
 		for _, b := range f.beliefs {
 			if b.server.Service == name {
-				state.Servers = append(state.Servers, b.planned(now, running[b.server.ID]))
+				state.Servers = append(state.Servers, b.planned(now, down[b.server.Life]))
 			}
 		}
 		for _, o := range stocker.Plan(state) {
@@ -204,10 +204,10 @@
 }
 
 // planned returns a server as it will be once what is under way is done.
-func (b *belief) planned(now time.Time, running int) stocker.Server {
+func (b *belief) planned(now time.Time, down bool) stocker.Server {
 	s := stocker.Server{
-		ID: b.server.ID, Zone: b.server.Zone, Leaving: b.server.Draining,
-		Busy: b.pending != nil || now.Before(b.until), Held: maps.Clone(b.held), Warm: map[string]bool{}, Running: running,
+		ID: b.server.ID, Zone: b.server.Zone, Leaving: b.server.Draining || down,
+		Busy: b.pending != nil || now.Before(b.until), Held: maps.Clone(b.held), Warm: map[string]bool{},
 	}
 	if s.Held == nil {
 		s.Held = map[string][]string{}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -132,7 +132,7 @@
 		r := Report{
 			Instance: c.Instance, Wants: wants, Flights: c.Fleet.Flights(),
 			Registry: c.Registry.Next(), Config: c.version(), Overlay: c.told, Fence: c.fence,
-			Suspects: c.Suspects.Export(), Waiting: waits(wants),
+			Suspects: c.Suspects.Export(), Down: c.Fleet.Down(), Waiting: waits(wants),
 		}
 		reply, err := c.call(ctx, address, r)
 		if err != nil {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -67,9 +67,12 @@
 	verdict := judge.Of(err)
 	gone := x.request.Context().Err() != nil
 	l.Done(!gone)
-	if verdict != judge.NotRun {
+	switch {
+	case verdict != judge.NotRun:
 		x.sends++
 		x.mayRun = true
+	case !gone:
+		l.Unreachable()
 	}
 	x.log.Info("relay: attempt failed", zap.String("server", l.ID), zap.Error(errors.Unwrap(err)),
 		zap.Stringer("verdict", verdict), zap.Bool("client_left", gone), zap.Duration("after", x.clock.Since(x.started)))
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -26,6 +26,11 @@
 	// advantage is how many times as much demand a copy must get as the one
 	// that makes way.
 	advantage = 1.5
+	// unloadCost and coldCost are what a load that needs room, or the weight
+	// store, counts as against a server's load, in requests a second: it takes
+	// a second or two longer.
+	unloadCost = 4.0
+	coldCost   = 2.0
 	// waitingDemand is how many requests a second one waiting request counts.
 	waitingDemand = 2.0
 )
@@ -59,8 +64,6 @@
 	Held map[string][]string
 	// Warm are models whose weights the server need not fetch from the store.
 	Warm map[string]bool
-	// Running is how many requests it runs.
-	Running int
 }
 
 // State is what a plan is made from.
@@ -152,9 +155,10 @@
 	}
 	p.names = slices.Sorted(maps.Keys(state.Engine.Models))
 	slices.SortStableFunc(p.names, func(a, b string) int { return cmp.Compare(p.model[b], p.model[a]) })
-	p.missing()
+	p.missing(true)
 	p.adapters(true)
 	p.further()
+	p.missing(false)
 	p.adapters(false)
 	return p.orders
 }
@@ -168,11 +172,12 @@
 	return key, ""
 }
 
-// missing loads models that no server holds.
-func (p *planner) missing() {
+// missing loads models that no server holds. Those that nobody asks for take
+// no copy's place that somebody does.
+func (p *planner) missing(demanded bool) {
 	for _, m := range p.names {
-		if p.copies[m] == 0 {
-			p.place(m, "no server holds the model", true)
+		if p.copies[m] == 0 && demanded == (p.model[m] > 0) {
+			p.place(m, "no server holds the model", demanded)
 		}
 	}
 }
@@ -209,15 +214,15 @@
 		if p.used(s)+spec.Size > p.Engine.Memory {
 			v, ok = p.victim(s, m, missing)
 		}
-		if !ok || !s.Warm[m] && v == "" && p.Loads <= 0 {
+		if !ok || !s.Warm[m] && p.Loads <= 0 {
 			continue
 		}
-		cost := float64(s.Running) / 8
+		cost := p.load(s)
 		if v != "" {
-			cost += 20 + p.worth(v)
+			cost += unloadCost
 		}
 		if !s.Warm[m] {
-			cost += 8
+			cost += coldCost
 		}
 		if best == nil || cost < bestCost {
 			best, victim, bestCost = s, v, cost
@@ -227,6 +232,11 @@
 		return false
 	}
 	best.Busy = true
+	cold := !best.Warm[m]
+	if cold {
+		// Also for a load that follows an unload: room alone helps nobody.
+		p.Loads--
+	}
 	if victim != "" {
 		p.orders = append(p.orders, Order{Server: best.ID, Op: Unload, Model: victim, Why: "room for " + m + ": " + why})
 		p.copies[victim]--
@@ -235,18 +245,21 @@
 		p.copies[m]++
 		return true
 	}
-	cold := !best.Warm[m]
-	if cold {
-		p.Loads--
-	}
 	p.orders = append(p.orders, Order{Server: best.ID, Op: Load, Model: m, Cold: cold, Why: why})
 	p.copies[m]++
 	best.Held[m] = nil
 	return true
 }
 
-// worth is the demand for one copy of a model.
-func (p *planner) worth(m string) float64 { return p.model[m] / float64(max(p.copies[m], 1)) }
+// load is a server's share of the demand for what it holds, in requests a
+// second.
+func (p *planner) load(s *Server) float64 {
+	total := 0.0
+	for m := range s.Held {
+		total += p.model[m] / float64(max(p.copies[m], 1))
+	}
+	return total
+}
 
 // victim returns the model that makes way for m at a server. The last copy of
 // a model never does, and one whose copies left would be in more demand than m
