--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -215,7 +215,7 @@
 	for _, m := range slices.Concat(b.server.InMemory, b.server.OnDisk) {
 		s.Warm[m] = true
 	}
-	if o := b.pending; o != nil {
+	for o := b.pending; o != nil; o = o.Next {
 		b.apply(s.Held, *o)
 	}
 	return s
@@ -252,27 +252,72 @@
 func (f *foreman) give(ctx context.Context, now time.Time, service string, e *matcher.Engine, o stocker.Order) {
 	b := f.beliefs[o.Server]
 	b.pending = &o
-	if o.Cold {
+	if o.Cold || o.Next != nil && o.Next.Cold {
 		f.colds[service] = append(f.colds[service], now)
 	}
 	f.log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
 		zap.String("key", balancer.Key(o.Model, o.Adapter)), zap.Int64("expected", b.orders), zap.Bool("cold", o.Cold), zap.String("why", o.Why))
-	j := &job{foreman: f, belief: b, order: o, engine: e, server: b.server}
+	j := &job{foreman: f, belief: b, service: service, order: o, engine: e, server: b.server}
 	f.work.Go(func() { j.run(ctx) })
 }
 
 // job carries one order out.
 type job struct {
 	*foreman
-	belief *belief
-	order  stocker.Order
-	engine *matcher.Engine
-	server registrar.Server
+	belief  *belief
+	service string
+	order   stocker.Order
+	engine  *matcher.Engine
+	server  registrar.Server
 }
 
 func (j *job) run(ctx context.Context) {
+	begun := j.clock.Now()
+	done := j.carry(ctx)
+	for done && j.order.Next != nil {
+		j.order = *j.order.Next
+		if j.order.Cold && !j.cold(begun) {
+			done = false
+			break
+		}
+		done = j.carry(ctx)
+	}
+	j.mu.Lock()
+	now := j.clock.Now()
+	if !done {
+		j.belief.until = now.Add(shun)
+		j.belief.orders = -1
+	}
+	j.belief.pending = nil
+	j.mu.Unlock()
+	if !done {
+		j.log.Info("orders: not carried out", zap.String("server", j.server.ID), zap.Stringer("op", j.order.Op),
+			zap.String("key", balancer.Key(j.order.Model, j.order.Adapter)))
+	}
+	j.hub.wake()
+}
+
+// cold counts a load from the weight store that begins now. It was counted when
+// it was planned, and may not begin if that was too long ago.
+func (j *job) cold(planned time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.clock.Now()
+	if now.Sub(planned) > j.Ceiling {
+		return false
+	}
+	j.colds[j.service] = append(j.colds[j.service], now)
+	return true
+}
+
+// carry carries one order out.
+func (j *job) carry(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkLimit)
 	defer cancel()
+	order := j.order
+	j.mu.Lock()
+	j.belief.pending = &order
+	j.mu.Unlock()
 	if j.order.Op == stocker.Unload {
 		j.tell(false)
 	}
@@ -280,25 +325,16 @@
 	if done {
 		done = j.finish(ctx)
 	}
-	j.mu.Lock()
-	now := j.clock.Now()
 	if done {
+		j.mu.Lock()
 		j.belief.apply(j.belief.held, j.order)
-		j.belief.changed = now
-	} else {
-		j.belief.until = now.Add(shun)
-		j.belief.orders = -1
+		j.belief.changed = j.clock.Now()
+		j.mu.Unlock()
 	}
-	j.belief.pending = nil
-	j.mu.Unlock()
 	if done == (j.order.Op == stocker.Load) {
 		j.tell(true)
 	}
-	if !done {
-		j.log.Info("orders: not carried out", zap.String("server", j.server.ID), zap.Stringer("op", j.order.Op),
-			zap.String("key", balancer.Key(j.order.Model, j.order.Adapter)))
-	}
-	j.hub.wake()
+	return done
 }
 
 // tell passes on that the server holds, or does not hold, what the order is
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -86,6 +86,9 @@
 	Adapter string
 	// Cold loads fetch the weights from the store.
 	Cold bool
+	// Next is the load that an unload makes room for. It follows on the same
+	// server, so that no second server makes room for it.
+	Next *Order
 	// Why is one short sentence for the log.
 	Why string
 }
@@ -237,15 +240,14 @@
 		// Also for a load that follows an unload: room alone helps nobody.
 		p.Loads--
 	}
+	order := Order{Server: best.ID, Op: Load, Model: m, Cold: cold, Why: why}
 	if victim != "" {
-		p.orders = append(p.orders, Order{Server: best.ID, Op: Unload, Model: victim, Why: "room for " + m + ": " + why})
+		next := order
+		order = Order{Server: best.ID, Op: Unload, Model: victim, Next: &next, Why: "room for " + m + ": " + why}
 		p.copies[victim]--
 		delete(best.Held, victim)
-		// The load follows once the room is free.
-		p.copies[m]++
-		return true
 	}
-	p.orders = append(p.orders, Order{Server: best.ID, Op: Load, Model: m, Cold: cold, Why: why})
+	p.orders = append(p.orders, order)
 	p.copies[m]++
 	best.Held[m] = nil
 	return true
@@ -386,6 +388,7 @@
 	if best == nil {
 		return
 	}
-	p.orders = append(p.orders, Order{Server: best.ID, Op: Unload, Model: model, Adapter: adapter, Why: "room for " + m + "/" + a})
+	next := Order{Server: best.ID, Op: Load, Model: m, Adapter: a, Why: "no server holds the adapter"}
+	p.orders = append(p.orders, Order{Server: best.ID, Op: Unload, Model: model, Adapter: adapter, Next: &next, Why: "room for " + m + "/" + a})
 	best.Busy = true
 }
--- a/stocker/stocker_test.go
+++ b/stocker/stocker_test.go
@@ -82,6 +82,45 @@
 		Expect(stocker.Plan(state)).To(ContainElement(And(HaveField("Op", stocker.Unload), HaveField("Model", "m0"))))
 	})
 
+	// Load: a model in demand lost its only copy, and each plan finds the room
+	// still being made.
+	It("makes room for a load on one server only, while that is under way", func() {
+		making := server("a", "m0", "m1", "m3")
+		making.Busy = true
+		state := stocker.State{
+			Engine:  engine(4, 0),
+			Servers: []stocker.Server{making, server("b", "m0", "m1", "m2"), server("c", "m0", "m1", "m2")},
+			Demand:  map[string]float64{"m3": 1, "m0": 1, "m1": 1, "m2": 1}, Loads: 5,
+		}
+		Expect(stocker.Plan(state)).To(BeEmpty())
+		delete(making.Held, "m3")
+		making.Busy = false
+		making.Held["m2"] = nil
+		orders := stocker.Plan(state)
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0]).To(And(HaveField("Op", stocker.Unload), HaveField("Next", HaveField("Model", "m3"))))
+	})
+
+	It("takes no copy in demand for a model that nobody asks for", func() {
+		state := stocker.State{
+			Engine:  engine(4, 0),
+			Servers: []stocker.Server{server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m2")},
+			Demand:  map[string]float64{"m0": 9, "m1": 9, "m2": 9}, Loads: 5,
+		}
+		Expect(stocker.Plan(state)).To(BeEmpty())
+		state.Waiting = map[string]int{"m3": 1}
+		Expect(stocker.Plan(state)).To(ContainElement(HaveField("Next", HaveField("Model", "m3"))))
+	})
+
+	It("makes no room for a load that the ceiling does not allow", func() {
+		state := stocker.State{
+			Engine:  engine(4, 0),
+			Servers: []stocker.Server{server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m2")},
+			Demand:  map[string]float64{"m3": 9}, Loads: 0,
+		}
+		Expect(stocker.Plan(state)).To(BeEmpty())
+	})
+
 	It("does not move copies to and fro between models in equal demand", func() {
 		state := stocker.State{
 			Engine:  engine(3, 0),
