--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -12,7 +12,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 
 	"primrosehook/balancer"
@@ -32,16 +31,6 @@
 	// a second or two longer.
 	unloadCost = 4.0
 	coldCost   = 2.0
-	// idleDemand is the demand below which it does not matter how busy a
-	// model's server is, and spareWorth what each place to spare counts then.
-	idleDemand = 0.5
-	spareWorth = 3.0
-	// levelLoads is how many loads must be allowed for one that only makes room.
-	levelLoads = 4
-	// spreadRounds is how often the demand is spread anew; loadFloor keeps idle
-	// servers from drawing all of it, in requests a second.
-	spreadRounds = 12
-	loadFloor    = 0.1
 	// waitingDemand is how many requests a second one waiting request counts.
 	waitingDemand = 2.0
 )
@@ -139,10 +128,6 @@
 	model   map[string]float64
 	waiting map[string]int
 	copies  map[string]int
-	// loads is how the demand falls on the servers, in requests a second.
-	loads map[*Server]float64
-	// largest is the size of the largest model, in MB.
-	largest float64
 	names   []string
 	orders  []Order
 }
@@ -171,17 +156,12 @@
 		p.waiting[m] += n
 		p.model[m] += waitingDemand * float64(n)
 	}
-	for _, m := range state.Engine.Models {
-		p.largest = max(p.largest, m.Size)
-	}
 	p.names = slices.Sorted(maps.Keys(state.Engine.Models))
 	slices.SortStableFunc(p.names, func(a, b string) int { return cmp.Compare(p.model[b], p.model[a]) })
-	p.spread()
 	p.missing(true)
 	p.adapters(true)
 	p.further()
 	p.missing(false)
-	p.level()
 	p.adapters(false)
 	return p.orders
 }
@@ -200,124 +180,37 @@
 func (p *planner) missing(demanded bool) {
 	for _, m := range p.names {
 		if p.copies[m] == 0 && demanded == (p.model[m] > 0) {
-			p.place(m, "no server holds the model", demanded, math.Inf(1))
+			p.place(m, "no server holds the model", demanded)
 		}
 	}
 }
 
-// further loads more copies of the models whose servers have most to do, on
-// servers that have clearly less.
+// further loads more copies of the models in most demand.
 func (p *planner) further() {
-	tried := map[string]bool{}
-	for range p.servers {
-		p.spread()
+	for range len(p.servers) {
 		best, most := "", copyDemand
 		for _, m := range p.names {
-			if n := p.copies[m]; n > 0 && n < len(p.servers) && !tried[m] && p.model[m] > 0 {
-				if d := p.pressure(m); d > most {
+			if n := p.copies[m]; n > 0 && n < len(p.servers) {
+				if d := p.model[m] / float64(n); d > most {
 					best, most = m, d
 				}
 			}
 		}
-		if best == "" {
+		if best == "" || !p.place(best, fmt.Sprintf("%.1f requests/s for each copy", most), false) {
 			return
 		}
-		if !p.place(best, fmt.Sprintf("its servers get %.1f requests/s each", most), false, most/advantage) {
-			tried[best] = true
-		}
-	}
-}
-
-// level makes room for models in demand on servers that hold nothing but last
-// copies: one of these is loaded on a server that has several copies to spare.
-func (p *planner) level() {
-	if p.Loads < levelLoads {
-		return
-	}
-	for _, s := range p.servers {
-		if s.Busy || p.spare(s) > 0 {
-			continue
-		}
-		least := ""
-		for _, m := range slices.Sorted(maps.Keys(s.Held)) {
-			if least == "" || p.model[m] < p.model[least] {
-				least = m
-			}
-		}
-		if least != "" && p.place(least, "room on "+s.ID, false, math.Inf(1)) {
-			return
-		}
-	}
-}
-
-// spare is how many models a server could do without, or take.
-func (p *planner) spare(s *Server) int {
-	n := int((p.Engine.Memory - p.used(s)) / p.largest)
-	for m := range s.Held {
-		if p.copies[m] > 1 {
-			n++
-		}
-	}
-	return n
-}
-
-// spread works out how the demand falls on the servers when each request goes
-// to the holder that has least to do.
-func (p *planner) spread() {
-	share := map[string]map[*Server]float64{}
-	for _, s := range p.servers {
-		for m := range s.Held {
-			if p.model[m] <= 0 {
-				continue
-			}
-			if share[m] == nil {
-				share[m] = map[*Server]float64{}
-			}
-			share[m][s] = 1
-		}
-	}
-	for range spreadRounds {
-		loads := map[*Server]float64{}
-		for m, holders := range share {
-			total := 0.0
-			for _, w := range holders {
-				total += w
-			}
-			for s, w := range holders {
-				loads[s] += p.model[m] * w / total
-			}
-		}
-		p.loads = loads
-		for _, holders := range share {
-			for s, w := range holders {
-				holders[s] = w / math.Sqrt(loads[s]+loadFloor)
-			}
-		}
 	}
 }
 
-// pressure is what the holder of a model with least to do gets, in requests a
-// second.
-func (p *planner) pressure(m string) float64 {
-	least := math.Inf(1)
-	for _, s := range p.servers {
-		if _, ok := s.Held[m]; ok {
-			least = min(least, p.loads[s])
-		}
-	}
-	return least
-}
-
 // place orders what is next on the way to one more copy of a model: the load,
 // or the unload that makes room for it. It reports whether it did.
-// Only servers with less to do than the limit are considered.
-func (p *planner) place(m, why string, missing bool, limit float64) bool {
+func (p *planner) place(m, why string, missing bool) bool {
 	spec := p.Engine.Models[m]
 	var best *Server
 	var victim string
 	bestCost := 0.0
 	for _, s := range p.servers {
-		if _, ok := s.Held[m]; ok || s.Busy || p.loads[s] >= limit {
+		if _, ok := s.Held[m]; ok || s.Busy {
 			continue
 		}
 		v, ok := "", true
@@ -327,11 +220,7 @@
 		if !ok || !s.Warm[m] && p.Loads <= 0 {
 			continue
 		}
-		cost := p.loads[s]
-		if p.model[m] < idleDemand {
-			// Room is left where there is little of it.
-			cost = -spareWorth * float64(p.spare(s))
-		}
+		cost := p.load(s)
 		if v != "" {
 			cost += unloadCost
 		}
@@ -364,6 +253,16 @@
 	return true
 }
 
+// load is a server's share of the demand for what it holds, in requests a
+// second.
+func (p *planner) load(s *Server) float64 {
+	total := 0.0
+	for m := range s.Held {
+		total += p.model[m] / float64(max(p.copies[m], 1))
+	}
+	return total
+}
+
 // victim returns the model that makes way for m at a server. The last copy of
 // a model never does, and one whose copies left would be in more demand than m
 // does only if m is missing.
