--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -86,6 +86,9 @@
 	// there, Leave when the client goes or the answer is not worth waiting for.
 	Priority   int
 	Aim, Leave time.Time
+	// Wait is the longest wait for a busy server after which the request would
+	// still be in time.
+	Wait time.Duration
 	// Session is the hash of the shared parts; zero if there are none.
 	Session uint64
 	// Exclude are servers that must not be chosen.
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -197,7 +197,7 @@
 		line.Granted(now, q.Key())
 		return l, nil, Found
 	case Full:
-		if now.Add(line.Predict(now, q)).After(q.Leave) {
+		if line.Predict(now, q) > q.Wait {
 			return nil, nil, Full
 		}
 	case Absent:
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -105,6 +105,7 @@
 	x.query = balancer.Request{
 		Model: x.meta.Model, Adapter: x.meta.Adapter, Prompt: x.meta.TokensIn, Output: x.output(),
 		Priority: x.route.Priority, Aim: x.started.Add(x.route.Target), Leave: x.leave(),
+		Wait: max(time.Duration(aimShare*float64(x.route.Target)), waitLeast),
 	}
 	if n := len(x.meta.Parts); n > 1 {
 		session := x.query.Key()
@@ -137,7 +138,14 @@
 
 // waitShare of the time after which clients leave a silent stream is spent on
 // waiting for a server at most.
-const waitShare = 0.6
+const waitShare = 0.8
+
+// aimShare of the objective may be spent on waiting for a busy server; the rest
+// is for reading the prompt. A request may always wait for waitLeast.
+const (
+	aimShare  = 0.7
+	waitLeast = 100 * time.Millisecond
+)
 
 // caller returns the address that a request came from, without its port.
 func caller(r *http.Request) string {
