--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -164,15 +164,16 @@
 		return &balancer.Waiter{Request: balancer.Request{Model: name, Priority: rank, Aim: now.Add(aim)}}
 	}
 
-	It("serves by rank, then by objective", func() {
+	// Load: more requests than can be in time. Oldest first would make all late.
+	It("serves by rank, then those that can be in time, then by objective", func() {
 		l := balancer.NewLine()
-		soon, later, urgent := request("soon", 1, 100*time.Millisecond), request("later", 1, time.Second), request("urgent", 0, 2*time.Second)
-		for _, w := range []*balancer.Waiter{later, soon, urgent} {
+		late, soon, later, urgent := request("late", 1, -time.Second), request("soon", 1, 100*time.Millisecond), request("later", 1, time.Second), request("urgent", 0, 2*time.Second)
+		for _, w := range []*balancer.Waiter{late, later, soon, urgent} {
 			l.Add(w)
 		}
 		var order []string
 		l.Serve(now, func(w *balancer.Waiter) bool { order = append(order, w.Model); return true })
-		Expect(order).To(Equal([]string{"urgent", "soon", "later"}))
+		Expect(order).To(Equal([]string{"urgent", "soon", "later", "late"}))
 		Expect(l.Len()).To(BeZero())
 	})
 
--- a/balancer/waiting.go
+++ b/balancer/waiting.go
@@ -26,9 +26,11 @@
 }
 
 // Line holds the requests of one service that wait for a server, in the order
-// in which they go: by rank, then by objective. Requests whose wait is predicted
-// to make them late are refused before they join, so that those which wait
-// are in time. It is not safe for concurrent use.
+// in which they go: by rank, then those that can still meet their objective
+// before those that can't, then by objective. Serving late requests first
+// would make the next ones late as well. Requests whose wait is predicted to
+// make them late are refused before they join. It is not safe for concurrent
+// use.
 type Line struct {
 	waiters []*Waiter
 	grants  map[string]*decayer.Counter
@@ -46,7 +48,7 @@
 	ahead := 0
 	key := q.Key()
 	for _, w := range l.waiters {
-		if w.Key() == key && before(w.Request, q) <= 0 {
+		if w.Key() == key && before(now, w.Request, q) <= 0 {
 			ahead++
 		}
 	}
@@ -77,7 +79,7 @@
 	if len(l.waiters) == 0 {
 		return
 	}
-	slices.SortStableFunc(l.waiters, func(a, b *Waiter) int { return before(a.Request, b.Request) })
+	slices.SortStableFunc(l.waiters, func(a, b *Waiter) int { return before(now, a.Request, b.Request) })
 	blocked := map[string]bool{}
 	l.waiters = slices.DeleteFunc(l.waiters, func(w *Waiter) bool {
 		key := w.Key()
@@ -104,6 +106,13 @@
 }
 
 // before orders two requests.
-func before(a, b Request) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Aim.Compare(b.Aim))
+func before(now time.Time, a, b Request) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(late(now, a), late(now, b)), a.Aim.Compare(b.Aim))
+}
+
+func late(now time.Time, q Request) int {
+	if now.After(q.Aim) {
+		return 1
+	}
+	return 0
 }
