--- a/coordinator/hub.go
+++ b/coordinator/hub.go
@@ -19,12 +19,12 @@
 // what is asked for now and then. The larger rate counts.
 const (
 	fastHalf = time.Second
-	slowHalf = 8 * time.Second
+	slowHalf = 3 * time.Second
 )
 
 // demandFaded is the rate below which demand is forgotten, in requests a
 // second.
-const demandFaded = 0.005
+const demandFaded = 0.002
 
 type member struct {
 	at      time.Time
