Explain each request in one line; bounded log, metrics and spans

One decision line for each request that failed, was late or took more than one attempt, a sample of the others; written beside the requests, dropped and counted beyond 200 lines a second. Counters and HDR histograms as text.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -405,6 +405,19 @@
 	return s.failure * math.Exp2(-float64(now.Sub(s.judged))/float64(recovery))
 }
 
+// Basis returns what the choice of a server was made from.
+func (c *Core) Basis(now time.Time, id string, q Request) Basis {
+	s := c.servers[id]
+	b := Basis{Flight: c.flight(now, s), Age: now.Sub(c.heard), Seen: now.Sub(s.Seen)}
+	key := q.Key()
+	for _, s := range c.order {
+		if !s.Draining && (key == "" || s.held[key]) {
+			b.Holders++
+		}
+	}
+	return b
+}
+
 // Sent notes that a request went to a server.
 func (c *Core) Sent(now time.Time, id string, q Request) {
 	if s, ok := c.servers[id]; ok {
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -129,6 +129,18 @@
 	first   bool
 	sent    time.Time
 	heard   *atomic.Int64
+	// Basis is what the choice was made from.
+	Basis Basis
+}
+
+// Basis is what a choice was made from, for the log.
+type Basis struct {
+	// Holders is how many servers hold the model, Flight what was known to be
+	// in flight at the one chosen, Age how old the other instances' part of it
+	// was, Seen how old the server's registration.
+	Holders   int
+	Flight    Flight
+	Age, Seen time.Duration
 }
 
 // Take chooses a server, and counts the request there.
@@ -149,8 +161,12 @@
 		return nil, status
 	}
 	s, _ := c.Server(id)
+	basis := c.Basis(now, id, q)
 	c.Sent(now, id, q)
-	return &Lease{Server: s, Pool: f.pools[s.Life+s.Address], fleet: f, service: service, request: q, sent: now, heard: c.servers[id].heard}, Found
+	return &Lease{
+		Server: s, Pool: f.pools[s.Life+s.Address], fleet: f, service: service, request: q,
+		sent: now, heard: c.servers[id].heard, Basis: basis,
+	}, Found
 }
 
 // Await is Take that waits for a server to come free, or to load the model. It
@@ -369,6 +385,17 @@
 	return all
 }
 
+// Waiting returns how many requests wait for a server.
+func (f *Fleet) Waiting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, l := range f.lines {
+		n += l.Len()
+	}
+	return n
+}
+
 // Others takes over what the other instances have in flight.
 func (f *Fleet) Others(flights map[string]Flight) {
 	f.mu.Lock()
--- a/cmd/primrosehook/entry.go
+++ b/cmd/primrosehook/entry.go
@@ -5,7 +5,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"os"
+	"strconv"
+	"time"
 
 	"github.com/google/subcommands"
 	"github.com/jonboulle/clockwork"
@@ -13,19 +16,23 @@
 	"go.uber.org/zap/zapcore"
 
 	"primrosehook/composer"
+	"primrosehook/logger"
 	"primrosehook/platform"
+	"primrosehook/tracer"
 )
 
 // entry runs an entry instance on the platform.
 type entry struct {
 	out, errs io.Writer
 	settings  string
+	metrics   int
+	traces    tracer.Settings
 }
 
 func (*entry) Name() string     { return "entry" }
 func (*entry) Synopsis() string { return "run an entry instance on the platform" }
 func (*entry) Usage() string {
-	return `primrosehook entry [-settings PATH]
+	return `primrosehook entry [-settings PATH] [-metrics PORT] [-trace none|stdout|otlp]
 
 Runs an entry instance with the platform's settings file. SIGTERM begins a
 planned stop: the instance is not ready any more, finishes its requests and
@@ -35,6 +42,10 @@
 }
 
 func (e *entry) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&e.metrics, "metrics", 0, "port of the metrics on the instance's own address; 0 for none")
+	f.StringVar(&e.traces.Export, "trace", tracer.ExportNone, "where spans go: none, stdout or otlp")
+	f.StringVar(&e.traces.Endpoint, "trace-endpoint", "", "URL of the OTLP/HTTP collector")
+	f.Float64Var(&e.traces.Share, "trace-share", 0.01, "share of the requests without a trace that start one")
 	f.StringVar(&e.settings, "settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file ["+platform.SettingsVariable+"]")
 }
 
@@ -44,10 +55,33 @@
 		_, _ = fmt.Fprintln(e.errs, err)
 		return subcommands.ExitUsageError
 	}
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(e.out), zap.InfoLevel))
-	if err := composer.Run(ctx, settings, clockwork.NewRealClock(), log); err != nil {
+	if e.metrics > 0 {
+		settings.Metrics = net.JoinHostPort(settings.IP, strconv.Itoa(e.metrics))
+	}
+	clock := clockwork.NewRealClock()
+	lines := logger.NewWriter(e.out, clock)
+	go lines.Run()
+	defer e.close(lines)
+	log := logger.New(lines, zapcore.InfoLevel)
+	e.traces.Instance, e.traces.Zone = settings.Instance, settings.Zone
+	traces, err := tracer.New(ctx, e.traces, e.out)
+	if err != nil {
+		_, _ = fmt.Fprintln(e.errs, err)
+		return subcommands.ExitUsageError
+	}
+	err = composer.Run(ctx, settings, clock, log, composer.WithTracer(traces.Tracer()), composer.WithValue("log_lines_dropped", lines.Total))
+	if err != nil {
 		log.Error("entry: failed", zap.Error(err))
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
+
+// closeTimeout bounds the writing of the last lines.
+const closeTimeout = 200 * time.Millisecond
+
+func (*entry) close(lines *logger.Writer) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	lines.Close(ctx)
+}
--- a/composer/composer.go
+++ b/composer/composer.go
@@ -15,17 +15,20 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"primrosehook/balancer"
 	"primrosehook/booter"
 	"primrosehook/coordinator"
+	"primrosehook/exposer"
 	"primrosehook/messenger"
 	"primrosehook/platform"
 	"primrosehook/quarantiner"
 	"primrosehook/relayer"
 	"primrosehook/sender"
 	"primrosehook/tailer"
+	"primrosehook/tracer"
 )
 
 const (
@@ -73,20 +76,41 @@
 	tails    struct{ config, registry *tailer.Tailer }
 	duties   *coordinator.Coordinator
 	peers    *messenger.Client
+	metrics  *exposer.Set
 	stopping atomic.Bool
 	work     sync.WaitGroup
 }
 
+// Option sets one option of an instance.
+type Option func(*options)
+
+type options struct {
+	tracer trace.Tracer
+	values map[string]func() int64
+}
+
+// WithTracer makes spans for requests and attempts.
+func WithTracer(t trace.Tracer) Option { return func(o *options) { o.tracer = t } }
+
+// WithValue shows one more number among the metrics.
+func WithValue(name string, read func() int64) Option {
+	return func(o *options) { o.values[name] = read }
+}
+
 // Run runs an instance until the context ends and its requests are finished.
-func Run(ctx context.Context, s platform.Settings, clock clockwork.Clock, log *zap.Logger) error {
+func Run(ctx context.Context, s platform.Settings, clock clockwork.Clock, log *zap.Logger, set ...Option) error {
+	o := options{tracer: tracer.Off(), values: map[string]func() int64{}}
+	for _, f := range set {
+		f(&o)
+	}
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare * (1 << 20)))
-	e := newEntry(s, clock, log)
+	e := newEntry(s, clock, log, o)
 	return e.serve(ctx)
 }
 
-func newEntry(s platform.Settings, clock clockwork.Clock, log *zap.Logger) *Entry {
+func newEntry(s platform.Settings, clock clockwork.Clock, log *zap.Logger, o options) *Entry {
 	log = log.With(zap.String("instance", s.Instance))
-	e := &Entry{settings: s, clock: clock, log: log}
+	e := &Entry{settings: s, clock: clock, log: log, metrics: exposer.New()}
 	e.store = platform.NewStore(s.Store, sender.NewClient())
 	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock)
 	// Until the number of instances is known, the slack is shared among as
@@ -94,6 +118,7 @@
 	burst := max(int(float64(s.RetrySlack)*budgetShare/assumedInstances), 1)
 	suspects := quarantiner.NewGuard(clock, quarantiner.Standard())
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, suspects, clock, log,
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer),
 		relayer.WithRetries(s.RetryRatio*budgetShare, burst),
 		relayer.WithInFlight(max((s.Descriptors-filesReserved)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -107,8 +132,9 @@
 		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control,
 		Apart: s.Lease, Ceiling: s.CeilingWindow, Overage: s.CeilingOverage, Lease: e.store.Leases(), Engines: platform.NewEngines(sender.NewClient()),
 		Fleet: e.fleet, Suspects: suspects, Registry: e.tails.registry, Config: e.tails.config,
-		Table: e.relayer.Table, Clock: clock, Boot: booter.System{}, Log: log, Peers: e.peers,
+		Table: e.relayer.Table, Clock: clock, Boot: booter.System{}, Log: log, Peers: e.peers, Meter: e.metrics,
 	})
+	e.expose(o.values)
 	e.config.published = e.duties.Configured
 	e.registry.registered = e.duties.Registered
 	return e
@@ -137,6 +163,7 @@
 		ErrorLog: zap.NewStdLog(e.log),
 	}
 	checks := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout}
+	numbers := &http.Server{Handler: e.metrics, ReadHeaderTimeout: headerTimeout}
 	messages := messenger.NewServer(e.log)
 	e.duties.Serve(messages)
 	failed := make(chan error, 2)
@@ -148,6 +175,9 @@
 	e.start(func() { e.listenControl(work, messages, control, failed) })
 	e.start(func() { e.run(work) })
 	e.start(func() { e.registry.run(work) })
+	if e.settings.Metrics != "" {
+		e.start(func() { e.listenMetrics(numbers) })
+	}
 	e.log.Info("entry: started", zap.String("front", e.settings.Front), zap.String("zone", e.settings.Zone))
 	select {
 	case <-ctx.Done():
@@ -156,7 +186,9 @@
 	}
 	e.stop(servers)
 	cancel()
-	_ = checks.Close() // nothing of the checks is worth waiting for
+	// Nothing of the checks and metrics is worth waiting for.
+	_ = checks.Close()
+	_ = numbers.Close()
 	e.work.Wait()
 	e.log.Info("entry: stopped")
 	return nil
@@ -171,6 +203,17 @@
 	}
 }
 
+// listenMetrics serves the metrics. An instance serves clients also without.
+func (e *Entry) listenMetrics(s *http.Server) {
+	l, err := net.Listen("tcp", e.settings.Metrics)
+	if err == nil {
+		err = s.Serve(l)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		e.log.Warn("entry: metrics are not served", zap.Error(err))
+	}
+}
+
 func (e *Entry) listenControl(ctx context.Context, s *messenger.Server, l net.Listener, failed chan<- error) {
 	if err := s.Serve(ctx, l); err != nil && ctx.Err() == nil {
 		failed <- eris.Wrap(err, "serve instances")
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -252,7 +252,9 @@
 func (f *foreman) give(ctx context.Context, now time.Time, service string, e *matcher.Engine, o stocker.Order) {
 	b := f.beliefs[o.Server]
 	b.pending = &o
+	f.Meter.Add(MetricOrders, 1)
 	if o.Cold || o.Next != nil && o.Next.Cold {
+		f.Meter.Add(MetricColds, 1)
 		f.colds[service] = append(f.colds[service], now)
 	}
 	f.log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
@@ -291,6 +293,7 @@
 	j.belief.pending = nil
 	j.mu.Unlock()
 	if !done {
+		j.Meter.Add(MetricUndone, 1)
 		j.log.Info("orders: not carried out", zap.String("server", j.server.ID), zap.Stringer("op", j.order.Op),
 			zap.String("key", balancer.Key(j.order.Model, j.order.Adapter)))
 	}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -20,6 +20,18 @@
 	"primrosehook/tailer"
 )
 
+// Meter takes what is counted.
+type Meter interface{ Add(name string, n int64) }
+
+// Names of the metrics.
+const (
+	MetricOrders     = "orders_given"
+	MetricUndone     = "orders_not_carried_out"
+	MetricColds      = "loads_from_weight_store"
+	MetricExchanges  = "exchanges"
+	MetricUnanswered = "exchanges_unanswered"
+)
+
 // Parts are what a Coordinator works with.
 type Parts struct {
 	// Instance names this life of the instance, Machine where it runs, and
@@ -37,6 +49,8 @@
 	Suspects *quarantiner.Guard
 	Registry *tailer.Tailer
 	Config   *tailer.Tailer
+	// Meter counts orders.
+	Meter Meter
 	// Table returns the table in force, nil if there is none.
 	Table func() *matcher.Table
 	Clock clockwork.Clock
@@ -61,6 +75,8 @@
 
 	told  int
 	fence int64
+	// lost is set while the holder does not reply.
+	lost bool
 }
 
 // New returns a coordinator.
@@ -87,6 +103,9 @@
 	work.Wait()
 }
 
+// Holds reports whether this instance holds the lease.
+func (c *Coordinator) Holds() bool { return c.lease.Valid() }
+
 // Release gives the duties back before a planned stop.
 func (c *Coordinator) Release(ctx context.Context) { c.lease.Release(ctx) }
 
@@ -136,12 +155,21 @@
 		}
 		reply, err := c.call(ctx, address, r)
 		if err != nil {
-			c.log.Debug("coordinator: no reply", zap.String("holder", address), zap.Error(err))
+			c.Meter.Add(MetricUnanswered, 1)
+			if !c.lost {
+				c.lost = true
+				c.log.Info("coordinator: holder does not reply", zap.String("holder", address), zap.Error(err))
+			}
 			return
 		}
 		if !reply.Holds {
 			return
 		}
+		if c.lost {
+			c.lost = false
+			c.log.Info("coordinator: holder replies again", zap.String("holder", address), zap.Int64("fence", reply.Fence))
+		}
+		c.Meter.Add(MetricExchanges, 1)
 		c.apply(reply)
 		if !r.Waiting || len(reply.Overlays) == 0 {
 			return
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -31,8 +31,11 @@
 // be sent to another one; if not, the client has its answer.
 func (x *exchange) attempt(l *balancer.Lease) bool {
 	now := x.clock.Now()
+	x.tried(l)
 	ctx, cancel := context.WithCancel(x.context)
 	defer cancel()
+	ctx, span := x.tracer.Start(ctx, "attempt")
+	defer span.End()
 	w := x.watch(l, cancel)
 	defer w.stop()
 	answer, err := l.Pool.Do(ctx, connector.Request{
@@ -74,8 +77,7 @@
 	case !gone:
 		l.Unreachable()
 	}
-	x.log.Info("relay: attempt failed", zap.String("server", l.ID), zap.Error(errors.Unwrap(err)),
-		zap.Stringer("verdict", verdict), zap.Bool("client_left", gone), zap.Duration("after", x.clock.Since(x.started)))
+	x.became(verdict.String() + ": " + cause(err))
 	if gone {
 		x.giveUp("client left")
 		return false
@@ -108,7 +110,7 @@
 		l.Absent()
 	}
 	if f.Refused {
-		x.log.Info("relay: server refused", zap.String("server", l.ID), zap.Int("status", a.StatusCode))
+		x.became("refused with " + strconv.Itoa(a.StatusCode))
 		return true
 	}
 	x.mayRun = true
@@ -116,8 +118,7 @@
 		a.StatusCode == http.StatusRequestTimeout || a.StatusCode == http.StatusMisdirectedRequest
 	bad := !good || promise || a.StatusCode >= http.StatusInternalServerError
 	if bad {
-		x.log.Info("relay: bad answer", zap.String("server", l.ID), zap.Int("status", a.StatusCode),
-			zap.Bool("signed", f.Signed), zap.Bool("encoded", f.Encoded), zap.Error(err))
+		x.became(badAnswer(a.StatusCode, f, err))
 		if x.route.Repeatable() && x.sends < x.route.Attempts {
 			return true
 		}
@@ -127,6 +128,11 @@
 		return false
 	}
 	x.suspects.Finished(x.digest)
+	if !bad {
+		x.became("answered with " + strconv.Itoa(a.StatusCode))
+	}
+	x.meter.Observe(MetricFirst+x.route.Kind.String(), x.clock.Since(x.started))
+	defer x.answered(a.StatusCode)
 	x.copyHead(a)
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(a.StatusCode)
@@ -185,6 +191,8 @@
 		if rest := events.Rest(); len(rest) > 0 || !x.headed {
 			x.write(a, rest)
 		}
+		x.became("stream ended")
+		x.answered(a.StatusCode)
 		return false
 	}
 	return x.cut(l, a, err)
@@ -196,8 +204,7 @@
 	gone := x.request.Context().Err() != nil
 	l.Done(!gone && x.clock.Now().Before(x.until))
 	x.mayRun = true
-	x.log.Info("relay: stream broke off", zap.String("server", l.ID), zap.Error(err), zap.String("last_event", x.meta.LastEvent),
-		zap.Bool("client_left", gone), zap.Duration("after", x.clock.Since(x.started)))
+	x.became("stream broke off after event " + x.meta.LastEvent + ": " + err.Error())
 	if gone {
 		x.giveUp("client left")
 		return false
@@ -206,7 +213,7 @@
 		x.suspects.Broke(x.digest, l.Life)
 	}
 	if x.route.Resumable && x.sends < x.route.Attempts {
-		x.Counts.Resumed.Add(1)
+		x.meter.Add(MetricResumed, 1)
 		return true
 	}
 	x.giveUp("stream broke off")
@@ -217,6 +224,8 @@
 func (x *exchange) write(a *connector.Answer, b []byte) bool {
 	if !x.headed {
 		x.headed = true
+		x.first = x.clock.Now()
+		x.meter.Observe(MetricFirst+x.route.Kind.String(), x.first.Sub(x.started))
 		x.copyHead(a)
 		x.writer.WriteHeader(a.StatusCode)
 	}
@@ -226,3 +235,24 @@
 	}
 	return http.NewResponseController(x.writer).Flush() == nil
 }
+
+// cause is the text of what broke a connection.
+func cause(err error) string {
+	if under := errors.Unwrap(err); under != nil {
+		return under.Error()
+	}
+	return err.Error()
+}
+
+func badAnswer(status int, f Facts, err error) string {
+	text := "answered badly with " + strconv.Itoa(status)
+	switch {
+	case err != nil:
+		return text + ", cut off: " + err.Error()
+	case !f.Signed:
+		return text + ", unsigned"
+	case f.Encoded:
+		return text + ", encoded"
+	}
+	return text
+}
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -14,6 +14,7 @@
 
 	"primrosehook/balancer"
 	"primrosehook/matcher"
+	"primrosehook/tracer"
 )
 
 const (
@@ -32,10 +33,10 @@
 
 // ServeHTTP answers one request.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	r.Counts.Arrived.Add(1)
+	r.meter.Add(MetricArrived, 1)
 	table := r.table.Load()
 	if table == nil {
-		r.refuse(w, startRetry)
+		r.refuse(w, startRetry, "no_configuration")
 		return
 	}
 	meta, ok := r.codec.Request(q.Header)
@@ -47,7 +48,7 @@
 	}
 	route, ok := table.Match(q.Host, q.URL.Path)
 	if !ok {
-		r.Counts.Unmatched.Add(1)
+		r.meter.Add(MetricUnmatched, 1)
 		log.Info("relay: no route", zap.String("host", q.Host), zap.String("path", q.URL.Path), zap.Int64("config", table.Version))
 		fail(w, http.StatusNotFound)
 		return
@@ -57,12 +58,12 @@
 		defer func() { <-r.bodies }()
 	default:
 		log.Info("relay: too many requests in flight", zap.Int("limit", cap(r.bodies)))
-		r.refuse(w, busyRetry)
+		r.refuse(w, busyRetry, "too_many")
 		return
 	}
 	x := &exchange{
 		Relayer: r, writer: w, request: q, meta: meta, route: route,
-		started: r.clock.Now(), log: log,
+		started: r.clock.Now(), log: log, version: table.Version,
 	}
 	if !x.read(table.Limits) {
 		return
@@ -160,11 +161,13 @@
 func (x *exchange) run() {
 	if held := x.suspects.Held(x.digest); held > 0 {
 		x.log.Info("relay: request is quarantined", zap.Duration("for", held))
-		x.refuse(x.writer, max(held, suspectRetry))
+		x.refuse(x.writer, max(held, suspectRetry), "quarantined")
 		return
 	}
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.until.Add(late))
 	defer cancel()
+	ctx, span := x.tracer.Start(tracer.Extract(ctx, x.request.Header), "relay")
+	defer span.End()
 	x.context = ctx
 	x.fresh(x.service)
 	x.fleet.Arrived(x.service, x.query)
@@ -197,10 +200,11 @@
 			return
 		}
 		if x.sends > 0 && !x.retry(x.service) {
+			x.meter.Add(MetricSpent, 1)
 			x.giveUp("retry budget is used up")
 			return
 		}
-		x.Counts.Retried.Add(1)
+		x.meter.Add(MetricRetried, 1)
 	}
 }
 
@@ -211,40 +215,37 @@
 		return nil, balancer.Spent
 	}
 	lease, status := x.fleet.Await(x.context, x.service, x.query)
-	if lease == nil {
-		x.log.Info("relay: no server taken", zap.String("key", x.query.Key()), zap.Stringer("status", status),
-			zap.Duration("after", x.clock.Since(x.started)))
-	}
 	return lease, status
 }
 
 // giveUp answers a request for which no server is left to try.
 func (x *exchange) giveUp(why string, fields ...zap.Field) {
-	x.Counts.Failed.Add(1)
-	fields = append(fields, zap.String("why", why), zap.Bool("may_have_run", x.mayRun),
-		zap.Int("sends", x.sends), zap.Duration("after", x.clock.Since(x.started)), zap.String("route", x.route.Name))
-	x.log.Info("relay: gave up", fields...)
+	fields = append(fields, zap.String("why", why), zap.Bool("may_have_run", x.mayRun), zap.Duration("after", x.clock.Since(x.started)))
+	x.log.Info("relay: gave up", append(fields, x.facts()...)...)
 	switch {
 	case x.request.Context().Err() != nil:
-		x.Counts.Left.Add(1)
+		x.meter.Add(MetricLeft, 1)
 		panic(http.ErrAbortHandler)
 	case x.headed:
 		// The answer has begun; cutting it tells the client that it is not whole.
+		x.meter.Add(MetricFailed, 1)
 		panic(http.ErrAbortHandler)
 	case x.mayRun && x.clock.Now().After(x.until):
+		x.meter.Add(MetricFailed, 1)
 		fail(x.writer, http.StatusGatewayTimeout)
 	case x.mayRun:
+		x.meter.Add(MetricFailed, 1)
 		fail(x.writer, http.StatusBadGateway)
 	default:
-		x.refuse(x.writer, busyRetry)
+		x.refuse(x.writer, busyRetry, "no_server")
 	}
 }
 
 // refuse answers that the request did not run and when to send it again. The
 // time is spread, so that clients that were refused together do not come back
 // together.
-func (r *Relayer) refuse(w http.ResponseWriter, after time.Duration) {
-	r.Counts.Refused.Add(1)
+func (r *Relayer) refuse(w http.ResponseWriter, after time.Duration, why string) {
+	r.meter.Add(MetricRefused+why, 1)
 	spread := after.Seconds() * (0.7 + 0.6*rand.Float64())
 	w.Header().Set("Retry-After", strconv.FormatFloat(spread, 'f', 3, 64))
 	fail(w, http.StatusServiceUnavailable)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"primrosehook/balancer"
 	"primrosehook/limiter"
 	"primrosehook/matcher"
+	"primrosehook/tracer"
 )
 
 // Part is a piece of a prompt that other requests may share.
@@ -88,11 +90,28 @@
 	Held(digest uint64) time.Duration
 }
 
-// Counts are counters of the relayer, by name.
-type Counts struct {
-	Arrived, Refused, Retried, Resumed, Failed, Unmatched, Left atomic.Int64
+// Meter takes what is counted and measured.
+type Meter interface {
+	Add(name string, n int64)
+	Observe(name string, d time.Duration)
 }
 
+// Names of the metrics. Latencies in milliseconds are by kind of route.
+const (
+	MetricArrived   = "requests_arrived"
+	MetricAnswered  = "requests_answered"
+	MetricRefused   = "requests_refused_"
+	MetricFailed    = "requests_failed"
+	MetricLeft      = "requests_left_by_client"
+	MetricUnmatched = "requests_without_route"
+	MetricRetried   = "attempts_repeated"
+	MetricSpent     = "retry_budget_used_up"
+	MetricResumed   = "streams_resumed"
+	MetricWait      = "wait_for_server_ms_"
+	MetricFirst     = "first_byte_ms_"
+	MetricWhole     = "whole_answer_ms_"
+)
+
 // Relayer is an http.Handler for all requests of clients.
 type Relayer struct {
 	codec    Codec
@@ -101,7 +120,8 @@
 	clock    clockwork.Clock
 	log      *zap.Logger
 	table    atomic.Pointer[matcher.Table]
-	Counts   Counts
+	meter    Meter
+	tracer   trace.Tracer
 	bodies   chan struct{}
 
 	mu      sync.Mutex
@@ -110,6 +130,12 @@
 	slack   int
 }
 
+// none takes counts and forgets them.
+type none struct{}
+
+func (none) Add(string, int64)             {}
+func (none) Observe(string, time.Duration) {}
+
 // Option sets one option of a Relayer.
 type Option func(*Relayer)
 
@@ -119,6 +145,12 @@
 	return func(r *Relayer) { r.ratio, r.slack = ratio, burst }
 }
 
+// WithMeter sets where counts and latencies go.
+func WithMeter(m Meter) Option { return func(r *Relayer) { r.meter = m } }
+
+// WithTracer makes a span for each request and each attempt.
+func WithTracer(t trace.Tracer) Option { return func(r *Relayer) { r.tracer = t } }
+
 // WithInFlight bounds how many requests are in work at once.
 func WithInFlight(count int) Option {
 	return func(r *Relayer) { r.bodies = make(chan struct{}, count) }
@@ -128,7 +160,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, set ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		bodies: make(chan struct{}, 1000), budgets: map[string]*limiter.Budget{},
+		bodies: make(chan struct{}, 1000), budgets: map[string]*limiter.Budget{}, meter: none{}, tracer: tracer.Off(),
 	}
 	for _, o := range set {
 		o(r)
@@ -207,6 +239,7 @@
 	query   balancer.Request
 	digest  uint64
 	log     *zap.Logger
+	version int64
 
 	// sends counts the servers that the request was sent to, and ran is set
 	// once one of them may have run it.
@@ -214,6 +247,10 @@
 	mayRun  bool
 	headed  bool
 	context context.Context
+	// tries are what became of each attempt, for the log; first is when the
+	// first byte of the answer went to the client.
+	tries []try
+	first time.Time
 
 	// next is the server that was reserved because the present one is silent.
 	mu   sync.Mutex
