--- a/composer/composer_test.go
+++ b/composer/composer_test.go
@@ -165,6 +165,22 @@
 		Consistently(func() int { code, _ := g.send(0, "/moved/1", ""); return code }, time.Second, 100*time.Millisecond).Should(Equal(200))
 	})
 
+	// A load that a former holder ordered, and that its server carries out late:
+	// what it brings is in no report until it is done.
+	It("orders no load to a server that is busy with one it knows nothing of", func() {
+		g := newGround(0)
+		tight := strings.Replace(fmt.Sprintf(config, 4, "form"), `"weights-mb":230`, `"weights-mb":100`, 1)
+		g.ledger.Put(platform.TopicOperator, platform.KeyConfig, []byte(tight))
+		e := faker.NewPooled("i-9")
+		e.Load, e.Lag, e.Room = 1200*time.Millisecond, 100*time.Millisecond, 1
+		s := httptest.NewServer(e)
+		DeferCleanup(s.Close)
+		g.ledger.Put(platform.TopicServers, e.ID, e.Registration("llm", s.Listener.Addr().String(), "z1", "ready", 1))
+		e.Surprise("m0")
+		g.start(0)
+		Consistently(e.Overfull, 4*time.Second, 50*time.Millisecond).Should(BeFalse())
+	})
+
 	It("finishes what it has read when it is told to stop, and takes new connections for a while", func() {
 		g := newGround(1)
 		g.allReady()
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -21,8 +21,13 @@
 	orderTimeout = 250 * time.Millisecond
 	// orderPause is the pause before an order is sent again.
 	orderPause = 80 * time.Millisecond
-	// orderTries bounds how often an order is sent.
-	orderTries = 12
+	// orderTries bounds how often an order is sent, unsentTries how often it
+	// is tried while the server takes no connection.
+	orderTries  = 12
+	unsentTries = 3
+	// lateTime is how long after it was sent an order without an answer may be
+	// carried out.
+	lateTime = 12 * time.Second
 	// adapterTime is how long an adapter's load takes, and a margin.
 	adapterTime = 12 * time.Millisecond
 	// unloadTime is when an unload that waits for no run is first checked.
@@ -31,6 +36,8 @@
 	// done, and checkLimit when it is given up.
 	checkPause = 100 * time.Millisecond
 	checkLimit = 15 * time.Second
+	// reportLag is how old a report may be.
+	reportLag = 200 * time.Millisecond
 	// planPause is the pause between plans.
 	planPause = 100 * time.Millisecond
 	// ceilingSlack is what the weight store takes beyond its rate in a window:
@@ -59,6 +66,8 @@
 	Conflict
 	// Rejected orders can't be carried out there.
 	Rejected
+	// Unsent orders never reached the server.
+	Unsent
 )
 
 // Order is what is sent to a server.
@@ -110,10 +119,13 @@
 	beliefs map[string]*belief
 	// colds are the times of loads from the weight store, by service.
 	colds map[string][]time.Time
+	// unanswered is when an order to a server, by its ID, was last left
+	// without an answer.
+	unanswered map[string]time.Time
 }
 
 func newForeman(c *Coordinator) *foreman {
-	return &foreman{Coordinator: c, beliefs: map[string]*belief{}, colds: map[string][]time.Time{}}
+	return &foreman{Coordinator: c, beliefs: map[string]*belief{}, colds: map[string][]time.Time{}, unanswered: map[string]time.Time{}}
 }
 
 // assume counts the loads that a former holder may have started, and forgets
@@ -186,6 +198,11 @@
 		b, ok := f.beliefs[s.ID]
 		if !ok || b.server.Life != s.Life {
 			b = &belief{orders: -1}
+			if ok {
+				// An order to the former life may come late, and find the count
+				// of orders that it expects: there is no telling what fits.
+				b.until = f.unanswered[s.ID].Add(lateTime)
+			}
 			f.beliefs[s.ID] = b
 		}
 		b.server = s
@@ -361,10 +378,12 @@
 // carried out, the other is refused.
 func (j *job) send(ctx context.Context) bool {
 	// The registry may be old, and weights that do not fit crash the server:
-	// what it holds is asked of the server itself.
-	if j.order.Op == stocker.Load && j.order.Adapter == "" && !j.learn(ctx) {
+	// what it holds is asked of the server itself, and what an order under way
+	// brings shows only once that is done.
+	if j.order.Op == stocker.Load && j.order.Adapter == "" && !j.settle(ctx) {
 		return false
 	}
+	unsent := 0
 	for range orderTries {
 		j.mu.Lock()
 		expected := j.belief.orders
@@ -395,9 +414,9 @@
 			j.mu.Unlock()
 			return true
 		case Holds:
-			return j.learn(ctx)
+			return j.sleep(ctx, reportLag) && j.learn(ctx)
 		case Conflict:
-			if !j.learn(ctx) {
+			if !j.settle(ctx) {
 				return false
 			}
 			j.mu.Lock()
@@ -409,7 +428,15 @@
 		case Rejected:
 			j.log.Info("orders: rejected", zap.String("server", j.server.ID), zap.Error(err))
 			return false
+		case Unsent:
+			if unsent++; unsent >= unsentTries {
+				j.log.Info("orders: server takes no connection", zap.String("server", j.server.ID), zap.Error(err))
+				return false
+			}
 		case Unknown:
+			j.mu.Lock()
+			j.unanswered[j.server.ID] = j.clock.Now()
+			j.mu.Unlock()
 			j.log.Info("orders: no answer", zap.String("server", j.server.ID), zap.Int64("expected", expected), zap.Error(err))
 		}
 		if !j.sleep(ctx, orderPause) {
@@ -422,9 +449,31 @@
 // learn takes over what the server itself says.
 func (j *job) learn(ctx context.Context) bool {
 	s, ok := j.report(ctx)
-	if !ok {
-		return false
+	if ok {
+		j.take(s)
+	}
+	return ok
+}
+
+// settle is learn that waits until no order is under way at the server. Both
+// what it holds and how many orders it has accepted are then of one moment.
+func (j *job) settle(ctx context.Context) bool {
+	for {
+		s, ok := j.report(ctx)
+		if !ok {
+			return false
+		}
+		if !s.Busy {
+			j.take(s)
+			return true
+		}
+		if !j.sleep(ctx, checkPause) {
+			return false
+		}
 	}
+}
+
+func (j *job) take(s Stock) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if s.Orders >= j.belief.orders {
@@ -432,7 +481,6 @@
 		j.belief.adopt(s.Holdings)
 		j.belief.changed = j.clock.Now()
 	}
-	return true
 }
 
 func (j *job) report(ctx context.Context) (Stock, bool) {
--- a/faker/pooled.go
+++ b/faker/pooled.go
@@ -15,13 +15,20 @@
 // what it holds, and loads and unloads as ordered. It is an http.Handler.
 type Pooled struct {
 	ID string
-	// Load is how long a load takes.
+	// Load is how long a load takes, Lag how old reports are, and Room how many
+	// models fit; zero for any number.
 	Load time.Duration
+	Lag  time.Duration
+	Room int
 
 	mu     sync.Mutex
 	models map[string][]string
 	orders int64
 	busy   bool
+	// shown is the report as of Lag ago; overfull is set by a load that did
+	// not fit.
+	shown    string
+	overfull bool
 	// accepted are the orders, as OPERATION KEY, holders who gave them.
 	accepted []string
 	holders  []string
@@ -88,7 +95,50 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"models":%s,"busy":%t,"sequence":%d}`, p.list(), p.busy, p.orders)
+	text := p.shown
+	if p.Lag == 0 || text == "" {
+		text = p.state()
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+func (p *Pooled) state() string {
+	return fmt.Sprintf(`{"models":%s,"busy":%t,"sequence":%d}`, p.list(), p.busy, p.orders)
+}
+
+// changed shows the present state in reports after Lag.
+func (p *Pooled) changed() {
+	if p.Lag == 0 {
+		return
+	}
+	text := p.state()
+	time.AfterFunc(p.Lag, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.shown = text
+	})
+}
+
+// Overfull reports whether a load was accepted that did not fit.
+func (p *Pooled) Overfull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.overfull
+}
+
+// Surprise begins a load that a former holder ordered.
+func (p *Pooled) Surprise(model string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orders++
+	p.begin(model)
+}
+
+func (p *Pooled) begin(model string) {
+	p.overfull = p.overfull || p.Room > 0 && len(p.models) >= p.Room
+	p.busy = true
+	p.changed()
+	time.AfterFunc(p.Load, func() { p.loaded(model) })
 }
 
 func (p *Pooled) order(w http.ResponseWriter, q *http.Request) {
@@ -117,8 +167,7 @@
 	case o.Operation == "load" && o.Adapter != "":
 		p.models[o.Model] = append(p.models[o.Model], o.Adapter)
 	case o.Operation == "load":
-		p.busy = true
-		time.AfterFunc(p.Load, func() { p.loaded(o.Model) })
+		p.begin(o.Model)
 	case o.Adapter != "":
 		p.models[o.Model] = slices.DeleteFunc(p.models[o.Model], func(a string) bool { return a == o.Adapter })
 	default:
@@ -131,6 +180,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.models[model], p.busy = nil, false
+	p.changed()
 }
 
 func (p *Pooled) run(w http.ResponseWriter, q *http.Request) {
