--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -117,15 +117,14 @@
 
 	mu      sync.Mutex
 	beliefs map[string]*belief
-	// colds are the times of loads from the weight store, by service.
-	colds map[string][]time.Time
+	colds   map[string]*Ceiling
 	// unanswered is when an order to a server, by its ID, was last left
 	// without an answer.
 	unanswered map[string]time.Time
 }
 
 func newForeman(c *Coordinator) *foreman {
-	return &foreman{Coordinator: c, beliefs: map[string]*belief{}, colds: map[string][]time.Time{}, unanswered: map[string]time.Time{}}
+	return &foreman{Coordinator: c, beliefs: map[string]*belief{}, colds: map[string]*Ceiling{}, unanswered: map[string]time.Time{}}
 }
 
 // assume counts the loads that a former holder may have started, and forgets
@@ -144,12 +143,23 @@
 		if s.Engine == nil {
 			continue
 		}
+		c := f.loads(name)
 		for range ceiling(s.Engine, f.Ceiling, f.Overage) {
-			f.colds[name] = append(f.colds[name], now)
+			c.Plan().Begin(now)
 		}
 	}
 }
 
+// loads returns the count of a service's loads from the weight store.
+func (f *foreman) loads(service string) *Ceiling {
+	c, ok := f.colds[service]
+	if !ok {
+		c = NewCeiling(f.Ceiling)
+		f.colds[service] = c
+	}
+	return c
+}
+
 func (f *foreman) run(ctx context.Context) {
 	defer f.work.Wait()
 	for ctx.Err() == nil {
@@ -177,14 +187,14 @@
 			continue
 		}
 		demand, waiting := f.hub.asked(name)
-		state := stocker.State{Engine: service.Engine, Demand: demand, Waiting: waiting, Loads: f.allowed(now, name, service.Engine)}
+		state := stocker.State{Engine: service.Engine, Demand: demand, Waiting: waiting, Loads: ceiling(service.Engine, f.Ceiling, f.Overage) - f.loads(name).Count(now)}
 		for _, b := range f.beliefs {
 			if b.server.Service == name {
 				state.Servers = append(state.Servers, b.planned(now, down[b.server.Life]))
 			}
 		}
 		for _, o := range stocker.Plan(state) {
-			f.give(ctx, now, name, service.Engine, o)
+			f.give(ctx, name, service.Engine, o)
 		}
 	}
 }
@@ -259,50 +269,43 @@
 	return int(e.Loads*window.Seconds()*overage) + ceilingSlack
 }
 
-// allowed is how many loads from the weight store may begin now.
-func (f *foreman) allowed(now time.Time, service string, e *matcher.Engine) int {
-	f.colds[service] = slices.DeleteFunc(f.colds[service], func(t time.Time) bool { return now.Sub(t) > f.Ceiling })
-	return ceiling(e, f.Ceiling, f.Overage) - len(f.colds[service])
-}
-
 // give starts an order.
-func (f *foreman) give(ctx context.Context, now time.Time, service string, e *matcher.Engine, o stocker.Order) {
+func (f *foreman) give(ctx context.Context, service string, e *matcher.Engine, o stocker.Order) {
 	b := f.beliefs[o.Server]
 	b.pending = &o
 	f.Meter.Add(MetricOrders, 1)
+	f.log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
+		zap.String("key", balancer.Key(o.Model, o.Adapter)), zap.Int64("expected", b.orders), zap.Bool("cold", o.Cold), zap.String("why", o.Why))
+	j := &job{foreman: f, belief: b, order: o, engine: e, server: b.server}
 	if o.Cold || o.Next != nil && o.Next.Cold {
 		f.Meter.Add(MetricColds, 1)
-		f.colds[service] = append(f.colds[service], now)
+		j.cold = f.loads(service).Plan()
 	}
-	f.log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
-		zap.String("key", balancer.Key(o.Model, o.Adapter)), zap.Int64("expected", b.orders), zap.Bool("cold", o.Cold), zap.String("why", o.Why))
-	j := &job{foreman: f, belief: b, service: service, order: o, engine: e, server: b.server}
 	f.work.Go(func() { j.run(ctx) })
 }
 
 // job carries one order out.
 type job struct {
 	*foreman
-	belief  *belief
-	service string
-	order   stocker.Order
-	engine  *matcher.Engine
-	server  registrar.Server
+	belief *belief
+	order  stocker.Order
+	// cold is the load from the weight store that the job makes, nil for none.
+	cold   *Cold
+	engine *matcher.Engine
+	server registrar.Server
 }
 
 func (j *job) run(ctx context.Context) {
-	begun := j.clock.Now()
 	done := j.carry(ctx)
 	for done && j.order.Next != nil {
 		j.order = *j.order.Next
-		if j.order.Cold && !j.cold(begun) {
-			done = false
-			break
-		}
 		done = j.carry(ctx)
 	}
 	j.mu.Lock()
 	now := j.clock.Now()
+	if j.cold != nil {
+		j.cold.End()
+	}
 	if !done {
 		j.belief.until = now.Add(shun)
 		j.belief.orders = -1
@@ -317,19 +320,6 @@
 	j.hub.wake()
 }
 
-// cold counts a load from the weight store that begins now. It was counted when
-// it was planned, and may not begin if that was too long ago.
-func (j *job) cold(planned time.Time) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	now := j.clock.Now()
-	if now.Sub(planned) > j.Ceiling {
-		return false
-	}
-	j.colds[j.service] = append(j.colds[j.service], now)
-	return true
-}
-
 // carry carries one order out.
 func (j *job) carry(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkLimit)
@@ -402,6 +392,11 @@
 		if !j.lease.MayOrder() {
 			return false
 		}
+		if j.order.Cold {
+			j.mu.Lock()
+			j.cold.Begin(j.clock.Now())
+			j.mu.Unlock()
+		}
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := j.engines.Send(call, j.server, Order{
 			Order: j.order, Expected: expected, Holder: j.lease.self.Machine, Fence: j.lease.Fence(),
