--- a/composer/composer.go
+++ b/composer/composer.go
@@ -115,11 +115,11 @@
 	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock)
 	// Until the number of instances is known, the slack is shared among as
 	// many as are run today, twice over.
-	burst := max(int(float64(s.RetrySlack)*budgetShare/assumedInstances), 1)
+	slack := float64(s.RetrySlack) * budgetShare / assumedInstances
 	suspects := quarantiner.NewGuard(clock, quarantiner.Standard())
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, suspects, clock, log,
 		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer),
-		relayer.WithRetries(s.RetryRatio*budgetShare, burst),
+		relayer.WithRetries(s.RetryWindow, s.RetryRatio*budgetShare, slack),
 		relayer.WithInFlight(max((s.Descriptors-filesReserved)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
 	e.config = &configuration{relayer: e.relayer, log: log}
@@ -231,7 +231,7 @@
 			return
 		case <-t.Chan():
 			if n := e.duties.Instances(); n > 0 {
-				e.relayer.Share(max(int(float64(e.settings.RetrySlack)*budgetShare/float64(n)), 1))
+				e.relayer.Share(float64(e.settings.RetrySlack) * budgetShare / float64(n))
 			}
 		}
 	}
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -24,9 +24,3 @@
 	b.tokens--
 	return true
 }
-
-// Resize changes the burst.
-func (b *Budget) Resize(burst int) {
-	b.burst = float64(burst)
-	b.tokens = min(b.tokens, b.burst)
-}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -125,9 +125,10 @@
 	bodies   chan struct{}
 
 	mu      sync.Mutex
-	budgets map[string]*limiter.Budget
+	budgets map[string]*limiter.Window
 	ratio   float64
-	slack   int
+	slack   float64
+	window  time.Duration
 }
 
 // none takes counts and forgets them.
@@ -140,11 +141,14 @@
 type Option func(*Relayer)
 
 // WithRetries sets this instance's share of the retries of each service:
-// ratio for each request and a burst.
-func WithRetries(ratio float64, burst int) Option {
-	return func(r *Relayer) { r.ratio, r.slack = ratio, burst }
+// within a window a ratio of the requests, and a slack.
+func WithRetries(window time.Duration, ratio, slack float64) Option {
+	return func(r *Relayer) { r.window, r.ratio, r.slack = window, ratio, slack }
 }
 
+// retryWindow is the window of retries unless it is set.
+const retryWindow = 10 * time.Second
+
 // WithMeter sets where counts and latencies go.
 func WithMeter(m Meter) Option { return func(r *Relayer) { r.meter = m } }
 
@@ -160,7 +164,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, set ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		bodies: make(chan struct{}, 1000), budgets: map[string]*limiter.Budget{}, meter: none{}, tracer: tracer.Off(),
+		bodies: make(chan struct{}, 1000), budgets: map[string]*limiter.Window{}, meter: none{}, window: retryWindow, tracer: tracer.Off(),
 	}
 	for _, o := range set {
 		o(r)
@@ -193,33 +197,33 @@
 func (r *Relayer) fresh(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(service).Fresh()
+	r.budget(service).Fresh(r.clock.Now())
 }
 
 // retry reports whether a request may be sent once more, and counts it.
 func (r *Relayer) retry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service).Retry()
+	return r.budget(service).Retry(r.clock.Now())
 }
 
-// Share sets the burst of this instance's share of the retries.
-func (r *Relayer) Share(burst int) {
+// Share sets the slack of this instance's share of the retries.
+func (r *Relayer) Share(slack float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.slack == burst {
+	if r.slack == slack {
 		return
 	}
-	r.slack = burst
+	r.slack = slack
 	for _, b := range r.budgets {
-		b.Resize(burst)
+		b.Resize(slack)
 	}
 }
 
-func (r *Relayer) budget(service string) *limiter.Budget {
+func (r *Relayer) budget(service string) *limiter.Window {
 	b, ok := r.budgets[service]
 	if !ok {
-		b = limiter.NewBudget(r.ratio, r.slack)
+		b = limiter.NewWindow(r.window, r.ratio, r.slack)
 		r.budgets[service] = b
 	}
 	return b
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -111,7 +111,7 @@
 		list[0].Zone = "z"
 	}
 	w.fleet.Update(list)
-	w.relay = relayer.New(codec{}, w.fleet, quarantiner.NewGuard(clock, quarantiner.Standard()), clock, zap.NewNop(), relayer.WithRetries(0.2, 10))
+	w.relay = relayer.New(codec{}, w.fleet, quarantiner.NewGuard(clock, quarantiner.Standard()), clock, zap.NewNop(), relayer.WithRetries(10*time.Second, 0.2, 10))
 	route := func(prefix string, kind matcher.Kind, attempts int, resumable bool) matcher.Route {
 		return matcher.Route{
 			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Attempts: attempts, Resumable: resumable,
