Tell operators how to get from a request's id to its cause; check platform files

explain -log gathers the lines of all instances on a request; check -platform and -routes; every log line and metric stands in docs/OPERATIONS.md, held by specs.

--- a/cmd/primrosehook/check.go
+++ b/cmd/primrosehook/check.go
@@ -10,6 +10,8 @@
 	"github.com/google/subcommands"
 
 	"primrosehook/configurer"
+	"primrosehook/matcher"
+	"primrosehook/platform"
 	"primrosehook/ruler"
 )
 
@@ -18,12 +20,15 @@
 	out, errs io.Writer
 	settings  configurer.Settings
 	table     []configurer.Setting
+	// platform and routes are files of the platform, empty for none.
+	platform, routes string
 }
 
 func (*check) Name() string     { return "check" }
 func (*check) Synopsis() string { return "check settings and rule lists offline" }
 func (*check) Usage() string {
 	return `primrosehook check [flags of serve] [FILE...]
+primrosehook check -platform SETTINGS | -routes CONFIGURATION
 
 Checks the settings that serve would take, from the flags and the environment,
 and each rule list. All faults are printed, with file, line, rule and field.
@@ -31,9 +36,16 @@
 `
 }
 
-func (c *check) SetFlags(f *flag.FlagSet) { c.table = configurer.Register(f, &c.settings) }
+func (c *check) SetFlags(f *flag.FlagSet) {
+	c.table = configurer.Register(f, &c.settings)
+	f.StringVar(&c.platform, "platform", "", "settings file of the platform to check, as entry takes it")
+	f.StringVar(&c.routes, "routes", "", "configuration of the platform to check")
+}
 
 func (c *check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.platform != "" || c.routes != "" {
+		return c.platformFiles()
+	}
 	files := f.Args()
 	result := subcommands.ExitSuccess
 	if err := configurer.Load(f, &c.settings, c.table, os.Environ()); err != nil {
@@ -48,6 +60,32 @@
 	return result
 }
 
+// platformFiles checks what entry would read.
+func (c *check) platformFiles() subcommands.ExitStatus {
+	result := subcommands.ExitSuccess
+	if c.platform != "" {
+		if s, err := platform.ReadSettings(c.platform); err != nil {
+			_, _ = fmt.Fprintln(c.errs, err)
+			result = subcommands.ExitFailure
+		} else {
+			_, _ = fmt.Fprintf(c.out, "%s: settings of %s are good\n", c.platform, s.Instance)
+		}
+	}
+	if c.routes == "" {
+		return result
+	}
+	raw, err := os.ReadFile(c.routes)
+	if err == nil {
+		var t *matcher.Table
+		if t, err = platform.DecodeConfig(raw); err == nil {
+			_, _ = fmt.Fprintf(c.out, "%s: version %d is good: %d services\n", c.routes, t.Version, len(t.Services))
+			return result
+		}
+	}
+	_, _ = fmt.Fprintln(c.errs, err)
+	return subcommands.ExitFailure
+}
+
 // file checks one rule list and reports whether it may be published.
 func (c *check) file(file string) bool {
 	data, err := os.ReadFile(file)
--- a/cmd/primrosehook/explain.go
+++ b/cmd/primrosehook/explain.go
@@ -22,6 +22,8 @@
 	out, errs io.Writer
 	admin     admin
 	file      string
+	// log is a file with log lines of instances, empty to ask an instance.
+	log string
 }
 
 func (*explain) Name() string { return "explain" }
@@ -34,9 +36,11 @@
 primrosehook explain [-admin IP:PORT] requests [model=M] [class=C] [failed=1]
 primrosehook explain [-admin IP:PORT] model NAME
 primrosehook explain [-admin IP:PORT] order ID
+primrosehook explain -log FILE request ID
 primrosehook explain [-admin IP:PORT] [-file LIST] rules kind=chat model=M hour=17 ...
 
-request   the rule that matched, the engines weighed, why each lost, each try
+request   with -log: the lines that instances on the platform wrote on it; else
+          the rule that matched, the engines weighed, why each lost, each try
 requests  the newest requests that this instance remembers
 model     the rule that keeps it ready, its demand, copies and newest requests
 order     why an order to an engine was given and how it ended
@@ -50,12 +54,15 @@
 
 func (e *explain) SetFlags(f *flag.FlagSet) {
 	e.admin.register(f)
+	f.StringVar(&e.log, "log", "", "file with the log lines of instances, - for standard input")
 	f.StringVar(&e.file, "file", "", "rule list to ask in place of the one in force")
 }
 
 func (e *explain) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	var err error
 	switch args := f.Args(); {
+	case len(args) == 2 && args[0] == "request" && e.log != "":
+		err = e.lines(args[1])
 	case len(args) == 2 && args[0] == "request":
 		err = e.request(ctx, args[1])
 	case len(args) >= 1 && args[0] == "requests":
--- /dev/null
+++ b/cmd/primrosehook/lines_test.go
@@ -0,0 +1,104 @@
+package main_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/onsi/gomega/gexec"
+
+	"primrosehook/faker"
+	"primrosehook/platform"
+)
+
+const lines = `  0.9 front-1 {"level":"info","ts":10.5,"msg":"relay: gave up","instance":"front-1","request":"q1","why":"attempt failed","tries":[{"server":"s1","at_ms":3,"outcome":"refused with 503","holders":2,"in_flight":7,"reading_tokens":90,"others_age_ms":40,"registration_age_ms":500}]}
+no line of ours
+{"level":"info","ts":9.5,"msg":"relay: server is silent","instance":"front-2","request":"q1"}
+{"level":"info","ts":9.6,"msg":"relay: gave up","instance":"front-2","request":"q2"}
+`
+
+var _ = Describe("primrosehook explain -log", func() {
+	It("gathers the lines on a request of all instances, in order", func() {
+		s := ran(0, "explain", "-log", file(lines), "request", "q1")
+		Expect(string(s.Out.Contents())).To(Equal("00:00:09.500000 front-2 relay: server is silent\n" +
+			"00:00:10.500000 front-1 relay: gave up why=attempt failed\n" +
+			"    attempt 1 after 3 ms at s1: refused with 503\n" +
+			"        chosen among 2 holders; 7 requests and 90 prompt tokens in flight there (told 40 ms ago, registration read 500 ms ago)\n"))
+	})
+
+	It("says why there may be no line", func() {
+		s := ran(1, "explain", "-log", file(lines), "request", "q9")
+		Expect(string(s.Err.Contents())).To(ContainSubstring("not sampled"))
+	})
+})
+
+// settings is a settings file of the platform for an instance on loopback.
+const settings = `node = "front-1"
+ip = "127.0.0.1"
+zone = "z1"
+[listen-addrs]
+front = %q
+ready = %q
+control = %q
+[limits]
+memory-mb = 284
+max-fds = 4100
+[bounds]
+drain-ms = 2000
+grace-s = 4
+lease-ms = 3000
+retry-budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 58
+ceiling-window-s = 5
+ceiling-overage = 1.1
+[platform]
+address = %q
+`
+
+var _ = Describe("primrosehook entry", func() {
+	It("checks its settings file, and names all that is missing", func() {
+		good := file(fmt.Sprintf(settings, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"))
+		Expect(ran(0, "check", "-platform", good).Out).To(gbytes.Say("settings of front-1 are good"))
+		bad := file("node = \"front-1\"\n")
+		Expect(string(ran(1, "check", "-platform", bad).Err.Contents())).To(And(ContainSubstring("drain-ms"), ContainSubstring("platform.address")))
+		Expect(ran(2, "entry", "-settings", bad).Err).To(gbytes.Say("settings lack"))
+	})
+
+	It("serves a request, survives a hang-up, and stops with 0", func() {
+		ledger := faker.NewLedger()
+		store := httptest.NewServer(ledger)
+		DeferCleanup(store.Close)
+		api := faker.NewPooled("i-1")
+		server := httptest.NewServer(api)
+		DeferCleanup(server.Close)
+		ledger.Put(platform.TopicServers, "i-1", api.Registration("api", server.Listener.Addr().String(), "z1", "ready", 1))
+		ledger.Put(platform.TopicOperator, platform.KeyConfig, []byte(`{"version":1,"services":[{"name":"api"}],"routes":[
+			{"name":"form","host":"h","path-prefix":"/form/","kind":"idempotent","timeout-ms":2000,"service":"api","max-attempts":2}]}`))
+		front := freeAddr()
+		s := start(hook, "entry", "-settings", file(fmt.Sprintf(settings, front, freeAddr(), freeAddr(), store.Listener.Addr().String())))
+		ask := func() int {
+			q, err := http.NewRequest(http.MethodPost, "http://"+front+"/form/1", strings.NewReader("x"))
+			Expect(err).NotTo(HaveOccurred())
+			q.Host = "h"
+			q.Header.Set("Primrosehook-Request-Id", "q")
+			p, err := http.DefaultClient.Do(q)
+			if err != nil {
+				return 0
+			}
+			_ = p.Body.Close()
+			return p.StatusCode
+		}
+		Eventually(ask, "10s").Should(Equal(http.StatusOK))
+		s.Signal(syscall.SIGHUP)
+		Consistently(ask, "300ms").Should(Equal(http.StatusOK))
+		s.Terminate()
+		Eventually(s, "10s").Should(gexec.Exit(0))
+		Expect(string(s.Out.Contents())).To(And(ContainSubstring("entry: started"), ContainSubstring("entry: stopped")))
+	})
+})
--- a/composer/composer_test.go
+++ b/composer/composer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"time"
 
@@ -37,6 +38,7 @@
 	stops   []context.CancelFunc
 	fronts  []string
 	readies []string
+	metrics []string
 	ended   []chan struct{}
 }
 
@@ -70,7 +72,7 @@
 
 func (g *ground) start(i int) {
 	s := platform.Settings{
-		Instance: fmt.Sprintf("front-%d", i), IP: "127.0.0.1", Zone: "z1", Front: port(), Ready: port(), Control: port(), Store: g.store,
+		Instance: fmt.Sprintf("front-%d", i), IP: "127.0.0.1", Zone: "z1", Front: port(), Ready: port(), Control: port(), Metrics: port(), Store: g.store,
 		Memory: 284, Descriptors: 4100, Grace: 3 * time.Second, Drain: 2 * time.Second, Lease: 300 * time.Millisecond,
 		RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, CeilingWindow: 5 * time.Second, CeilingOverage: 1.1,
 	}
@@ -81,6 +83,7 @@
 		defer close(done)
 		Expect(composer.Run(ctx, s, clockwork.NewRealClock(), zap.NewNop())).To(Succeed())
 	}()
+	g.metrics = append(g.metrics, s.Metrics)
 	g.stops, g.fronts, g.readies, g.ended = append(g.stops, stop), append(g.fronts, s.Front), append(g.readies, s.Ready), append(g.ended, done)
 	DeferCleanup(func() { stop(); <-done })
 }
@@ -95,7 +98,7 @@
 }
 
 func (g *ground) send(i int, path, model string) (int, string) {
-	q, err := http.NewRequest("POST", "http://"+g.fronts[i]+path, strings.NewReader("x"))
+	q, err := http.NewRequest(http.MethodPost, "http://"+g.fronts[i]+path, strings.NewReader("x"))
 	Expect(err).NotTo(HaveOccurred())
 	q.Host = "h"
 	q.Header.Set("Primrosehook-Request-Id", "q")
@@ -181,6 +184,34 @@
 		Consistently(e.Overfull, 4*time.Second, 50*time.Millisecond).Should(BeFalse())
 	})
 
+	It("shows only metrics that the operators' page tells of", func() {
+		g := newGround(1)
+		g.allReady()
+		g.send(0, "/form/1", "")
+		g.send(0, "/chat/1", "m0")
+		g.send(0, "/none/1", "")
+		page, err := os.ReadFile("../docs/OPERATIONS.md")
+		Expect(err).NotTo(HaveOccurred())
+		p, err := http.Get("http://" + g.metrics[0])
+		Expect(err).NotTo(HaveOccurred())
+		defer p.Body.Close()
+		body, err := io.ReadAll(p.Body)
+		Expect(err).NotTo(HaveOccurred())
+		count := 0
+		for line := range strings.Lines(string(body)) {
+			name, _, _ := strings.Cut(strings.Fields(line)[0], "{")
+			name = strings.TrimSuffix(name, "_count")
+			for _, kind := range []string{"idempotent", "nonidempotent", "streaming"} {
+				if rest, ok := strings.CutSuffix(name, "_ms_"+kind); ok {
+					name = rest + "_ms_KIND"
+				}
+			}
+			Expect(string(page)).To(ContainSubstring("`" + name + "`"))
+			count++
+		}
+		Expect(count).To(BeNumerically(">", 20))
+	})
+
 	It("finishes what it has read when it is told to stop, and takes new connections for a while", func() {
 		g := newGround(1)
 		g.allReady()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -173,7 +173,7 @@
 		clock := clockwork.NewRealClock()
 		r := relayer.New(codec{}, balancer.NewFleet("z", 1, clock), quarantiner.NewGuard(clock, quarantiner.Standard()), clock, zap.NewNop())
 		rec := httptest.NewRecorder()
-		r.ServeHTTP(rec, httptest.NewRequest("GET", "/read/1", nil))
+		r.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/read/1", nil))
 		Expect(rec.Code).To(Equal(503))
 		Expect(rec.Header().Get("Retry-After")).NotTo(BeEmpty())
 	})
@@ -194,14 +194,14 @@
 		},
 		Entry("a write that was refused as not run goes on", status(503, "Refused"), "POST", "/write/1", 200, 2),
 		Entry("a write at the wrong server goes on", status(421), "POST", "/write/1", 200, 2),
-		Entry("a write whose connection broke does not, and is not called not run", handler(reset), "POST", "/write/1", 502, 1),
+		Entry("a write whose connection broke does not, and is not called not run", reset, "POST", "/write/1", 502, 1),
 		Entry("a 503 that does not say so may have run", status(503, "Sign"), "POST", "/write/1", 502, 1),
 		Entry("a write that failed is passed on as it is", status(500, "Sign"), "POST", "/write/1", 500, 1),
 		Entry("an unsigned success is none", status(200), "POST", "/write/1", 502, 1),
-		Entry("a read whose connection broke goes on", handler(reset), "GET", "/read/1", 200, 2),
+		Entry("a read whose connection broke goes on", reset, "GET", "/read/1", 200, 2),
 		Entry("a read that failed goes on", status(500, "Sign"), "GET", "/read/1", 200, 2),
-		Entry("a stream that broke before its first event goes on if it can be resumed", handler(reset), "POST", "/chat/1", 200, 2),
-		Entry("a stream that can't be resumed does not", handler(reset), "POST", "/once/1", 502, 1),
+		Entry("a stream that broke before its first event goes on if it can be resumed", reset, "POST", "/chat/1", 200, 2),
+		Entry("a stream that can't be resumed does not", reset, "POST", "/once/1", 502, 1),
 	)
 
 	It("refuses a write that no server took, and says when to come back", func() {
@@ -257,7 +257,7 @@
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
-		q, err := http.NewRequestWithContext(ctx, "POST", w.front.URL+"/chat/1", strings.NewReader("x"))
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, w.front.URL+"/chat/1", strings.NewReader("x"))
 		Expect(err).NotTo(HaveOccurred())
 		q.Host = "h"
 		q.Header.Set("Id", "q1")
@@ -267,7 +267,7 @@
 	})
 
 	It("retries no more than its share", func() {
-		w := serve(handler(reset), handler(reset))
+		w := serve(reset, reset)
 		for range 30 {
 			_, _, _ = w.send("GET", "/read/1", "")
 		}
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"primrosehook/balancer"
 	"primrosehook/matcher"
@@ -148,11 +149,11 @@
 	}
 	slices.SortFunc(p.servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	for key, d := range state.Demand {
-		m, _ := split(key)
+		m := base(key)
 		p.model[m] += d
 	}
 	for key, n := range state.Waiting {
-		m, _ := split(key)
+		m := base(key)
 		p.waiting[m] += n
 		p.model[m] += waitingDemand * float64(n)
 	}
@@ -166,13 +167,10 @@
 	return p.orders
 }
 
-func split(key string) (string, string) {
-	for i := range len(key) {
-		if key[i] == '/' {
-			return key[:i], key[i+1:]
-		}
-	}
-	return key, ""
+// base returns the model of a key.
+func base(key string) string {
+	model, _, _ := strings.Cut(key, "/")
+	return model
 }
 
 // missing loads models that no server holds. Those that nobody asks for take
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 
 	"github.com/rotisserie/eris"
@@ -50,7 +51,7 @@
 func (s *Splitter) Push(b []byte) ([]byte, error) {
 	data := b
 	if len(s.rest) > 0 {
-		data = append(s.rest, b...)
+		data = slices.Concat(s.rest, b)
 	}
 	end := boundary(data)
 	if end == 0 {
