--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -11,9 +11,12 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"primrosehook/decayer"
 	"primrosehook/registrar"
 )
@@ -351,7 +354,7 @@
 		if s.Draining || !s.held[key] {
 			continue
 		}
-		if w := mix(q.Session ^ Hash(s.ID)); best == nil || w > most {
+		if w := Hash(strconv.FormatUint(q.Session, 16) + s.ID); best == nil || w > most {
 			best, most = s, w
 		}
 	}
@@ -502,18 +505,4 @@
 }
 
 // Hash returns a hash that all instances share.
-func Hash(text string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(text) {
-		h = (h ^ uint64(text[i])) * 1099511628211
-	}
-	return mix(h)
-}
-
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
+func Hash(text string) uint64 { return xxhash.Sum64String(text) }
