--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -46,8 +46,10 @@
 	// registryLag is how long the registry may take to show what an order has
 	// changed: a heartbeat, and readings.
 	registryLag = 3 * time.Second
-	// shun is how long a server that answers no order takes no further one.
-	shun = 2 * time.Second
+	// shun is how long a server that takes no order is given no further one,
+	// replan how long one that was not as believed.
+	shun   = 2 * time.Second
+	replan = 200 * time.Millisecond
 )
 
 // Outcome is what a server says to an order.
@@ -276,7 +278,7 @@
 	f.Meter.Add(MetricOrders, 1)
 	f.log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
 		zap.String("key", balancer.Key(o.Model, o.Adapter)), zap.Int64("expected", b.orders), zap.Bool("cold", o.Cold), zap.String("why", o.Why))
-	j := &job{foreman: f, belief: b, order: o, engine: e, server: b.server}
+	j := &job{foreman: f, belief: b, order: o, engine: e, server: b.server, pause: replan}
 	if o.Cold || o.Next != nil && o.Next.Cold {
 		f.Meter.Add(MetricColds, 1)
 		j.cold = f.loads(service).Plan()
@@ -290,7 +292,9 @@
 	belief *belief
 	order  stocker.Order
 	// cold is the load from the weight store that the job makes, nil for none.
-	cold   *Cold
+	cold *Cold
+	// pause is how long the server takes no order after a failure.
+	pause  time.Duration
 	engine *matcher.Engine
 	server registrar.Server
 }
@@ -307,7 +311,7 @@
 		j.cold.End()
 	}
 	if !done {
-		j.belief.until = now.Add(shun)
+		j.belief.until = now.Add(j.pause)
 		j.belief.orders = -1
 	}
 	j.belief.pending = nil
@@ -416,15 +420,22 @@
 			}
 			j.mu.Lock()
 			changed := j.belief.orders != expected
+			done := changed && carried(j.belief.held, j.order)
 			j.mu.Unlock()
+			if done {
+				// An earlier try was carried out, and its answer lost.
+				return true
+			}
 			if changed {
 				return false
 			}
 		case Rejected:
+			j.pause = shun
 			j.log.Info("orders: rejected", zap.String("server", j.server.ID), zap.Error(err))
 			return false
 		case Unsent:
 			if unsent++; unsent >= unsentTries {
+				j.pause = shun
 				j.log.Info("orders: server takes no connection", zap.String("server", j.server.ID), zap.Error(err))
 				return false
 			}
@@ -441,6 +452,15 @@
 	return false
 }
 
+// carried reports whether what a server holds is as the order wants it.
+func carried(held map[string][]string, o stocker.Order) bool {
+	adapters, ok := held[o.Model]
+	if o.Adapter != "" {
+		ok = slices.Contains(adapters, o.Adapter)
+	}
+	return ok == (o.Op == stocker.Load)
+}
+
 // learn takes over what the server itself says.
 func (j *job) learn(ctx context.Context) bool {
 	s, ok := j.report(ctx)
