Leave the lease's log alone while the store is away

Conclusion: a pause that doubles from 60 to 700 ms, and a doubtful append is read back before the next one.

--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -38,6 +38,10 @@
 	leaseTimeout = 700 * time.Millisecond
 	// leaseCheck is how often it is checked whether something is due.
 	leaseCheck = 50 * time.Millisecond
+	// backoffLeast and backoffMost bound the pause after a failed call: short
+	// against the term at first, so that one lost answer does not end it.
+	backoffLeast = 60 * time.Millisecond
+	backoffMost  = 700 * time.Millisecond
 	// heardAge is how long a reply of the holder stands for a reading of the
 	// lease.
 	heardAge = 700 * time.Millisecond
@@ -99,6 +103,12 @@
 	taught int64
 	heard  time.Time
 	ending bool
+	// again is when a log that failed is called again, backoff the pause.
+	again   time.Time
+	backoff time.Duration
+	// unsettled is set while it is not known whether the last append stands:
+	// the log is read before the next one.
+	unsettled bool
 }
 
 // NewLease returns a lease that has read nothing yet. Orders of two holders must
@@ -160,13 +170,18 @@
 
 // Step reads what others have appended, and claims or renews if that is due.
 func (l *Lease) Step(ctx context.Context) {
-	if l.relieved() {
+	if l.relieved() || l.resting() {
 		return
 	}
-	if !l.mine() {
-		l.read(ctx)
+	switch {
+	case l.doubtful():
+		l.read(ctx, 0)
+	case !l.mine():
+		l.read(ctx, leaseWait)
+	}
+	if !l.resting() {
+		l.claim(ctx)
 	}
-	l.claim(ctx)
 }
 
 func (l *Lease) sleep(ctx context.Context) {
@@ -182,6 +197,12 @@
 	return l.keeper.Mine() && !l.ending
 }
 
+func (l *Lease) doubtful() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unsettled
+}
+
 // relieved reports whether the holder was heard lately, so that the log need
 // not be read.
 func (l *Lease) relieved() bool {
@@ -190,14 +211,35 @@
 	return !l.keeper.Mine() && l.boot.Now().Sub(l.heard) < heardAge
 }
 
+// resting reports whether the log failed so lately that it is left alone.
+func (l *Lease) resting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.boot.Now().Before(l.again)
+}
+
+// outcome notes whether a call to the log succeeded. Calls are priced, and a
+// log that is away takes none.
+func (l *Lease) outcome(ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok {
+		l.backoff = 0
+		return
+	}
+	l.backoff = min(max(2*l.backoff, backoffLeast), backoffMost)
+	l.again = l.boot.Now().Add(l.backoff)
+}
+
 // read takes over the entries that others have appended.
-func (l *Lease) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaseWait+leaseTimeout)
+func (l *Lease) read(ctx context.Context, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait+leaseTimeout)
 	defer cancel()
 	l.mu.Lock()
 	from := l.next
 	l.mu.Unlock()
-	list, next, err := l.log.Read(ctx, from, leaseWait)
+	list, next, err := l.log.Read(ctx, from, wait)
+	l.outcome(err == nil)
 	if err != nil {
 		if ctx.Err() == nil {
 			l.zap.Debug("lease: log can't be read", zap.Error(err))
@@ -208,6 +250,7 @@
 	defer l.mu.Unlock()
 	now := l.boot.Now()
 	l.next = next
+	l.unsettled = false
 	if len(list) == 0 {
 		if next == 0 {
 			l.keeper.Observe(now, leaser.NewState())
@@ -278,14 +321,18 @@
 	at := l.next
 	l.mu.Unlock()
 	err := l.append(ctx, e, at)
+	l.outcome(err == nil || errors.Is(err, ErrMoved))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.keeper.Settled(err == nil)
 	if err != nil {
 		l.zap.Info("lease: claim failed", zap.Bool("renewal", mine), zap.Error(err))
-		l.mu.Unlock()
-		l.read(ctx)
-		l.mu.Lock()
+		if errors.Is(err, ErrMoved) {
+			l.mu.Unlock()
+			l.read(ctx, 0)
+			l.mu.Lock()
+		}
+		l.unsettled = !errors.Is(err, ErrMoved)
 		return
 	}
 	l.next = at + 1
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -27,11 +27,13 @@
 	random  *rand.Rand
 	down    bool
 	lose    float64
+	calls   int
 }
 
 var errDown = errors.New("down")
 
 func (l *log) Read(_ context.Context, from int64, _ time.Duration) ([]coordinator.LogRecord, int64, error) {
+	l.calls++
 	if l.down {
 		return nil, from, errDown
 	}
@@ -39,6 +41,7 @@
 }
 
 func (l *log) Append(_ context.Context, value []byte, at int64) error {
+	l.calls++
 	if l.down {
 		return errDown
 	}
@@ -127,6 +130,18 @@
 		Expect(a.MayOrder()).To(BeTrue())
 	})
 
+	// Load: the store answers 503 at once, to every instance, for eight seconds.
+	It("leaves a log that is away alone, and is back soon after it", func() {
+		a := lease("a")
+		steps(time.Second, a)
+		store.down, store.calls = true, 0
+		steps(8*time.Second, a)
+		Expect(store.calls).To(BeNumerically("<", 20))
+		store.down = false
+		steps(1500*time.Millisecond, a)
+		Expect(a.MayOrder()).To(BeTrue())
+	})
+
 	It("leaves an entry that can't be read to lapse", func() {
 		Expect(store.put([]byte{0xc1}, 0)).To(Succeed())
 		a := lease("a")
