Keep idle connections open through a planned stop until clients have left

Before: the new spec failed (EOF on an idle connection). A request on a connection that this side has closed is not passed on, for the rare case at the end of a stop.

--- a/composer/composer.go
+++ b/composer/composer.go
@@ -159,7 +159,7 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	servers := &http.Server{
-		Handler: e.relayer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit,
+		Handler: http.HandlerFunc(e.front), ConnContext: withConn, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit,
 		ErrorLog: zap.NewStdLog(e.log),
 	}
 	checks := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout}
@@ -167,7 +167,7 @@
 	messages := messenger.NewServer(e.log)
 	e.duties.Serve(messages)
 	failed := make(chan error, 2)
-	e.start(func() { e.listen(servers, front, failed) })
+	e.start(func() { e.listen(servers, clientListener{front}, failed) })
 	e.start(func() { e.listen(checks, ready, failed) })
 	e.start(func() { e.tails.config.Run(work) })
 	e.start(func() { e.tails.registry.Run(work) })
@@ -244,7 +244,6 @@
 	e.stopping.Store(true)
 	begun := e.clock.Now()
 	e.start(e.release)
-	front.SetKeepAlivesEnabled(false)
 	e.clock.Sleep(min(lingering, e.settings.Grace/2))
 	left := e.settings.Grace - e.clock.Since(begun) - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
--- a/composer/composer_test.go
+++ b/composer/composer_test.go
@@ -212,6 +212,30 @@
 		Expect(count).To(BeNumerically(">", 20))
 	})
 
+	It("answers on a connection that was idle when it was told to stop, and says that it closes", func() {
+		g := newGround(1)
+		g.allReady()
+		c, err := net.Dial("tcp", g.fronts[0])
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		r := bufio.NewReader(c)
+		ask := func() *http.Response {
+			_, err := io.WriteString(c, "POST /form/1 HTTP/1.1\r\nHost: h\r\nPrimrosehook-Request-Id: q\r\nContent-Length: 1\r\n\r\nx")
+			Expect(err).NotTo(HaveOccurred())
+			p, err := http.ReadResponse(r, nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, p.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return p
+		}
+		Expect(ask().Close).To(BeFalse())
+		g.stops[0]()
+		Eventually(func() int { return g.ready(0) }).Should(Equal(503))
+		p := ask()
+		Expect(p.StatusCode).To(Equal(200))
+		Expect(p.Close).To(BeTrue())
+	})
+
 	It("finishes what it has read when it is told to stop, and takes new connections for a while", func() {
 		g := newGround(1)
 		g.allReady()
