--- a/composer/composer.go
+++ b/composer/composer.go
@@ -130,7 +130,7 @@
 	e.peers = messenger.NewClient(clock, messenger.WithSilence(time.Second))
 	e.duties = coordinator.New(coordinator.Parts{
 		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control,
-		Apart: s.Lease, Ceiling: s.CeilingWindow, Overage: s.CeilingOverage, Lease: e.store.Leases(), Engines: platform.NewEngines(sender.NewClient()),
+		Apart: s.Lease, Window: s.CeilingWindow, Overage: s.CeilingOverage, Lease: e.store.Leases(), Engines: platform.NewEngines(sender.NewClient()),
 		Fleet: e.fleet, Suspects: suspects, Registry: e.tails.registry, Config: e.tails.config,
 		Table: e.relayer.Table, Clock: clock, Boot: booter.System{}, Log: log, Peers: e.peers, Meter: e.metrics,
 	})
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -39,8 +39,8 @@
 	Instance, Machine, Address string
 	// Apart is how far apart orders of two holders must be.
 	Apart time.Duration
-	// Ceiling is the window in which loads from the weight store are counted.
-	Ceiling time.Duration
+	// Window is the time in which loads from the weight store are counted.
+	Window time.Duration
 	// Overage times the weight store's rate may be used in a window.
 	Overage  float64
 	Lease    Log
@@ -63,10 +63,6 @@
 // Coordinator is this instance's part in the coordination.
 type Coordinator struct {
 	Parts
-	clock   clockwork.Clock
-	log     *zap.Logger
-	engines Engines
-	table   func() *matcher.Table
 	hub     *hub
 	lease   *Lease
 	foreman *foreman
@@ -81,10 +77,7 @@
 
 // New returns a coordinator.
 func New(p Parts) *Coordinator {
-	c := &Coordinator{
-		Parts: p, clock: p.Clock, log: p.Log, engines: p.Engines, table: p.Table,
-		hub: newHub(p.Clock),
-	}
+	c := &Coordinator{Parts: p, hub: newHub(p.Clock)}
 	self := Entry{Instance: p.Instance, Machine: p.Machine, Address: p.Address}
 	c.lease = NewLease(self, p.Apart, p.Lease, p.Boot, p.Clock, p.Log, c.taken)
 	c.foreman = newForeman(c)
@@ -134,7 +127,7 @@
 		case <-ctx.Done():
 			return
 		case <-c.Fleet.Missed():
-		case <-c.clock.After(pause):
+		case <-c.Clock.After(pause):
 		}
 	}
 }
@@ -158,7 +151,7 @@
 			c.Meter.Add(MetricUnanswered, 1)
 			if !c.lost {
 				c.lost = true
-				c.log.Info("coordinator: holder does not reply", zap.String("holder", address), zap.Error(err))
+				c.Log.Info("coordinator: holder does not reply", zap.String("holder", address), zap.Error(err))
 			}
 			return
 		}
@@ -167,7 +160,7 @@
 		}
 		if c.lost {
 			c.lost = false
-			c.log.Info("coordinator: holder replies again", zap.String("holder", address), zap.Int64("fence", reply.Fence))
+			c.Log.Info("coordinator: holder replies again", zap.String("holder", address), zap.Int64("fence", reply.Fence))
 		}
 		c.Meter.Add(MetricExchanges, 1)
 		c.apply(reply)
@@ -187,7 +180,7 @@
 }
 
 func (c *Coordinator) version() int64 {
-	if t := c.table(); t != nil {
+	if t := c.Table(); t != nil {
 		return t.Version
 	}
 	return -1
