--- a/composer/composer.go
+++ b/composer/composer.go
@@ -124,9 +124,9 @@
 	e.registry = newRegistry(e.fleet, clock, log)
 	e.config = &configuration{relayer: e.relayer, log: log}
 	e.tails.config = tailer.New("config", e.store.Topic(platform.TopicOperator), e.config, clock, log,
-		tailer.WithWait(configWait), tailer.WithRelief(relief))
+		tailer.WithWait(configWait), tailer.WithRelief(relief), tailer.WithRetry(e.patience))
 	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
-		tailer.WithPace(func() time.Duration { return s.Drain / serversPace }), tailer.WithRelief(relief))
+		tailer.WithPace(func() time.Duration { return s.Drain / serversPace }), tailer.WithRelief(relief), tailer.WithRetry(e.patience))
 	e.peers = messenger.NewClient(clock, messenger.WithSilence(time.Second))
 	e.duties = coordinator.New(coordinator.Parts{
 		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control,
@@ -254,6 +254,9 @@
 	}
 }
 
+// patience is the longest pause after failed calls to the store.
+func (e *Entry) patience() time.Duration { return e.duties.Patience() }
+
 // release hands the duties over while clients leave.
 func (e *Entry) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -24,6 +24,10 @@
 	// work does not grow faster than the number of instances.
 	leastInterval = 150 * time.Millisecond
 	perInstance   = 4 * time.Millisecond
+	// patienceLeast and patienceEach make the pause after failed calls: all
+	// instances together call a store that is away some 40 times a second.
+	patienceLeast = 700 * time.Millisecond
+	patienceEach  = 25 * time.Millisecond
 	// memberAge is how long an instance counts after its last report.
 	memberAge = 3 * time.Second
 	// exchangeTimeout bounds a report and its reply.
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -38,10 +38,9 @@
 	leaseTimeout = 700 * time.Millisecond
 	// leaseCheck is how often it is checked whether something is due.
 	leaseCheck = 50 * time.Millisecond
-	// backoffLeast and backoffMost bound the pause after a failed call: short
-	// against the term at first, so that one lost answer does not end it.
+	// backoffLeast is the pause after a first failed call: short against the
+	// term, so that one lost answer does not end it.
 	backoffLeast = 60 * time.Millisecond
-	backoffMost  = 700 * time.Millisecond
 	// heardAge is how long a reply of the holder stands for a reading of the
 	// lease.
 	heardAge = 700 * time.Millisecond
@@ -92,6 +91,8 @@
 	// apart is how far apart orders of two holders must be.
 	apart time.Duration
 	taken func(former bool)
+	// patience is the longest pause after failed calls.
+	patience func() time.Duration
 
 	mu     sync.Mutex
 	keeper *leaser.Keeper
@@ -113,11 +114,12 @@
 
 // NewLease returns a lease that has read nothing yet. Orders of two holders must
 // be apart by the time given; taken is called with each new term, and told
-// whether there was a holder before.
-func NewLease(self Entry, apart time.Duration, log Log, boot booter.Clock, clock clockwork.Clock, z *zap.Logger, taken func(former bool)) *Lease {
+// whether there was a holder before; patience is the longest pause after failed
+// calls to the log.
+func NewLease(self Entry, apart time.Duration, log Log, boot booter.Clock, clock clockwork.Clock, z *zap.Logger, taken func(former bool), patience func() time.Duration) *Lease {
 	settings := leaser.Settings{Term: term, Margin: leaseMargin, Stagger: stagger}
 	return &Lease{
-		self: self, log: log, boot: boot, clock: clock, zap: z, apart: apart, taken: taken,
+		self: self, log: log, boot: boot, clock: clock, zap: z, apart: apart, taken: taken, patience: patience,
 		keeper: leaser.NewKeeper(self.Instance, settings),
 	}
 }
@@ -227,7 +229,7 @@
 		l.backoff = 0
 		return
 	}
-	l.backoff = min(max(2*l.backoff, backoffLeast), backoffMost)
+	l.backoff = min(max(2*l.backoff, backoffLeast), l.patience())
 	l.again = l.boot.Now().Add(l.backoff)
 }
 
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -77,7 +77,7 @@
 	})
 	lease := func(name string) *coordinator.Lease {
 		return coordinator.NewLease(coordinator.Entry{Instance: name, Machine: name, Address: name}, apart, store, clock,
-			clockwork.NewFakeClock(), zap.NewNop(), func(bool) {})
+			clockwork.NewFakeClock(), zap.NewNop(), func(bool) {}, func() time.Duration { return 700 * time.Millisecond })
 	}
 	steps := func(d time.Duration, list ...*coordinator.Lease) {
 		for end := clock.Add(d); clock.Before(end); clock.Time = clock.Add(50 * time.Millisecond) {
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -79,7 +79,7 @@
 func New(p Parts) *Coordinator {
 	c := &Coordinator{Parts: p, hub: newHub(p.Clock)}
 	self := Entry{Instance: p.Instance, Machine: p.Machine, Address: p.Address}
-	c.lease = NewLease(self, p.Apart, p.Lease, p.Boot, p.Clock, p.Log, c.taken)
+	c.lease = NewLease(self, p.Apart, p.Lease, p.Boot, p.Clock, p.Log, c.taken, c.Patience)
 	c.foreman = newForeman(c)
 	return c
 }
@@ -105,6 +105,13 @@
 // Instances returns how many instances there are as far as is known, 0 if not.
 func (c *Coordinator) Instances() int { return int(c.instances.Load()) }
 
+// Patience is the longest pause of an instance after failed calls to the store.
+// It grows with the instances, so that a store that is away, and comes back, is
+// not called more often by a larger fleet.
+func (c *Coordinator) Patience() time.Duration {
+	return max(patienceLeast, time.Duration(c.Instances())*patienceEach)
+}
+
 // Registered takes over what the registry says.
 func (c *Coordinator) Registered(list []tailer.Record, servers []registrar.Server) {
 	c.hub.record(list, servers)
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -44,7 +44,8 @@
 	// callTimeout bounds a call beyond the time that it was asked to wait: a
 	// slow store answers in some 250 ms, a silent connection never.
 	callTimeout = 1200 * time.Millisecond
-	// retryLeast and retryMost bound the pause after a failed call.
+	// retryLeast and retryMost bound the pause after a failed call, unless
+	// WithRetry sets another upper bound.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
 )
@@ -68,6 +69,7 @@
 	wait   time.Duration
 	relief time.Duration
 	pace   func() time.Duration
+	retry  func() time.Duration
 	wake   chan struct{}
 
 	mu   sync.Mutex
@@ -86,6 +88,9 @@
 // WithPace sets the pause between two reads, asked for before each.
 func WithPace(pace func() time.Duration) Option { return func(t *Tailer) { t.pace = pace } }
 
+// WithRetry sets the longest pause after a failed call, asked for each time.
+func WithRetry(most func() time.Duration) Option { return func(t *Tailer) { t.retry = most } }
+
 // WithRelief sets for how long records fed by a peer stand for an own reading.
 func WithRelief(d time.Duration) Option { return func(t *Tailer) { t.relief = d } }
 
@@ -93,8 +98,9 @@
 func New(name string, source Source, sink Sink, clock clockwork.Clock, log *zap.Logger, set ...Option) *Tailer {
 	t := &Tailer{
 		name: name, source: source, sink: sink, clock: clock, log: log,
-		pace: func() time.Duration { return 0 },
-		wake: make(chan struct{}, 1), next: unread,
+		pace:  func() time.Duration { return 0 },
+		retry: func() time.Duration { return retryMost },
+		wake:  make(chan struct{}, 1), next: unread,
 	}
 	for _, o := range set {
 		o(t)
@@ -141,7 +147,7 @@
 			}
 			away = true
 			t.rest(ctx, pause)
-			pause = min(2*pause, retryMost)
+			pause = min(2*pause, t.retry())
 		}
 	}
 }
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -136,6 +136,17 @@
 		Eventually(t.Next).Should(BeEquivalentTo(6))
 	})
 
+	// Load: the store is away, and hundreds of instances try again.
+	It("asks how long it may pause when a large fleet finds the store away", func() {
+		t = tailer.New("test", from, to, clock, zap.NewNop(), tailer.WithRetry(func() time.Duration { return 8 * time.Second }))
+		from.set(func() { from.err = errors.New("down") })
+		start()
+		for range 100 {
+			pass(200 * time.Millisecond)
+		}
+		Expect(from.count()).To(BeNumerically("<=", 10))
+	})
+
 	It("does not read while a peer feeds it, and reads again when the peer stops", func() {
 		start()
 		before := from.count()
