--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -262,6 +262,7 @@
 		}
 		// Four grants a second are assumed: three join, the fourth would wait longer.
 		Eventually(waiting).Should(Receive(Equal(balancer.Full)))
+		Expect(fleet.Backlog("llm", request, balancer.Full)).To(Equal(250 * time.Millisecond))
 		Consistently(waiting, "50ms").ShouldNot(Receive())
 		hold.Done(false)
 		Eventually(waiting).Should(Receive(Equal(balancer.Found)))
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -305,6 +305,20 @@
 	return list
 }
 
+// Backlog predicts when a request that was refused now could go: the wait of
+// the line that it would have joined, or the time of a load.
+func (f *Fleet) Backlog(service string, q Request, status Status) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if status == Absent || status == Spent {
+		return loadTime
+	}
+	return max(f.line(service).Predict(f.clock.Now(), q)-q.Wait, 0)
+}
+
+// loadTime is an order, a load from the weight store and its news.
+const loadTime = 1500 * time.Millisecond
+
 // Resize tells how many tokens the cache of each server of a service takes.
 func (f *Fleet) Resize(service string, tokens int) {
 	f.mu.Lock()
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -27,6 +27,13 @@
 	answerMargin = 30 * time.Millisecond
 	// suspectRetry is when a quarantined request may be sent again at least.
 	suspectRetry = 2 * time.Second
+	// waitShare of the time after which clients leave a silent stream is spent
+	// on waiting for a server at most.
+	waitShare = 0.8
+	// aimShare of the objective may be spent on waiting for a busy server; the
+	// rest is for reading the prompt. A request may always wait for waitLeast.
+	aimShare  = 0.7
+	waitLeast = 100 * time.Millisecond
 	// defaultLimit bounds requests whose client and route name no time.
 	defaultLimit = 30 * time.Second
 )
@@ -137,17 +144,6 @@
 	return x.started.Add(wait)
 }
 
-// waitShare of the time after which clients leave a silent stream is spent on
-// waiting for a server at most.
-const waitShare = 0.8
-
-// aimShare of the objective may be spent on waiting for a busy server; the rest
-// is for reading the prompt. A request may always wait for waitLeast.
-const (
-	aimShare  = 0.7
-	waitLeast = 100 * time.Millisecond
-)
-
 // caller returns the address that a request came from, without its port.
 func caller(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -179,7 +175,8 @@
 		}
 		reserved = nil
 		if lease == nil {
-			x.giveUp("no server", zap.Stringer("status", status))
+			x.backlog = x.fleet.Backlog(x.service, x.query, status)
+			x.giveUp("no server", zap.Stringer("status", status), zap.Duration("backlog", x.backlog))
 			return
 		}
 		again := x.attempt(lease)
@@ -214,8 +211,7 @@
 	if x.context.Err() != nil {
 		return nil, balancer.Spent
 	}
-	lease, status := x.fleet.Await(x.context, x.service, x.query)
-	return lease, status
+	return x.fleet.Await(x.context, x.service, x.query)
 }
 
 // giveUp answers a request for which no server is left to try.
@@ -237,7 +233,7 @@
 		x.meter.Add(MetricFailed, 1)
 		fail(x.writer, http.StatusBadGateway)
 	default:
-		x.refuse(x.writer, busyRetry, "no_server")
+		x.refuse(x.writer, max(x.backlog, busyRetry), "no_server")
 	}
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -256,6 +256,9 @@
 	tries []try
 	first time.Time
 
+	// backlog is when a server would have been free for a request that got none.
+	backlog time.Duration
+
 	// next is the server that was reserved because the present one is silent.
 	mu   sync.Mutex
 	next *balancer.Lease
