Read the log before a new home runs jobs; keep suspects apart; log pauses of streams

(1) A shard's next home took a dead home's jobs over from what it had last read. The router's specs failed with the rule off. (3) Streams that are late by a pause between events had no line.

Ruled out: waiting for the log without a bound (an hour's outage would leave the jobs of a dead home undone); refusing suspects for their first retry.

Now a home runs jobs once it has read the log since it became home, or after 10 s without it. A suspect goes where the fewest suspects run. Late streams have a line with their longest pause, and there is a histogram.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -98,6 +98,7 @@
 		Session:  xxhash.Sum64String(w.Caller),
 		Deferred: w.Deferred,
 		Exclude:  w.Exclude,
+		Losses:   w.Losses,
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -38,6 +38,8 @@
 	Digest uint64
 	// Exclude names engines that have failed this work.
 	Exclude []string
+	// Losses is how many engines were lost while they ran this work.
+	Losses int
 }
 
 // Grant is a place on an engine. It must be released once.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -222,13 +222,17 @@
 
 // write gives events to the client. It reports whether the client is there.
 func (x *exchange) write(a *connector.Answer, b []byte) bool {
+	now := x.clock.Now()
 	if !x.headed {
 		x.headed = true
-		x.first = x.clock.Now()
+		x.first = now
 		x.meter.Observe(MetricFirst+x.route.Kind.String(), x.first.Sub(x.started))
 		x.copyHead(a)
 		x.writer.WriteHeader(a.StatusCode)
+	} else if pause := now.Sub(x.wrote); pause > x.pause {
+		x.pause, x.pausedAt = pause, x.wrote.Sub(x.started)
 	}
+	x.wrote = now
 	if _, err := x.writer.Write(b); err != nil {
 		x.log.Info("relay: client left", zap.Error(err))
 		return false
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"primrosehook/balancer"
+	"primrosehook/matcher"
 )
 
 // sampleEvery is how many requests that went well have one line in the log.
@@ -48,16 +49,23 @@
 	x.meter.Add(MetricAnswered, 1)
 	taken := x.clock.Since(x.started)
 	x.meter.Observe(MetricWhole+x.route.Kind.String(), taken)
+	if x.route.Kind == matcher.Streaming {
+		x.meter.Observe(MetricPause, x.pause)
+	}
 	first := taken
 	if !x.first.IsZero() {
 		first = x.first.Sub(x.started)
 	}
-	late := x.route.Target > 0 && first > x.route.Target
+	late := x.route.Target > 0 && first > x.route.Target || x.route.Gap > 0 && x.pause > x.route.Gap
 	if !late && len(x.tries) == 1 && status < 400 && balancer.Hash(x.meta.ID)%sampleEvery != 0 {
 		return
 	}
-	x.log.Info("relay: answered", append(x.facts(), zap.Int("status", status), zap.Bool("late", late),
-		zap.Duration("first", first), zap.Duration("whole", taken))...)
+	fields := append(x.facts(), zap.Int("status", status), zap.Bool("late", late),
+		zap.Duration("first", first), zap.Duration("whole", taken))
+	if x.route.Kind == matcher.Streaming {
+		fields = append(fields, zap.Duration("pause", x.pause), zap.Duration("paused_at", x.pausedAt))
+	}
+	x.log.Info("relay: answered", fields...)
 }
 
 // facts are the inputs of all decisions on a request.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -110,6 +110,7 @@
 	MetricWait      = "wait_for_server_ms_"
 	MetricFirst     = "first_byte_ms_"
 	MetricWhole     = "whole_answer_ms_"
+	MetricPause     = "longest_pause_ms"
 )
 
 // Relayer is an http.Handler for all requests of clients.
@@ -255,6 +256,10 @@
 	// first byte of the answer went to the client.
 	tries []try
 	first time.Time
+	// wrote is when the last event went to the client, pause the longest time
+	// between two events and pausedAt when it began, since the request came.
+	wrote           time.Time
+	pause, pausedAt time.Duration
 
 	// backlog is when a server would have been free for a request that got none.
 	backlog time.Duration
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"primrosehook/balancer"
 	"primrosehook/matcher"
@@ -90,13 +91,15 @@
 	fleet  *balancer.Fleet
 	relay  *relayer.Relayer
 	counts []*atomic.Int64
+	logs   *observer.ObservedLogs
 }
 
 // serve starts a relayer before upstreams. Routes: /read/ idempotent, /write/
 // nonidempotent, /chat/ resumable stream, /once/ stream.
 func serve(handlers ...handler) *world {
 	clock := clockwork.NewRealClock()
-	w := &world{fleet: balancer.NewFleet("z", 1, clock)}
+	core, logs := observer.New(zap.InfoLevel)
+	w := &world{fleet: balancer.NewFleet("z", 1, clock), logs: logs}
 	var list []registrar.Server
 	for i, h := range handlers {
 		n := &atomic.Int64{}
@@ -111,7 +114,7 @@
 		list[0].Zone = "z"
 	}
 	w.fleet.Update(list)
-	w.relay = relayer.New(codec{}, w.fleet, quarantiner.NewGuard(clock, quarantiner.Standard()), clock, zap.NewNop(), relayer.WithRetries(10*time.Second, 0.2, 10))
+	w.relay = relayer.New(codec{}, w.fleet, quarantiner.NewGuard(clock, quarantiner.Standard()), clock, zap.New(core), relayer.WithRetries(10*time.Second, 0.2, 10))
 	route := func(prefix string, kind matcher.Kind, attempts int, resumable bool) matcher.Route {
 		return matcher.Route{
 			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Attempts: attempts, Resumable: resumable,
@@ -225,6 +228,20 @@
 		Expect(body).To(HaveSuffix("data: 3\n\n"))
 	})
 
+	It("logs a stream that was late by a pause between events", func() {
+		w := serve(func(rw http.ResponseWriter, q *http.Request) {
+			events(2, 0)(rw, q)
+			time.Sleep(150 * time.Millisecond)
+			_, _ = io.WriteString(rw, "id: 3\ndata: 3\n\n")
+		})
+		code, _, err := w.send("POST", "/once/1", "x")
+		Expect([]any{code, err}).To(Equal([]any{200, nil}))
+		Eventually(func() []observer.LoggedEntry { return w.logs.FilterMessage("relay: answered").All() }).Should(HaveLen(1))
+		fields := w.logs.FilterMessage("relay: answered").All()[0].ContextMap()
+		Expect(fields).To(HaveKeyWithValue("late", true))
+		Expect(fields["pause"]).To(BeNumerically(">", 100*time.Millisecond))
+	})
+
 	It("leaves a silent server for another one", func() {
 		stop := make(chan struct{})
 		DeferCleanup(func() { close(stop) })
--- a/router/engine.go
+++ b/router/engine.go
@@ -14,9 +14,11 @@
 	reported int
 	since    time.Time
 	changes  []change
-	// flight is how many requests of this instance run there.
-	flight int
-	limit  Limit
+	// flight is how many requests of this instance run there, suspects how
+	// many of them were lost with an engine before.
+	flight   int
+	suspects int
+	limit    Limit
 
 	prefixes prefixes
 	// pace is the measured time to the first token against the estimate.
@@ -125,6 +127,9 @@
 		return
 	}
 	e.change(now, 1)
+	if q.Losses > 0 {
+		e.suspects++
+	}
 	e.prefixes.add(q.Prefixes)
 }
 
@@ -148,6 +153,9 @@
 		return
 	}
 	e.change(now, -1)
+	if q.Losses > 0 {
+		e.suspects = max(e.suspects-1, 0)
+	}
 	if o.Load != nil {
 		e.observe(now, *o.Load)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -33,6 +33,9 @@
 	Deferred bool
 	// Exclude names engines that must not be chosen.
 	Exclude []string
+	// Losses is how many engines were lost while they ran the request. From
+	// the first on it is suspected of crashing them.
+	Losses int
 }
 
 // Engine is what is known of one engine.
@@ -296,9 +299,23 @@
 	if len(open) == 0 {
 		return Choice{Status: Full, Why: why}
 	}
+	if q.Losses > 0 {
+		open = leastSuspects(open)
+	}
 	return r.best(r.sample(open, q), q, why)
 }
 
+// leastSuspects keeps the engines that run the fewest suspects. Suspects that
+// are lost together again stay indistinguishable; apart, the innocent one ends
+// well and the guilty one is accused alone.
+func leastSuspects(open []*engine) []*engine {
+	least := open[0].suspects
+	for _, e := range open {
+		least = min(least, e.suspects)
+	}
+	return slices.DeleteFunc(open, func(e *engine) bool { return e.suspects > least })
+}
+
 // holders returns the engines that hold the weights. An adapter needs its
 // model on the same engine.
 func (r *Router) holders(w driver.Weights) []*engine {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -37,6 +37,30 @@
 
 	BeforeEach(func() { r = router.New(router.WithSeed(1), router.WithZone("a"), router.WithChoices(0)) })
 
+	It("keeps apart the retries of requests that were lost with the same engine", func() {
+		r.Update([]router.Engine{engine("one", 0), engine("two", 2), engine("three", 3)})
+		seen := map[string]bool{}
+		for range 3 {
+			q := request()
+			q.Losses = 1
+			choice := r.Choose(start, q)
+			Expect(choice.Status).To(Equal(router.Found))
+			seen[choice.Engine.Name] = true
+			r.Sent(start, choice.Engine.Name, q)
+		}
+		Expect(seen).To(HaveLen(3), "an emptier engine is no reason to run beside a suspect")
+	})
+
+	It("puts a suspect back on an engine once the other suspect there has ended", func() {
+		r.Update([]router.Engine{engine("one", 0), engine("two", 2)})
+		q := request()
+		q.Losses = 1
+		r.Sent(start, "one", q)
+		Expect(r.Choose(start, q).Engine.Name).To(Equal("two"))
+		r.Done(start, "one", q, router.Outcome{})
+		Expect(r.Choose(start, q).Engine.Name).To(Equal("one"))
+	})
+
 	DescribeTable("leaves out engines that may not be chosen",
 		func(change func(e *router.Engine, q *router.Request), status router.Status) {
 			e, q := engine("one", 0), request()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -43,8 +43,12 @@
 	// further job is started.
 	maxUnrecorded = 256
 	// fetchWait is how long a fetch waits for a job that is not known yet.
-	fetchWait     = time.Second
-	recordPause   = time.Second
+	fetchWait   = time.Second
+	recordPause = time.Second
+	// takeoverWait is how long a new home waits for the log before it runs
+	// the jobs that it knows of: longer than one read of the log may take (a
+	// wait of 5 s and 2 s of grace).
+	takeoverWait  = 10 * time.Second
 	tickInterval  = 100 * time.Millisecond
 	fetchInterval = 5 * time.Second
 	// resultPause is when to ask again for a result.
@@ -174,6 +178,9 @@
 	draining bool
 	stats    Stats
 	wake     chan struct{}
+	// homeSince holds when this instance became the first home of a shard. Only
+	// the schedule uses it.
+	homeSince map[int]time.Time
 }
 
 // New returns a runner that runs jobs by do.
@@ -198,6 +205,8 @@
 		ended:   map[string]keeper.Done{},
 		fetched: map[int][]string{},
 		wake:    make(chan struct{}, 1),
+
+		homeSince: map[int]time.Time{},
 	}
 	machine := func() *keeper.Machine { return keeper.NewMachine(keeper.DefaultLimits()) }
 	r.shards = sharder.New[keeper.Answer](prefix, log, view, peers, machine, o.Options)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -153,6 +153,43 @@
 		Expect(e.Ran("digest")).To(Equal(1))
 	})
 
+	It("reads the log before it takes over the jobs of a home that died", func() {
+		all := start(fleet, e, "a", "b")
+		id, err := all[0].accept("k", "digest")
+		Expect(err).NotTo(HaveOccurred())
+		first := home(all, id)
+		next := except(all, first)[0]
+		gate := make(chan struct{})
+		e.Set(prober.Succeed, gate)
+		Eventually(e.Began, "10s").Should(Receive())
+		Eventually(func() int { return next.runner.Stats().Open }, "20s", "20ms").Should(Equal(1))
+		next.node.Log.SetDown(true)
+		close(gate)
+		Eventually(func() int64 { return first.runner.Stats().Done }, "20s", "20ms").Should(Equal(int64(1)))
+		first.node.Kill()
+		fleet.Remove(first.node.Name)
+		Consistently(func() int { return e.Ran("digest") }, "500ms", "20ms").Should(Equal(1))
+		next.node.Log.SetDown(false)
+		Eventually(next.state(id), "20s", "20ms").Should(Equal("done result of digest"))
+		Expect(e.Ran("digest")).To(Equal(1))
+	})
+
+	It("runs a dead home's jobs without the log if it stays away", func() {
+		all := start(fleet, e, "a", "b")
+		e.Set(prober.Succeed, make(chan struct{}))
+		id, err := all[0].accept("k", "digest")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(e.Began, "10s").Should(Receive())
+		first := home(all, id)
+		next := except(all, first)[0]
+		Eventually(func() int { return next.runner.Stats().Open }, "20s", "20ms").Should(Equal(1))
+		next.node.Log.SetDown(true)
+		first.node.Kill()
+		fleet.Remove(first.node.Name)
+		e.Set(prober.Succeed, nil)
+		Eventually(next.state(id), "20s", "20ms").Should(Equal("done result of digest"))
+	})
+
 	It("tells not run of a job that the log refused", func() {
 		a := start(fleet, e, "a")[0]
 		a.node.Log.SetFaults(func() prober.Fault { return prober.Refuse })
--- a/runner/schedule.go
+++ b/runner/schedule.go
@@ -34,7 +34,7 @@
 func (r *Runner) schedule(ctx context.Context) {
 	var open []keeper.Job
 	for _, s := range r.shards.Followed() {
-		if !r.shards.Home(s.Stream) || !s.Follower.Status().Current {
+		if !r.takenOver(s) {
 			continue
 		}
 		s.Follower.View(func() { open = append(open, s.Machine.Open()...) })
@@ -55,6 +55,24 @@
 	}
 }
 
+// takenOver reports whether this instance is the first home of a shard and has
+// read its log since it became that. The home before may have recorded the end
+// of a job meanwhile, which would otherwise run again. While the log stays
+// away, its jobs are run after a wait as they are known here.
+func (r *Runner) takenOver(s *shard) bool {
+	status := s.Follower.Status()
+	if !r.shards.Home(s.Stream) || !status.Current {
+		delete(r.homeSince, s.Index)
+		return false
+	}
+	since, ok := r.homeSince[s.Index]
+	if !ok {
+		since = r.options.Clock.Now()
+		r.homeSince[s.Index] = since
+	}
+	return status.ReadAt.After(since) || r.options.Clock.Since(since) > takeoverWait
+}
+
 // free returns how many more jobs may start. It is called with the lock held.
 func (r *Runner) free() int {
 	if len(r.ended) >= maxUnrecorded {
--- a/server/generate.go
+++ b/server/generate.go
@@ -323,6 +323,7 @@
 		return
 	}
 	g.crashes++
+	g.work.Losses = g.crashes
 	g.accused = true
 	s.counts.crashes.Add(1)
 	s.log.Warn("server: engine was lost while it ran a request",
