Book places for prompts at one instance for each server

Instances knew what others sent 150 ms late, and saw room at a server at the same moment.

Now a prompt is sent once the instance that keeps the server's book has given it a place. What a window holds follows from the pause that is still on time, the streams that run and the tokens of an event, which whole streams show. Without an answer an instance goes by the exchanged counts as before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -21,8 +21,9 @@
 	// that other requests share.
 	Prompt int
 	Shared int
-	// Output is how many tokens are expected to be generated.
-	Output int
+	// Output is how many tokens are expected to be generated, Most how many may
+	// be.
+	Output, Most int
 	// Priority is the rank, 0 first. Aim is when the first event should be
 	// there, Leave when the client goes or the answer is not worth waiting for.
 	Priority   int
@@ -30,15 +31,17 @@
 	// Wait is the longest wait for a busy server after which the request would
 	// still be in time.
 	Wait time.Duration
+	// Paced requests ask for a place at the server before they are sent there.
+	Paced bool
 	// Session is the hash of the shared parts; zero if there are none.
 	Session uint64
 	// Exclude are servers that must not be chosen.
 	Exclude []string
 }
 
-// fresh is how many tokens of the prompt have to be read: of the shared parts
+// Fresh is how many tokens of the prompt have to be read: of the shared parts
 // about half are kept somewhere.
-func (q Request) fresh() int { return q.Prompt - q.Shared/2 }
+func (q Request) Fresh() int { return q.Prompt - q.Shared/2 }
 
 // Key returns what a server must hold to run the request; empty for services
 // without models.
@@ -52,6 +55,13 @@
 	return model + "/" + adapter
 }
 
+// Pace is what the pace of prompts at a server depends on.
+type Pace struct {
+	// Running is how many streams the server is believed to run, EventTokens
+	// how many tokens one event of a stream holds.
+	Running, EventTokens int
+}
+
 // Flight is work in flight at a server.
 type Flight struct {
 	// Running requests have shown their first event; Reading is the prompt
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -102,6 +102,56 @@
 		Expect(count(3, balancer.Request{Model: "m0", Prompt: 100, Output: 2000})).To(Equal(map[string]int{"a": 2}))
 	})
 
+	// Load: many requests wait for one server. The answer to one question for a
+	// place goes for all of them.
+	It("asks for one place at a time, and after a refusal not before its pause", func() {
+		update(server("a", "z1", "m0"))
+		paced := chat
+		paced.Paced = true
+		core.Sent(now, "a", chat)
+		Expect(count(5, paced)).To(Equal(map[string]int{"a": 1}))
+		core.Paced(now, "a", 0, 0)
+		Expect(count(5, paced)).To(Equal(map[string]int{"a": 1}))
+		core.Cancel("a", paced)
+		core.Paced(now, "a", 90*time.Millisecond, 90*time.Millisecond)
+		now = now.Add(80 * time.Millisecond)
+		Expect(count(1, paced)).To(BeEmpty())
+		now = now.Add(20 * time.Millisecond)
+		Expect(count(1, paced)).To(Equal(map[string]int{"a": 1}))
+	})
+
+	It("prefers a holder that may get a prompt sooner", func() {
+		update(server("a", "z1", "m0"), server("b", "z2", "m0"))
+		core.Paced(now, "a", 60*time.Millisecond, 0)
+		core.Paced(now, "b", 0, 0)
+		Expect(count(1, chat)).To(Equal(map[string]int{"b": 1}))
+	})
+
+	It("paces by its own counts when nobody answers", func() {
+		update(server("a", "z1", "m0"))
+		paced := chat
+		paced.Paced = true
+		sent := 0
+		for range 10 {
+			if id, status := core.Choose(now, paced); status == balancer.Found {
+				core.Sent(now, id, paced)
+				core.Unpaced(id)
+				sent++
+			}
+		}
+		Expect(sent).To(And(BeNumerically(">", 1), BeNumerically("<", 5)))
+	})
+
+	It("learns how many tokens an event holds from streams as long as they might be", func() {
+		Expect(core.Pace(now, "a").EventTokens).To(Equal(4), "assumed")
+		for i := range 200 {
+			core.Whole(171, 10+i%48)
+		}
+		Expect(core.Pace(now, "a").EventTokens).To(Equal(3))
+		core.Whole(8, 2)
+		Expect(core.Pace(now, "a").EventTokens).To(Equal(3), "too short to tell")
+	})
+
 	It("avoids a server that fails, and tries it again after a time", func() {
 		update(server("a", "z1", "m0"), server("b", "z2", "m0"))
 		for range 4 {
@@ -268,6 +318,36 @@
 		Eventually(waiting).Should(Receive(Equal(balancer.Found)))
 	})
 
+	// Load: more requests for one model than its server may get at once. Each
+	// asks for a place in turn, as soon as the one before has its answer.
+	It("lets the next request ask once the one before has a place", func() {
+		paced := q()
+		paced.Paced, paced.Wait, paced.Leave = true, time.Second, clock.Now().Add(10*time.Second)
+		fleet.Update([]registrar.Server{server("a", "z1", "m0")})
+		first, status := fleet.Await(context.Background(), "llm", paced)
+		Expect(status).To(Equal(balancer.Found))
+		second := make(chan *balancer.Lease, 1)
+		go func() {
+			l, _ := fleet.Await(context.Background(), "llm", paced)
+			second <- l
+		}()
+		Eventually(fleet.Waiting).Should(Equal(1))
+		Consistently(second, "50ms").ShouldNot(Receive())
+		first.Paced(0)
+		var l *balancer.Lease
+		Eventually(second).Should(Receive(&l))
+		l.Postpone(100 * time.Millisecond)
+		again := make(chan *balancer.Lease, 1)
+		go func() {
+			l, _ := fleet.Await(context.Background(), "llm", paced)
+			again <- l
+		}()
+		Eventually(fleet.Waiting).Should(Equal(1))
+		Consistently(again, "50ms").ShouldNot(Receive())
+		clock.Advance(110 * time.Millisecond)
+		Eventually(again).Should(Receive())
+	})
+
 	It("counts a cancelled lease as never taken", func() {
 		fleet.Update([]registrar.Server{server("a", "z1", "m0")})
 		l, status := fleet.Take("llm", q())
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -59,6 +59,18 @@
 	recovery = 1500 * time.Millisecond
 	// latencyShare is the weight of the latest latency in the mean.
 	latencyShare = 0.15
+	// pacedAge is how long after the keeper of a server's pace has answered its
+	// word goes before the counts that instances exchange.
+	pacedAge = time.Second
+	// askTime bounds how long the answer is awaited whether a server may get a
+	// prompt.
+	askTime = 100 * time.Millisecond
+	// assumedTokens is how many tokens an event is taken to hold until
+	// leastWhole streams of leastEvents or more have shown it: one in fifty or
+	// so is as long as it might be.
+	assumedTokens = 4
+	leastWhole    = 100
+	leastEvents   = 5
 	// overlayTime is how long a registration may take to show what an order
 	// has changed: a heartbeat, and readings.
 	overlayTime = 4 * time.Second
@@ -77,6 +89,10 @@
 	recent  decayer.Counter
 	// down is until when the server is taken to take no connection.
 	down time.Time
+	// paced is when the keeper of the server's pace last answered, free when it
+	// said that a prompt may be sent next, and closed until when it is not asked
+	// again.
+	paced, free, closed time.Time
 	// heard is when a byte last came from the server, in nanoseconds since the
 	// fleet began.
 	heard *atomic.Int64
@@ -92,6 +108,9 @@
 	latency  float64
 	heard    time.Time
 	cache    int
+	// events is the fewest tokens an event of whole streams held, of streams
+	// that were as long as they might be, and whole how many streams ended.
+	events, whole int
 }
 
 // NewCore returns a core of an instance in a zone.
@@ -194,6 +213,31 @@
 // Resize sets how many tokens a server's cache takes, 0 if that is not known.
 func (c *Core) Resize(tokens int) { c.cache = tokens }
 
+// Whole notes a stream that came to its end after some events. Those that have
+// as many tokens as they might show how many an event holds.
+func (c *Core) Whole(most, events int) {
+	if events < leastEvents || most < events {
+		return
+	}
+	c.whole++
+	held := int(math.Round(float64(most) / float64(events)))
+	if c.events == 0 || held < c.events {
+		c.events = held
+	}
+}
+
+// Pace returns what the pace of prompts at a server depends on.
+func (c *Core) Pace(now time.Time, id string) Pace {
+	p := Pace{EventTokens: assumedTokens}
+	if c.whole >= leastWhole {
+		p.EventTokens = c.events
+	}
+	if s, ok := c.servers[id]; ok {
+		p.Running = c.flight(now, s).Running
+	}
+	return p
+}
+
 // Choose returns the server for a request.
 func (c *Core) Choose(now time.Time, q Request) (string, Status) {
 	if len(c.order) == 0 {
@@ -270,7 +314,10 @@
 	if f.Started == 0 {
 		return false
 	}
-	if float64(f.Recent+min(q.fresh(), recentLimit/2)) > recentLimit {
+	if now.Before(s.closed) {
+		return true
+	}
+	if now.Sub(s.paced) > pacedAge && float64(f.Recent+min(q.Fresh(), recentLimit/2)) > recentLimit {
 		return true
 	}
 	return f.Reading > readingLimit || s.Slots > 0 && f.Started >= s.Slots ||
@@ -286,9 +333,25 @@
 	if q.Model == "" {
 		return cost + s.latency*(1+2*float64(f.Started)/float64(max(s.Slots, 1)))
 	}
+	cost += max(float64(s.free.Sub(now))/float64(time.Millisecond), 0)
 	return cost + float64(f.Reading)/prefillRate + runningCost*float64(f.Running) + max(s.latency-2*c.latency, 0)
 }
 
+// Paced notes when a server may get a prompt next, as the keeper of its pace
+// says, and until when it is not worth asking again.
+func (c *Core) Paced(now time.Time, id string, free, closed time.Duration) {
+	if s, ok := c.servers[id]; ok {
+		s.paced, s.free, s.closed = now, now.Add(free), now.Add(closed)
+	}
+}
+
+// Unpaced notes that the keeper of a server's pace did not answer.
+func (c *Core) Unpaced(id string) {
+	if s, ok := c.servers[id]; ok {
+		s.paced, s.free, s.closed = time.Time{}, time.Time{}, time.Time{}
+	}
+}
+
 // failing returns the failure rate, which fades while nothing is heard.
 func (s *server) failing(now time.Time) float64 {
 	if s.failure == 0 {
@@ -313,7 +376,11 @@
 // Sent notes that a request went to a server.
 func (c *Core) Sent(now time.Time, id string, q Request) {
 	if s, ok := c.servers[id]; ok {
-		s.recent.Add(now, recentHalf, float64(q.fresh()))
+		s.recent.Add(now, recentHalf, float64(q.Fresh()))
+		if q.Paced {
+			// One question at a time: the answer goes for all that wait.
+			s.closed = now.Add(askTime)
+		}
 		s.own = s.own.Add(Flight{Reading: q.Prompt, Tokens: q.Prompt + q.Output, Started: 1})
 	}
 }
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -267,6 +267,15 @@
 	})
 }
 
+// later wakes the line after a pause.
+func (f *Fleet) later(service string, pause time.Duration) {
+	f.clock.AfterFunc(pause, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.wake(service)
+	})
+}
+
 func (f *Fleet) wakeAll() {
 	for service := range f.lines {
 		f.wake(service)
@@ -359,6 +368,65 @@
 	}
 }
 
+// Pace returns what the pace of prompts at the server depends on.
+func (l *Lease) Pace() Pace {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, ok := f.cores[l.service]
+	if !ok {
+		return Pace{EventTokens: assumedTokens}
+	}
+	return c.Pace(f.clock.Now(), l.ID)
+}
+
+// Whole notes that the answer came to its end after some events.
+func (l *Lease) Whole(events int) {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cores[l.service]; ok {
+		c.Whole(l.request.Most, events)
+	}
+}
+
+// Paced notes that the request has a place at the server, after a wait.
+func (l *Lease) Paced(wait time.Duration) {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cores[l.service]; ok {
+		c.Paced(f.clock.Now(), l.ID, wait, 0)
+	}
+	f.wake(l.service)
+}
+
+// Unpaced notes that nobody said when the server may get the request.
+func (l *Lease) Unpaced() {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cores[l.service]; ok {
+		c.Unpaced(l.ID)
+	}
+	f.wake(l.service)
+}
+
+// Postpone gives the server back: it has no place for the request so soon, and
+// is not asked for one before a pause.
+func (l *Lease) Postpone(pause time.Duration) {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	f.line(l.service).Revoked(now, l.request.Key())
+	if c, ok := f.cores[l.service]; ok {
+		c.Cancel(l.ID, l.request)
+		c.Paced(now, l.ID, pause, pause)
+	}
+	f.later(l.service, pause)
+}
+
 // Done notes the end of the request at the server.
 func (l *Lease) Done(failed bool) {
 	f := l.fleet
--- a/balancer/waiting.go
+++ b/balancer/waiting.go
@@ -105,6 +105,13 @@
 	g.Add(now, grantHalf, 1)
 }
 
+// Revoked takes Granted back for a request that was not sent after all.
+func (l *Line) Revoked(now time.Time, key string) {
+	if g, ok := l.grants[key]; ok {
+		g.Add(now, grantHalf, -min(1, g.Value(now, grantHalf)))
+	}
+}
+
 // before orders two requests.
 func before(now time.Time, a, b Request) int {
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(late(now, a), late(now, b)), a.Aim.Compare(b.Aim))
--- a/composer/composer.go
+++ b/composer/composer.go
@@ -23,6 +23,7 @@
 	"primrosehook/coordinator"
 	"primrosehook/exposer"
 	"primrosehook/messenger"
+	"primrosehook/pacer"
 	"primrosehook/platform"
 	"primrosehook/quarantiner"
 	"primrosehook/relayer"
@@ -76,6 +77,7 @@
 	tails    struct{ config, registry *tailer.Tailer }
 	duties   *coordinator.Coordinator
 	peers    *messenger.Client
+	pacer    *pacer.Pacer
 	metrics  *exposer.Set
 	stopping atomic.Bool
 	work     sync.WaitGroup
@@ -117,8 +119,10 @@
 	// many as are run today, twice over.
 	slack := float64(s.RetrySlack) * budgetShare / assumedInstances
 	suspects := quarantiner.NewGuard(clock, quarantiner.Standard())
+	e.peers = messenger.NewClient(clock, messenger.WithSilence(time.Second))
+	e.pacer = pacer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer),
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*budgetShare, slack),
 		relayer.WithInFlight(max((s.Descriptors-filesReserved)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -127,12 +131,11 @@
 		tailer.WithWait(configWait), tailer.WithRelief(relief), tailer.WithRetry(e.patience))
 	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
 		tailer.WithPace(func() time.Duration { return s.Drain / serversPace }), tailer.WithRelief(relief), tailer.WithRetry(e.patience))
-	e.peers = messenger.NewClient(clock, messenger.WithSilence(time.Second))
 	e.duties = coordinator.New(coordinator.Parts{
 		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control,
 		Apart: s.Lease, Window: s.CeilingWindow, Overage: s.CeilingOverage, Lease: e.store.Leases(), Engines: platform.NewEngines(sender.NewClient()),
 		Fleet: e.fleet, Suspects: suspects, Registry: e.tails.registry, Config: e.tails.config,
-		Table: e.relayer.Table, Clock: clock, Boot: booter.System{}, Log: log, Peers: e.peers, Meter: e.metrics,
+		Table: e.relayer.Table, Clock: clock, Boot: booter.System{}, Log: log, Peers: e.peers, Meter: e.metrics, Members: e.pacer.Update,
 	})
 	e.expose(o.values)
 	e.config.published = e.duties.Configured
@@ -166,6 +169,7 @@
 	numbers := &http.Server{Handler: e.metrics, ReadHeaderTimeout: headerTimeout}
 	messages := messenger.NewServer(e.log)
 	e.duties.Serve(messages)
+	e.pacer.Serve(messages)
 	failed := make(chan error, 2)
 	e.start(func() { e.listen(servers, clientListener{front}, failed) })
 	e.start(func() { e.listen(checks, ready, failed) })
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -48,9 +48,13 @@
 
 // Report is what an instance tells the coordinator.
 type Report struct {
-	Instance string                     `msgpack:"i"`
-	Wants    []balancer.Want            `msgpack:"w"`
-	Flights  map[string]balancer.Flight `msgpack:"f"`
+	Instance string `msgpack:"i"`
+	// Address is where other instances reach it, Members the digest of the
+	// addresses that it was last told.
+	Address string                     `msgpack:"p"`
+	Members uint64                     `msgpack:"m"`
+	Wants   []balancer.Want            `msgpack:"w"`
+	Flights map[string]balancer.Flight `msgpack:"f"`
 	// Registry is where the instance would read on in the registry, Config
 	// the version it has in force, Overlay the last order it was told of by
 	// the coordinator with the fence.
@@ -68,10 +72,13 @@
 // Reply is what the coordinator tells an instance.
 type Reply struct {
 	// Holds is false if the instance asked does not hold the lease.
-	Holds     bool                       `msgpack:"l"`
-	Fence     int64                      `msgpack:"e"`
-	Instances int                        `msgpack:"n"`
-	Flights   map[string]balancer.Flight `msgpack:"f"`
+	Holds     bool  `msgpack:"l"`
+	Fence     int64 `msgpack:"e"`
+	Instances int   `msgpack:"n"`
+	// Members are the addresses of all instances, empty if the report's digest
+	// stands.
+	Members []string                   `msgpack:"m"`
+	Flights map[string]balancer.Flight `msgpack:"f"`
 	// Registry are the newest records since the report's offset, Next where
 	// to read on; RegistryFresh and ConfigFresh say that the coordinator reads
 	// the store at its usual pace.
--- a/coordinator/hub.go
+++ b/coordinator/hub.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 const demandFaded = 0.002
 
 type member struct {
+	address string
 	at      time.Time
 	flights map[string]balancer.Flight
 	waiting map[demandKey]int
@@ -76,7 +78,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	m := &member{at: now, flights: r.Flights, waiting: map[demandKey]int{}, down: r.Down}
+	m := &member{address: r.Address, at: now, flights: r.Flights, waiting: map[demandKey]int{}, down: r.Down}
 	h.members[r.Instance] = m
 	starved := false
 	for _, w := range r.Wants {
@@ -112,12 +114,14 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	out := Reply{Holds: true, Flights: map[string]balancer.Flight{}}
+	var members []string
 	for name, m := range h.members {
 		if now.Sub(m.at) > memberAge {
 			delete(h.members, name)
 			continue
 		}
 		out.Instances++
+		members = append(members, m.address)
 		if name == r.Instance {
 			continue
 		}
@@ -125,6 +129,10 @@
 			out.Flights[id] = out.Flights[id].Add(f)
 		}
 	}
+	slices.Sort(members)
+	if digest(members) != r.Members {
+		out.Members = members
+	}
 	for _, x := range h.latest {
 		if x.Offset >= r.Registry {
 			out.Registry = append(out.Registry, x)
@@ -143,6 +151,9 @@
 	return out, h.changed
 }
 
+// digest tells lists of members apart.
+func digest(members []string) uint64 { return balancer.Hash(strings.Join(members, " ")) }
+
 // tell passes on what an order changed.
 func (h *hub) tell(list []balancer.Overlay) {
 	h.mu.Lock()
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -58,6 +58,8 @@
 	Log   *zap.Logger
 	// Peers calls other instances.
 	Peers *messenger.Client
+	// Members takes the addresses of all instances when they change.
+	Members func(addresses []string)
 }
 
 // Coordinator is this instance's part in the coordination.
@@ -71,6 +73,8 @@
 
 	told  int
 	fence int64
+	// members is the digest of the addresses that were told last.
+	members uint64
 	// lost is set while the holder does not reply.
 	lost bool
 }
@@ -149,7 +153,7 @@
 		}
 		wants := c.Fleet.Wants()
 		r := Report{
-			Instance: c.Instance, Wants: wants, Flights: c.Fleet.Flights(),
+			Instance: c.Instance, Address: c.Address, Members: c.members, Wants: wants, Flights: c.Fleet.Flights(),
 			Registry: c.Registry.Next(), Config: c.version(), Overlay: c.told, Fence: c.fence,
 			Suspects: c.Suspects.Export(), Down: c.Fleet.Down(), Waiting: waits(wants),
 		}
@@ -244,6 +248,10 @@
 	c.lease.Hear()
 	c.fence, c.told = r.Fence, r.Overlay
 	c.instances.Store(int64(r.Instances))
+	if len(r.Members) > 0 {
+		c.members = digest(r.Members)
+		c.Members(r.Members)
+	}
 	c.Fleet.Others(r.Flights)
 	c.Suspects.Merge(r.Suspects)
 	if !c.lease.Valid() {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -188,6 +188,9 @@
 		a.Close(true)
 		l.Done(false)
 		x.suspects.Finished(x.digest)
+		if n, err := strconv.Atoi(events.Last()); err == nil {
+			l.Whole(n)
+		}
 		if rest := events.Rest(); len(rest) > 0 || !x.headed {
 			x.write(a, rest)
 		}
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -111,9 +111,10 @@
 	x.until = x.started.Add(limit)
 	x.service = x.route.Service(balancer.Hash(x.meta.ID))
 	x.query = balancer.Request{
-		Model: x.meta.Model, Adapter: x.meta.Adapter, Prompt: x.meta.TokensIn, Output: x.output(),
+		Model: x.meta.Model, Adapter: x.meta.Adapter, Prompt: x.meta.TokensIn, Output: x.output(), Most: x.meta.TokensOut,
 		Priority: x.route.Priority, Aim: x.started.Add(x.route.Target), Leave: x.leave(),
-		Wait: max(time.Duration(aimShare*float64(x.route.Target)), waitLeast),
+		Wait:  max(time.Duration(aimShare*float64(x.route.Target)), waitLeast),
+		Paced: x.pacer != nil && x.meta.Model != "" && x.route.Gap > 0,
 	}
 	if n := len(x.meta.Parts); n > 1 {
 		session := x.query.Key()
@@ -211,7 +212,38 @@
 	if x.context.Err() != nil {
 		return nil, balancer.Spent
 	}
-	return x.fleet.Await(x.context, x.service, x.query)
+	for {
+		l, status := x.fleet.Await(x.context, x.service, x.query)
+		if l == nil || x.paced(l) {
+			return l, status
+		}
+	}
+}
+
+// paced waits until the server may get the prompt. It reports false if that is
+// too long; the server is given back then.
+func (x *exchange) paced(l *balancer.Lease) bool {
+	if !x.query.Paced {
+		return true
+	}
+	a, err := x.pacer.Reserve(x.context, l.Life, x.query.Fresh(), x.route.Gap, l.Pace())
+	if err != nil {
+		// The choice was made from the counts that are known here.
+		l.Unpaced()
+		return true
+	}
+	if !a.Booked {
+		l.Postpone(a.Wait)
+		return false
+	}
+	l.Paced(a.Wait)
+	if a.Wait > 0 {
+		select {
+		case <-x.clock.After(a.Wait):
+		case <-x.context.Done():
+		}
+	}
+	return true
 }
 
 // giveUp answers a request for which no server is left to try.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"primrosehook/balancer"
 	"primrosehook/limiter"
 	"primrosehook/matcher"
+	"primrosehook/pacer"
 	"primrosehook/tracer"
 )
 
@@ -90,6 +91,11 @@
 	Held(digest uint64) time.Duration
 }
 
+// Pacer books the places of prompts at servers.
+type Pacer interface {
+	Reserve(ctx context.Context, life string, tokens int, gap time.Duration, pace balancer.Pace) (pacer.Answer, error)
+}
+
 // Meter takes what is counted and measured.
 type Meter interface {
 	Add(name string, n int64)
@@ -118,6 +124,7 @@
 	codec    Codec
 	fleet    *balancer.Fleet
 	suspects Suspects
+	pacer    Pacer
 	clock    clockwork.Clock
 	log      *zap.Logger
 	table    atomic.Pointer[matcher.Table]
@@ -153,6 +160,9 @@
 // WithMeter sets where counts and latencies go.
 func WithMeter(m Meter) Option { return func(r *Relayer) { r.meter = m } }
 
+// WithPacer books places for prompts; without one they are sent as they come.
+func WithPacer(p Pacer) Option { return func(r *Relayer) { r.pacer = p } }
+
 // WithTracer makes a span for each request and each attempt.
 func WithTracer(t trace.Tracer) Option { return func(r *Relayer) { r.tracer = t } }
 
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -131,6 +131,7 @@
 // reserve takes another server and a retry for the request, if there are both.
 func (x *exchange) reserve(l *balancer.Lease) bool {
 	q := x.query
+	q.Paced = false
 	q.Exclude = append(append([]string(nil), q.Exclude...), l.ID)
 	next, status := x.fleet.Take(x.service, q)
 	if status != balancer.Found {
