Do not ask again at once for a server that seems idle

After all instances were killed, a server that this instance had nothing at was never full by its counts, also within the pause that the keeper of its pace had named.

Ruled out: many timers (121 goroutines), the books themselves (few).

Now the pause goes before the rule that an idle server is never full. The spec failed first.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -120,6 +120,14 @@
 		Expect(count(1, paced)).To(Equal(map[string]int{"a": 1}))
 	})
 
+	// Seen after all instances were killed: the server runs nothing that this
+	// instance knows of, and the keeper of its pace says no.
+	It("does not ask again at once for a server that seems idle", func() {
+		update(server("a", "z1", "m0"))
+		core.Paced(now, "a", 90*time.Millisecond, 90*time.Millisecond)
+		Expect(count(1, chat)).To(BeEmpty())
+	})
+
 	It("prefers a holder that may get a prompt sooner", func() {
 		update(server("a", "z1", "m0"), server("b", "z2", "m0"))
 		core.Paced(now, "a", 60*time.Millisecond, 0)
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -310,13 +310,13 @@
 // it would hold back may as well wait here, where it can still go elsewhere and
 // more urgent ones can go first.
 func (c *Core) full(now time.Time, s *server, q Request) bool {
+	if now.Before(s.closed) {
+		return true
+	}
 	f := c.flight(now, s)
 	if f.Started == 0 {
 		return false
 	}
-	if now.Before(s.closed) {
-		return true
-	}
 	if now.Sub(s.paced) > pacedAge && float64(f.Recent+min(q.Fresh(), recentLimit/2)) > recentLimit {
 		return true
 	}
