--- a/cmd/primrosehook/check.go
+++ b/cmd/primrosehook/check.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/google/subcommands"
 
@@ -69,6 +70,9 @@
 			result = subcommands.ExitFailure
 		} else {
 			_, _ = fmt.Fprintf(c.out, "%s: settings of %s are good\n", c.platform, s.Instance)
+			if len(s.Unused) > 0 {
+				_, _ = fmt.Fprintf(c.errs, "warning: fields that are not used: %s\n", strings.Join(s.Unused, " "))
+			}
 		}
 	}
 	if c.routes == "" {
--- a/cmd/primrosehook/entry.go
+++ b/cmd/primrosehook/entry.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -36,7 +38,8 @@
 
 Runs an entry instance with the platform's settings file. SIGTERM begins a
 planned stop: the instance is not ready any more, finishes its requests and
-exits. Exit code 0 after a planned stop, 1 after a failure, 2 for bad settings.
+exits. SIGHUP reads the settings again; bad ones leave the old ones in force, and
+addresses take effect with the next start. Exit code 0 after a planned stop, 1 after a failure, 2 for bad settings.
 
 `
 }
@@ -69,7 +72,12 @@
 		_, _ = fmt.Fprintln(e.errs, err)
 		return subcommands.ExitUsageError
 	}
-	err = composer.Run(ctx, settings, clock, log, composer.WithTracer(traces.Tracer()), composer.WithValue("log_lines_dropped", lines.Total))
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	read := func() (platform.Settings, error) { return platform.ReadSettings(e.settings) }
+	err = composer.Run(ctx, settings, clock, log, composer.WithTracer(traces.Tracer()),
+		composer.WithValue("log_lines_dropped", lines.Total), composer.WithSource(composer.Source{Read: read, Signals: changed}))
 	if err != nil {
 		log.Error("entry: failed", zap.Error(err))
 		return subcommands.ExitFailure
--- a/cmd/primrosehook/lines_test.go
+++ b/cmd/primrosehook/lines_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"syscall"
 
@@ -81,7 +82,9 @@
 		ledger.Put(platform.TopicOperator, platform.KeyConfig, []byte(`{"version":1,"services":[{"name":"api"}],"routes":[
 			{"name":"form","host":"h","path-prefix":"/form/","kind":"idempotent","timeout-ms":2000,"service":"api","max-attempts":2}]}`))
 		front := freeAddr()
-		s := start(hook, "entry", "-settings", file(fmt.Sprintf(settings, front, freeAddr(), freeAddr(), store.Listener.Addr().String())))
+		text := fmt.Sprintf(settings, front, freeAddr(), freeAddr(), store.Listener.Addr().String())
+		path := file(text)
+		s := start(hook, "entry", "-settings", path)
 		ask := func() int {
 			q, err := http.NewRequest(http.MethodPost, "http://"+front+"/form/1", strings.NewReader("x"))
 			Expect(err).NotTo(HaveOccurred())
@@ -96,6 +99,18 @@
 		}
 		Eventually(ask, "10s").Should(Equal(http.StatusOK))
 		s.Signal(syscall.SIGHUP)
+		Eventually(s.Out).Should(gbytes.Say("nothing has changed"))
+		change := func(from, to string) {
+			Expect(os.WriteFile(path, []byte(strings.Replace(text, from, to, 1)), 0o600)).To(Succeed())
+			s.Signal(syscall.SIGHUP)
+		}
+		change("grace-s = 4", "grace-s = 3")
+		Eventually(s.Out).Should(gbytes.Say(`settings have changed.*"in_force":\["Grace"\]`))
+		change("grace-s = 4", "grace-s = -1")
+		Eventually(s.Out).Should(gbytes.Say("settings are bad, the old ones stay in force"))
+		change(`zone`, "colour = 1\nzone")
+		change(`ip = "127.0.0.1"`, `ip = "127.0.0.2"`)
+		Eventually(s.Out).Should(gbytes.Say(`"at_next_start":\["IP"\]`))
 		Consistently(ask, "300ms").Should(Equal(http.StatusOK))
 		s.Terminate()
 		Eventually(s, "10s").Should(gexec.Exit(0))
--- a/cmd/primrosehook/main.go
+++ b/cmd/primrosehook/main.go
@@ -15,8 +15,8 @@
 )
 
 func main() {
-	// A changed settings file takes effect with the next start; without this
-	// the signal that tells of it would end the process.
+	// The signal that settings have changed must not end a process that does not
+	// listen for it, or not yet.
 	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	result := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
--- a/composer/composer.go
+++ b/composer/composer.go
@@ -66,7 +66,14 @@
 
 // Entry is one instance.
 type Entry struct {
+	// settings are those of the start, current those in force.
 	settings platform.Settings
+	current  atomic.Pointer[platform.Settings]
+	source   Source
+	// refused is the fault of the settings that were read last, and later the
+	// changes that wait for the next start. Only loopSettings uses them.
+	refused  string
+	later    []string
 	clock    clockwork.Clock
 	log      *zap.Logger
 	store    *platform.Store
@@ -89,6 +96,7 @@
 type options struct {
 	tracer trace.Tracer
 	values map[string]func() int64
+	source Source
 }
 
 // WithTracer makes spans for requests and attempts.
@@ -105,14 +113,15 @@
 	for _, f := range set {
 		f(&o)
 	}
-	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(s))
 	e := newEntry(s, clock, log, o)
 	return e.serve(ctx)
 }
 
 func newEntry(s platform.Settings, clock clockwork.Clock, log *zap.Logger, o options) *Entry {
 	log = log.With(zap.String("instance", s.Instance))
-	e := &Entry{settings: s, clock: clock, log: log, metrics: exposer.New()}
+	e := &Entry{settings: s, source: o.source, clock: clock, log: log, metrics: exposer.New()}
+	e.current.Store(&s)
 	e.store = platform.NewStore(s.Store, sender.NewClient())
 	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock)
 	// Until the number of instances is known, the slack is shared among as
@@ -130,7 +139,7 @@
 	e.tails.config = tailer.New("config", e.store.Topic(platform.TopicOperator), e.config, clock, log,
 		tailer.WithWait(configWait), tailer.WithRelief(relief), tailer.WithRetry(e.patience))
 	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
-		tailer.WithPace(func() time.Duration { return s.Drain / serversPace }), tailer.WithRelief(relief), tailer.WithRetry(e.patience))
+		tailer.WithPace(func() time.Duration { return e.now().Drain / serversPace }), tailer.WithRelief(relief), tailer.WithRetry(e.patience))
 	e.duties = coordinator.New(coordinator.Parts{
 		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control,
 		Apart: s.Lease, Window: s.CeilingWindow, Overage: s.CeilingOverage, Lease: e.store.Leases(), Engines: platform.NewEngines(sender.NewClient()),
@@ -179,10 +188,16 @@
 	e.start(func() { e.listenControl(work, messages, control, failed) })
 	e.start(func() { e.run(work) })
 	e.start(func() { e.registry.run(work) })
+	if e.source.Read != nil {
+		e.start(func() { e.loopSettings(work) })
+	}
 	if e.settings.Metrics != "" {
 		e.start(func() { e.listenMetrics(numbers) })
 	}
 	e.log.Info("entry: started", zap.String("front", e.settings.Front), zap.String("zone", e.settings.Zone))
+	if len(e.settings.Unused) > 0 {
+		e.log.Info("entry: settings have fields that are not used", zap.Strings("fields", e.settings.Unused))
+	}
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
@@ -234,13 +249,21 @@
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
-			if n := e.duties.Instances(); n > 0 {
-				e.relayer.Share(float64(e.settings.RetrySlack) * budgetShare / float64(n))
-			}
+			e.budget()
 		}
 	}
 }
 
+// budget sets this instance's share of the retries.
+func (e *Entry) budget() {
+	n := e.duties.Instances()
+	if n == 0 {
+		n = assumedInstances
+	}
+	s := e.now()
+	e.relayer.Share(s.RetryRatio*budgetShare, float64(s.RetrySlack)*budgetShare/float64(n))
+}
+
 // stop takes the instance out of rotation, waits until clients have noticed,
 // and finishes the requests in flight.
 func (e *Entry) stop(front *http.Server) {
@@ -248,8 +271,9 @@
 	e.stopping.Store(true)
 	begun := e.clock.Now()
 	e.start(e.release)
-	e.clock.Sleep(min(lingering, e.settings.Grace/2))
-	left := e.settings.Grace - e.clock.Since(begun) - stopMargin
+	grace := e.now().Grace
+	e.clock.Sleep(min(lingering, grace/2))
+	left := grace - e.clock.Since(begun) - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -24,8 +24,8 @@
 	return &Window{share: share, slack: slack, part: length / windowParts}
 }
 
-// Resize changes the slack.
-func (w *Window) Resize(slack float64) { w.slack = slack }
+// Resize changes the share and the slack.
+func (w *Window) Resize(share, slack float64) { w.share, w.slack = share, slack }
 
 // Fresh counts a request that is not a retry.
 func (w *Window) Fresh(now time.Time) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -218,16 +218,16 @@
 	return r.budget(service).Retry(r.clock.Now())
 }
 
-// Share sets the slack of this instance's share of the retries.
-func (r *Relayer) Share(slack float64) {
+// Share sets this instance's share of the retries: the ratio and the slack.
+func (r *Relayer) Share(ratio, slack float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.slack == slack {
+	if r.ratio == ratio && r.slack == slack {
 		return
 	}
-	r.slack = slack
+	r.ratio, r.slack = ratio, slack
 	for _, b := range r.budgets {
-		b.Resize(slack)
+		b.Resize(ratio, slack)
 	}
 }
 
