Explain failed requests of a log, drawn at random; log what refusals are made from

explain -log FILE failures draws three, says each one's cause in a sentence, and shows its lines and what was known of its servers and model before it. make afterwards runs it. Refusals now log holders, requests in flight with the age of that count, and the predicted and longest wait.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,14 @@
 # The first seed of the soak.
 SOAK ?= 100001
 
-.PHONY: help bench build capacity demo load soak test race lint format tools ci
+.PHONY: help afterwards bench build capacity demo load soak test race lint format tools ci
 
 help: ## list the tasks
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
+afterwards: ## explain three failed requests of a log, drawn at random (LOG=FILE SEED=N)
+	go run ./cmd/primrosehook explain -log $(LOG) -seed $(or $(SEED),1) failures
+
 bench: ## compare the decisions with baselines on both deployments (about ten minutes; out/bench)
 	go run ./cmd/bench
 
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -373,6 +373,20 @@
 	return b
 }
 
+// standing sums up what the holders of a model have.
+func (c *Core) standing(now time.Time, key string) (holders, started, reading int, age time.Duration) {
+	for _, s := range c.order {
+		if s.Draining || key != "" && !s.held[key] {
+			continue
+		}
+		f := c.flight(now, s)
+		holders++
+		started += f.Started
+		reading += f.Reading
+	}
+	return holders, started, reading, now.Sub(c.heard)
+}
+
 // Sent notes that a request went to a server.
 func (c *Core) Sent(now time.Time, id string, q Request) {
 	if s, ok := c.servers[id]; ok {
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -325,6 +325,31 @@
 	return max(f.line(service).Predict(f.clock.Now(), q)-q.Wait, 0)
 }
 
+// Standing is what a refusal is made from, for the log.
+type Standing struct {
+	// Holders is how many servers hold the model, InFlight and Reading what
+	// they are known to have, Age how old the other instances' part of it is.
+	Holders, InFlight, Reading int
+	Age                        time.Duration
+	// Waiting is how many requests of the service wait here, Predicted how long
+	// one more would.
+	Waiting   int
+	Predicted time.Duration
+}
+
+// Standing returns what a request would meet now.
+func (f *Fleet) Standing(service string, q Request) Standing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	line := f.line(service)
+	s := Standing{Waiting: line.Len(), Predicted: line.Predict(now, q)}
+	if c, ok := f.cores[service]; ok {
+		s.Holders, s.InFlight, s.Reading, s.Age = c.standing(now, q.Key())
+	}
+	return s
+}
+
 // loadTime is an order, a load from the weight store and its news.
 const loadTime = 1500 * time.Millisecond
 
--- a/cmd/primrosehook/explain.go
+++ b/cmd/primrosehook/explain.go
@@ -24,6 +24,8 @@
 	file      string
 	// log is a file with log lines of instances, empty to ask an instance.
 	log string
+	// seed draws the failures that are explained.
+	seed uint64
 }
 
 func (*explain) Name() string { return "explain" }
@@ -37,10 +39,12 @@
 primrosehook explain [-admin IP:PORT] model NAME
 primrosehook explain [-admin IP:PORT] order ID
 primrosehook explain -log FILE request ID
+primrosehook explain -log FILE [-seed N] failures
 primrosehook explain [-admin IP:PORT] [-file LIST] rules kind=chat model=M hour=17 ...
 
 request   with -log: the lines that instances on the platform wrote on it; else
           the rule that matched, the engines weighed, why each lost, each try
+failures  three requests that failed, drawn from the log, each with its cause
 requests  the newest requests that this instance remembers
 model     the rule that keeps it ready, its demand, copies and newest requests
 order     why an order to an engine was given and how it ended
@@ -55,6 +59,7 @@
 func (e *explain) SetFlags(f *flag.FlagSet) {
 	e.admin.register(f)
 	f.StringVar(&e.log, "log", "", "file with the log lines of instances, - for standard input")
+	f.Uint64Var(&e.seed, "seed", 1, "draws the failed requests that failures explains")
 	f.StringVar(&e.file, "file", "", "rule list to ask in place of the one in force")
 }
 
@@ -63,6 +68,8 @@
 	switch args := f.Args(); {
 	case len(args) == 2 && args[0] == "request" && e.log != "":
 		err = e.lines(args[1])
+	case len(args) == 1 && args[0] == "failures" && e.log != "":
+		err = e.failures()
 	case len(args) == 2 && args[0] == "request":
 		err = e.request(ctx, args[1])
 	case len(args) >= 1 && args[0] == "requests":
--- a/cmd/primrosehook/lines.go
+++ b/cmd/primrosehook/lines.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -62,29 +61,22 @@
 	return nil
 }
 
-// readLines returns the lines on a request. What stands before the JSON of a
-// line, and lines without any, are passed over.
+// readLines returns the lines on a request.
 func readLines(in io.Reader, request string) ([]line, error) {
 	var found []line
-	s := bufio.NewScanner(in)
-	s.Buffer(nil, longestLine)
-	for s.Scan() {
-		text := s.Text()
-		at := strings.IndexByte(text, '{')
-		if at < 0 || !strings.Contains(text, request) {
-			continue
-		}
+	err := scan(in, func(text string) {
 		var l line
-		if json.Unmarshal([]byte(text[at:]), &l) != nil || l.Request != request {
-			continue
-		}
-		if err := json.Unmarshal([]byte(text[at:]), &l.rest); err != nil {
-			return nil, eris.Wrap(err, "decode log line")
+		if strings.Contains(text, request) && l.decode(text) && l.Request == request {
+			found = append(found, l)
 		}
-		found = append(found, l)
-	}
+	})
 	slices.SortStableFunc(found, func(a, b line) int { return int((a.At - b.At) * 1e6) })
-	return found, eris.Wrap(s.Err(), "read log")
+	return found, err
+}
+
+// decode takes a line's JSON. It reports whether it is one of an instance.
+func (l *line) decode(text string) bool {
+	return json.Unmarshal([]byte(text), l) == nil && json.Unmarshal([]byte(text), &l.rest) == nil
 }
 
 func (l line) print(out io.Writer) {
--- a/cmd/primrosehook/lines_test.go
+++ b/cmd/primrosehook/lines_test.go
@@ -38,6 +38,35 @@
 	})
 })
 
+const failed = `1.0 front-1 {"ts":101,"msg":"relay: gave up","instance":"front-1","request":"q1","why":"no server","status":"full","key":"m1","holders":2,"in_flight":90,"others_age_ms":40,"predicted_wait":0.5,"longest_wait":0.42,"may_have_run":false,"tries":[]}
+1.1 front-2 {"ts":100.5,"msg":"orders: give","instance":"front-2","server":"s7","op":"load","key":"m1"}
+1.2 front-1 {"ts":102,"msg":"relay: gave up","instance":"front-1","request":"q2","why":"stream broke off","key":"m2","may_have_run":true,"tries":[{"server":"s1","outcome":"stream broke off after event 3: EOF"}]}
+1.3 front-2 {"ts":101.9,"msg":"registry: server left","instance":"front-2","server":"s1"}
+1.4 front-2 {"ts":90,"msg":"registry: server registered","instance":"front-2","server":"s1"}
+1.5 front-2 {"ts":103,"msg":"relay: request is quarantined","instance":"front-2","request":"q3"}
+1.6 front-2 {"ts":104,"msg":"relay: answered","instance":"front-2","request":"q4"}
+`
+
+var _ = Describe("primrosehook explain -log failures", func() {
+	It("says of failed requests why each failed, with what was known of its servers and model", func() {
+		out := string(ran(0, "explain", "-log", file(failed), "failures").Out.Contents())
+		Expect(out).To(And(
+			ContainSubstring("3 lines on failures"),
+			ContainSubstring("q1: refused, since all 2 servers that hold m1 were busy (90 requests in flight, told 40 ms ago) for longer than it could wait (0.5 s, allowed 0.42 s); it was sent to no server; it did not run"),
+			ContainSubstring("before it: 00:01:40.500000 front-2 orders: give"),
+			ContainSubstring("q2: stream broke off; attempt 1 at s1: stream broke off after event 3: EOF; it may have run"),
+			ContainSubstring("before it: 00:01:41.900000 front-2 registry: server left"),
+			Not(ContainSubstring("registry: server registered")),
+			ContainSubstring("q3: refused, since it was present when servers crashed"),
+			Not(ContainSubstring("q4")),
+		))
+	})
+
+	It("says that there is none", func() {
+		Expect(string(ran(1, "explain", "-log", file("{}\n"), "failures").Err.Contents())).To(ContainSubstring("no line tells"))
+	})
+})
+
 // settings is a settings file of the platform for an instance on loopback.
 const settings = `node = "front-1"
 ip = "127.0.0.1"
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -68,6 +68,16 @@
 	x.log.Info("relay: answered", fields...)
 }
 
+// standing are the inputs of a refusal.
+func (x *exchange) standing() []zap.Field {
+	s := x.fleet.Standing(x.service, x.query)
+	return []zap.Field{
+		zap.Int("holders", s.Holders), zap.Int("in_flight", s.InFlight), zap.Int("reading_tokens", s.Reading),
+		zap.Int64("others_age_ms", s.Age.Milliseconds()), zap.Int("waiting_here", s.Waiting),
+		zap.Duration("predicted_wait", s.Predicted), zap.Duration("longest_wait", x.query.Wait),
+	}
+}
+
 // facts are the inputs of all decisions on a request.
 func (x *exchange) facts() []zap.Field {
 	return []zap.Field{
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -177,7 +177,7 @@
 		reserved = nil
 		if lease == nil {
 			x.backlog = x.fleet.Backlog(x.service, x.query, status)
-			x.giveUp("no server", zap.Stringer("status", status), zap.Duration("backlog", x.backlog))
+			x.giveUp("no server", append(x.standing(), zap.Stringer("status", status), zap.Duration("backlog", x.backlog))...)
 			return
 		}
 		again := x.attempt(lease)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -214,6 +214,16 @@
 		Expect(w.tried()).To(Equal(2))
 	})
 
+	It("logs what a refusal was made from", func() {
+		w := serve(status(503, "Refused"), status(503, "Refused"))
+		_, _, _ = w.send("POST", "/write/1", "x")
+		Expect(w.logs.FilterMessage("relay: gave up").All()).To(HaveLen(1))
+		none := serve()
+		_, _, _ = none.send("POST", "/write/1", "x")
+		fields := none.logs.FilterMessage("relay: gave up").All()[0].ContextMap()
+		Expect(fields).To(And(HaveKeyWithValue("status", "empty"), HaveKeyWithValue("holders", int64(0)), HaveKey("predicted_wait"), HaveKey("others_age_ms")))
+	})
+
 	It("resumes a stream that broke off, without a gap or a repeat", func() {
 		w := serve(events(5, 3), events(5, 0))
 		code, body, err := w.send("POST", "/chat/1", "x")
