Let a deputy read and sum up while no holder replies

Ruled out: fewer readings by each (bounds of DRAIN and CONFIG), any instance standing in on its own (the others would not agree whom to ask).

Now instances report to the first of three deputies that replies, in an order that follows from the members alone. Both specs failed first (4 readers instead of 1; nothing known in flight).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -67,6 +67,8 @@
 	Down []string `msgpack:"d"`
 	// Waiting is set while requests wait for an order.
 	Waiting bool `msgpack:"a"`
+	// Deputy asks an instance that does not hold the lease to stand in.
+	Deputy bool `msgpack:"u"`
 }
 
 // Reply is what the coordinator tells an instance.
@@ -91,4 +93,8 @@
 	Overlays      []balancer.Overlay    `msgpack:"o"`
 	Overlay       int                   `msgpack:"ov"`
 	Suspects      []quarantiner.Suspect `msgpack:"s"`
+	// Holder is whom a deputy takes for the holder, LeaseFresh says that it
+	// reads the lease at its usual pace.
+	Holder     string `msgpack:"h"`
+	LeaseFresh bool   `msgpack:"hf"`
 }
--- /dev/null
+++ b/coordinator/deputy_test.go
@@ -0,0 +1,168 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"primrosehook/balancer"
+	"primrosehook/booter"
+	"primrosehook/coordinator"
+	"primrosehook/matcher"
+	"primrosehook/messenger"
+	"primrosehook/quarantiner"
+	"primrosehook/registrar"
+	"primrosehook/tailer"
+)
+
+// sharedLog is a log of the lease that all instances use.
+type sharedLog struct {
+	mu      sync.Mutex
+	records []coordinator.LogRecord
+	closed  bool
+}
+
+func (l *sharedLog) Read(_ context.Context, from int64, _ time.Duration) ([]coordinator.LogRecord, int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records[min(int(from), len(l.records)):], int64(len(l.records)), nil
+}
+
+func (l *sharedLog) Append(_ context.Context, value []byte, at int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return errDown
+	}
+	if at != int64(len(l.records)) {
+		return coordinator.ErrMoved
+	}
+	l.records = append(l.records, coordinator.LogRecord{Offset: at, Value: value})
+	return nil
+}
+
+// close takes no more appends, so that no instance becomes the holder.
+func (l *sharedLog) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+}
+
+// counted is a stream without records that counts its reads.
+type counted struct{ reads atomic.Int64 }
+
+func (c *counted) Newest(context.Context) ([]tailer.Record, int64, error) {
+	c.reads.Add(1)
+	return nil, 0, nil
+}
+
+func (c *counted) Read(_ context.Context, from int64, _ time.Duration) ([]tailer.Record, int64, error) {
+	c.reads.Add(1)
+	return nil, from, nil
+}
+
+type discard struct{}
+
+func (discard) Full([]tailer.Record, int64) {}
+func (discard) Apply([]tailer.Record)       {}
+func (discard) Add(string, int64)           {}
+
+// member is one instance with what it reads and sends.
+type member struct {
+	duties   *coordinator.Coordinator
+	fleet    *balancer.Fleet
+	registry *counted
+	kill     context.CancelFunc
+}
+
+func members(count int, l *sharedLog) []*member {
+	var all []*member
+	clock := clockwork.NewRealClock()
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		m := &member{fleet: balancer.NewFleet("z", uint64(i), clock), registry: &counted{}, kill: cancel}
+		m.fleet.Update([]registrar.Server{{ID: "s", Life: "s", Service: "llm", Address: "127.0.0.1:1", Zone: "z", Slots: 64, Holdings: []registrar.Holding{{Model: "m"}}}})
+		pace := func() time.Duration { return 100 * time.Millisecond }
+		registry := tailer.New("registry", m.registry, discard{}, clock, zap.NewNop(), tailer.WithPace(pace), tailer.WithRelief(800*time.Millisecond))
+		config := tailer.New("config", &counted{}, discard{}, clock, zap.NewNop(), tailer.WithPace(pace), tailer.WithRelief(800*time.Millisecond))
+		name := fmt.Sprint("i", i)
+		m.duties = coordinator.New(coordinator.Parts{
+			Instance: name, Machine: name, Address: listener.Addr().String(), Apart: 300 * time.Millisecond, Window: time.Second, Overage: 1,
+			Lease: l, Fleet: m.fleet, Suspects: quarantiner.NewGuard(clock, quarantiner.Standard()), Registry: registry, Config: config,
+			Table: func() *matcher.Table { return nil }, Clock: clock, Boot: booter.System{}, Log: zap.NewNop(), Meter: discard{},
+			Peers: messenger.NewClient(clock), Members: func([]string) {},
+		})
+		s := messenger.NewServer(zap.NewNop())
+		m.duties.Serve(s)
+		go func() { _ = s.Serve(ctx, listener) }()
+		go registry.Run(ctx)
+		go config.Run(ctx)
+		go m.duties.Run(ctx)
+		all = append(all, m)
+	}
+	return all
+}
+
+var _ = Describe("Deputies", func() {
+	var l *sharedLog
+	var left []*member
+	BeforeEach(func() {
+		l = &sharedLog{}
+		left = members(5, l)
+		holder := -1
+		Eventually(func() int {
+			for i, m := range left {
+				if m.duties.Holds() {
+					holder = i
+				}
+			}
+			return holder
+		}, "5s").Should(BeNumerically(">=", 0))
+		for _, m := range left {
+			Eventually(m.duties.Instances, "5s").Should(Equal(5))
+		}
+		l.close()
+		left[holder].kill()
+		left = append(left[:holder], left[holder+1:]...)
+	})
+
+	// Load: the holder is killed while nobody can become one, with many
+	// instances: each would read the store at the holder's pace.
+	It("read the store for all while no holder replies", func() {
+		readers := func() int {
+			before := make([]int64, len(left))
+			for i, m := range left {
+				before[i] = m.registry.reads.Load()
+			}
+			time.Sleep(time.Second)
+			n := 0
+			for i, m := range left {
+				if m.registry.reads.Load()-before[i] > 2 {
+					n++
+				}
+			}
+			return n
+		}
+		Eventually(readers, "10s").Should(Equal(1))
+	})
+
+	It("tell the others what each has in flight", func() {
+		q := balancer.Request{Model: "m", Prompt: 100, Output: 10}
+		_, status := left[0].fleet.Take("llm", q)
+		Expect(status).To(Equal(balancer.Found))
+		for _, m := range left[1:] {
+			Eventually(func() int { return m.fleet.Standing("llm", q).InFlight }, "5s").Should(Equal(1))
+		}
+	})
+})
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -103,6 +103,8 @@
 	// taught is the fence that taken was called for.
 	taught int64
 	heard  time.Time
+	// readAt is when the log was last read here.
+	readAt time.Time
 	ending bool
 	// again is when a log that failed is called again, backoff the pause.
 	again   time.Time
@@ -163,6 +165,13 @@
 	l.heard = l.boot.Now()
 }
 
+// Age returns how long ago the log was last read here.
+func (l *Lease) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.boot.Now().Sub(l.readAt)
+}
+
 func (l *Lease) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.Step(ctx)
@@ -251,7 +260,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.boot.Now()
-	l.next = next
+	l.next, l.readAt = next, now
 	l.unsettled = false
 	if len(list) == 0 {
 		if next == 0 {
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -30,6 +30,7 @@
 	MetricColds      = "loads_from_weight_store"
 	MetricExchanges  = "exchanges"
 	MetricUnanswered = "exchanges_unanswered"
+	MetricDeputies   = "exchanges_with_deputy"
 )
 
 // Parts are what a Coordinator works with.
@@ -75,13 +76,18 @@
 	fence int64
 	// members is the digest of the addresses that were told last.
 	members uint64
+	// ranked are the addresses in the order of deputies, skipped those that have
+	// not replied, hint whom a deputy takes for the holder. Only run uses them.
+	ranked  []string
+	skipped map[string]time.Time
+	hint    string
 	// lost is set while the holder does not reply.
 	lost bool
 }
 
 // New returns a coordinator.
 func New(p Parts) *Coordinator {
-	c := &Coordinator{Parts: p, hub: newHub(p.Clock)}
+	c := &Coordinator{Parts: p, hub: newHub(p.Clock), skipped: map[string]time.Time{}}
 	self := Entry{Instance: p.Instance, Machine: p.Machine, Address: p.Address}
 	c.lease = NewLease(self, p.Apart, p.Lease, p.Boot, p.Clock, p.Log, c.taken, c.Patience)
 	c.foreman = newForeman(c)
@@ -147,7 +153,7 @@
 // wait for an order it goes on until the holder has nothing new to say.
 func (c *Coordinator) exchange(ctx context.Context) {
 	for range 20 {
-		address := c.lease.Holder()
+		address, deputy := c.target()
 		if address == "" {
 			return
 		}
@@ -155,18 +161,25 @@
 		r := Report{
 			Instance: c.Instance, Address: c.Address, Members: c.members, Wants: wants, Flights: c.Fleet.Flights(),
 			Registry: c.Registry.Next(), Config: c.version(), Overlay: c.told, Fence: c.fence,
-			Suspects: c.Suspects.Export(), Down: c.Fleet.Down(), Waiting: waits(wants),
+			Suspects: c.Suspects.Export(), Down: c.Fleet.Down(), Waiting: waits(wants), Deputy: deputy,
 		}
 		reply, err := c.call(ctx, address, r)
 		if err != nil {
 			c.Meter.Add(MetricUnanswered, 1)
-			if !c.lost {
+			c.skip(address)
+			if !c.lost && !deputy {
 				c.lost = true
 				c.Log.Info("coordinator: holder does not reply", zap.String("holder", address), zap.Error(err))
 			}
 			return
 		}
+		if deputy && !reply.Holds {
+			c.Meter.Add(MetricDeputies, 1)
+			c.applyDeputy(reply, address == c.Address)
+			return
+		}
 		if !reply.Holds {
+			c.skip(address)
 			return
 		}
 		if c.lost {
@@ -219,7 +232,8 @@
 
 // serve takes a report and returns what its instance has not been told yet.
 func (c *Coordinator) serve(ctx context.Context, r Report) Reply {
-	if !c.lease.Valid() {
+	holds := c.lease.Valid()
+	if !holds && !r.Deputy {
 		return Reply{}
 	}
 	c.Suspects.Merge(r.Suspects)
@@ -230,7 +244,7 @@
 	// Read before the records are collected, so that none up to it is missed.
 	next := c.Registry.Next()
 	reply, changed := c.hub.reply(r)
-	if r.Waiting && len(reply.Overlays) == 0 {
+	if holds && r.Waiting && len(reply.Overlays) == 0 {
 		c.hub.await(ctx, changed)
 		next = c.Registry.Next()
 		reply, _ = c.hub.reply(r)
@@ -240,6 +254,9 @@
 	reply.RegistryFresh = c.Registry.Age() < freshAge
 	reply.ConfigFresh = c.Config.Age() < freshAge
 	reply.Suspects = c.Suspects.Export()
+	if !holds {
+		return c.stand(reply)
+	}
 	return reply
 }
 
@@ -250,6 +267,7 @@
 	c.instances.Store(int64(r.Instances))
 	if len(r.Members) > 0 {
 		c.members = digest(r.Members)
+		c.ranked = rank(r.Members)
 		c.Members(r.Members)
 	}
 	c.Fleet.Others(r.Flights)
