--- a/cmd/primrosehook/failures.go
+++ b/cmd/primrosehook/failures.go
@@ -76,7 +76,7 @@
 			}
 		case strings.Contains(text, "registry: "), strings.Contains(text, "orders: "), strings.Contains(text, "server is silent"):
 			var x event
-			if json.Unmarshal([]byte(text), &x) == nil && x.line.decode(text) {
+			if json.Unmarshal([]byte(text), &x) == nil && x.decode(text) {
 				events = append(events, x)
 			}
 		}
