Keep the sums of reports, and let the holder rest after a plan

With 73 instances the holder stalled for over 500 ms every few seconds (912 lines of unanswered reports, in clusters at the same moment): each reply added up instances times servers, and a plan for 140 servers took longer than the pause after it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -62,29 +62,35 @@
 	Running, EventTokens int
 }
 
-// Flight is work in flight at a server.
+// Flight is work in flight at a server. It travels as a list of its fields.
 type Flight struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by reflection
 	// Running requests have shown their first event; Reading is the prompt
 	// tokens of the others.
-	Running int `msgpack:"r"`
-	Reading int `msgpack:"t"`
+	Running, Reading int
 	// Tokens is what the requests may come to take of the server's cache.
-	Tokens int `msgpack:"k"`
+	Tokens int
 	// Started counts requests in flight, whatever their state.
-	Started int `msgpack:"s"`
+	Started int
 	// Recent is the prompt tokens sent lately, decayed by half each
 	// recentHalf. Sums of it over instances decay alike.
-	Recent int `msgpack:"c"`
+	Recent int
 }
 
 // Add returns the sum.
 func (f Flight) Add(g Flight) Flight {
-	return Flight{f.Running + g.Running, f.Reading + g.Reading, f.Tokens + g.Tokens, f.Started + g.Started, f.Recent + g.Recent}
+	return Flight{
+		Running: f.Running + g.Running, Reading: f.Reading + g.Reading, Tokens: f.Tokens + g.Tokens,
+		Started: f.Started + g.Started, Recent: f.Recent + g.Recent,
+	}
 }
 
 // Sub returns the difference, not below zero.
 func (f Flight) Sub(g Flight) Flight {
-	return Flight{max(f.Running-g.Running, 0), max(f.Reading-g.Reading, 0), max(f.Tokens-g.Tokens, 0), max(f.Started-g.Started, 0), max(f.Recent-g.Recent, 0)}
+	return Flight{
+		Running: max(f.Running-g.Running, 0), Reading: max(f.Reading-g.Reading, 0), Tokens: max(f.Tokens-g.Tokens, 0),
+		Started: max(f.Started-g.Started, 0), Recent: max(f.Recent-g.Recent, 0),
+	}
 }
 
 // Status says why there is a choice or none.
--- a/coordinator/deputy_test.go
+++ b/coordinator/deputy_test.go
@@ -159,10 +159,16 @@
 
 	It("tell the others what each has in flight", func() {
 		q := balancer.Request{Model: "m", Prompt: 100, Output: 10}
-		_, status := left[0].fleet.Take("llm", q)
+		lease, status := left[0].fleet.Take("llm", q)
 		Expect(status).To(Equal(balancer.Found))
 		for _, m := range left[1:] {
 			Eventually(func() int { return m.fleet.Standing("llm", q).InFlight }, "5s").Should(Equal(1))
 		}
+		_, _ = left[1].fleet.Take("llm", q)
+		Eventually(func() int { return left[2].fleet.Standing("llm", q).InFlight }, "5s").Should(Equal(2))
+		lease.Done(false)
+		Eventually(func() int { return left[2].fleet.Standing("llm", q).InFlight }, "5s").Should(Equal(1))
+		left[1].kill()
+		Eventually(func() int { return left[2].fleet.Standing("llm", q).InFlight }, "10s").Should(BeZero())
 	})
 })
--- a/coordinator/foreman.go
+++ b/coordinator/foreman.go
@@ -39,6 +39,10 @@
 	reportLag = 200 * time.Millisecond
 	// planPause is the pause between plans.
 	planPause = 100 * time.Millisecond
+	// planRest times the time of a plan is the least pause after it, so that
+	// plans take a fifth of the processor at most, however many servers there
+	// are.
+	planRest = 4
 	// ceilingSlack is what the weight store takes beyond its rate in a window:
 	// three, less one that may be under way.
 	ceilingSlack = 2
@@ -110,9 +114,21 @@
 		case <-f.hub.kick:
 		case <-f.Clock.After(planPause):
 		}
-		if table := f.Table(); table != nil && f.lease.MayOrder() {
-			f.plan(ctx, table)
+		table := f.Table()
+		if table == nil || !f.lease.MayOrder() {
+			continue
 		}
+		begun := f.Clock.Now()
+		f.plan(ctx, table)
+		f.rest(ctx, planRest*f.Clock.Since(begun))
+	}
+}
+
+// rest leaves the processor to requests and reports after a long plan.
+func (f *foreman) rest(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.Clock.After(pause):
 	}
 }
 
--- a/coordinator/hub.go
+++ b/coordinator/hub.go
@@ -44,8 +44,14 @@
 type hub struct {
 	clock clockwork.Clock
 
-	mu       sync.Mutex
-	members  map[string]*member
+	mu      sync.Mutex
+	members map[string]*member
+	// sums is what all members have in flight, kept as they report: to add it up
+	// for each reply would cost instances times servers. names and digest are
+	// the members' addresses, made anew when they change.
+	sums     map[string]balancer.Flight
+	names    []string
+	digest   uint64
 	demand   map[demandKey]*rates
 	overlays []balancer.Overlay
 	// dropped is how many overlays were told and forgotten.
@@ -60,7 +66,7 @@
 
 func newHub(clock clockwork.Clock) *hub {
 	return &hub{
-		clock: clock, members: map[string]*member{}, demand: map[demandKey]*rates{},
+		clock: clock, members: map[string]*member{}, sums: map[string]balancer.Flight{}, demand: map[demandKey]*rates{},
 		latest: map[string]tailer.Record{}, changed: make(chan struct{}), kick: make(chan struct{}, 1),
 	}
 }
@@ -70,6 +76,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	clear(h.members)
+	clear(h.sums)
+	h.rename()
 	h.overlays, h.dropped = nil, 0
 }
 
@@ -79,7 +87,17 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	m := &member{address: r.Address, at: now, flights: r.Flights, waiting: map[demandKey]int{}, down: r.Down}
+	old, ok := h.members[r.Instance]
+	if ok {
+		h.subtract(old)
+	}
 	h.members[r.Instance] = m
+	for id, f := range m.flights {
+		h.sums[id] = h.sums[id].Add(f)
+	}
+	if !ok || old.address != m.address {
+		h.rename()
+	}
 	starved := false
 	for _, w := range r.Wants {
 		k := demandKey{w.Service, w.Key}
@@ -100,6 +118,41 @@
 	}
 }
 
+// subtract takes a member's part out of the sums.
+func (h *hub) subtract(m *member) {
+	for id, f := range m.flights {
+		if left := h.sums[id].Sub(f); left != (balancer.Flight{}) {
+			h.sums[id] = left
+		} else {
+			delete(h.sums, id)
+		}
+	}
+}
+
+// expire drops the members that have not reported for a time.
+func (h *hub) expire(now time.Time) {
+	before := len(h.members)
+	for name, m := range h.members {
+		if now.Sub(m.at) > memberAge {
+			h.subtract(m)
+			delete(h.members, name)
+		}
+	}
+	if len(h.members) < before {
+		h.rename()
+	}
+}
+
+// rename makes the list of addresses anew.
+func (h *hub) rename() {
+	h.names = h.names[:0:0]
+	for _, m := range h.members {
+		h.names = append(h.names, m.address)
+	}
+	slices.Sort(h.names)
+	h.digest = digest(h.names)
+}
+
 // wake makes the next plan begin at once.
 func (h *hub) wake() {
 	select {
@@ -113,25 +166,19 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	out := Reply{Holds: true, Flights: map[string]balancer.Flight{}}
-	var members []string
-	for name, m := range h.members {
-		if now.Sub(m.at) > memberAge {
-			delete(h.members, name)
-			continue
-		}
-		out.Instances++
-		members = append(members, m.address)
-		if name == r.Instance {
-			continue
-		}
+	h.expire(now)
+	out := Reply{Holds: true, Instances: len(h.members), Flights: maps.Clone(h.sums)}
+	if m, ok := h.members[r.Instance]; ok {
 		for id, f := range m.flights {
-			out.Flights[id] = out.Flights[id].Add(f)
+			if left := out.Flights[id].Sub(f); left != (balancer.Flight{}) {
+				out.Flights[id] = left
+			} else {
+				delete(out.Flights, id)
+			}
 		}
 	}
-	slices.Sort(members)
-	if digest(members) != r.Members {
-		out.Members = members
+	if h.digest != r.Members {
+		out.Members = h.names
 	}
 	for _, x := range h.latest {
 		if x.Offset >= r.Registry {
