Prefer machines with wide links for the lease and for deputies

On the grown sites most machines have links of 10 Mbit/s. A holder on one of them sends the news of 140 servers to 73 instances: reports that arrived at once were answered up to 500 ms later, one after the other, and each instance went to the store by itself. Logged in trials: no stall of the process over 120 ms, no plan over 50 ms, reports served at once, calls longer by some 30 ms each.

Ruled out: processor (above), the length of plans (6 ms for 140 servers, new benchmark), the size of the sums.

The spec has two narrow links of five.

--- a/composer/composer.go
+++ b/composer/composer.go
@@ -141,7 +141,7 @@
 	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
 		tailer.WithPace(func() time.Duration { return e.now().Drain / serversPace }), tailer.WithRelief(relief), tailer.WithRetry(e.patience))
 	e.duties = coordinator.New(coordinator.Parts{
-		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control,
+		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control, Link: s.Link,
 		Apart: s.Lease, Window: s.CeilingWindow, Overage: s.CeilingOverage, Lease: e.store.Leases(), Engines: platform.NewEngines(sender.NewClient()),
 		Fleet: e.fleet, Suspects: suspects, Registry: e.tails.registry, Config: e.tails.config,
 		Table: e.relayer.Table, Clock: clock, Boot: booter.System{}, Log: log, Peers: e.peers, Meter: e.metrics, Members: e.pacer.Update,
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -40,6 +40,10 @@
 	// freshAge is how old the coordinator's last reading may be for others to
 	// rely on it: its longest read that waits for a change, and a margin.
 	freshAge = 900 * time.Millisecond
+	// wideLink is the link, in Mbit/s, from which on a machine is a good holder:
+	// some hundred instances take the news of as many servers from it, several
+	// MB/s.
+	wideLink = 100
 	// overlaysKept bounds the orders that are told.
 	overlaysKept = 2048
 	// gone bounds the removals that are remembered for instances that were away.
@@ -52,6 +56,7 @@
 	// Address is where other instances reach it, Members the digest of the
 	// addresses that it was last told.
 	Address string                     `msgpack:"p"`
+	Link    float64                    `msgpack:"k"`
 	Members uint64                     `msgpack:"m"`
 	Wants   []balancer.Want            `msgpack:"w"`
 	Flights map[string]balancer.Flight `msgpack:"f"`
@@ -77,8 +82,8 @@
 	Holds     bool  `msgpack:"l"`
 	Fence     int64 `msgpack:"e"`
 	Instances int   `msgpack:"n"`
-	// Members are the addresses of all instances, empty if the report's digest
-	// stands.
+	// Members are the addresses of all instances in the order of deputies, empty
+	// if the report's digest stands.
 	Members []string                   `msgpack:"m"`
 	Flights map[string]balancer.Flight `msgpack:"f"`
 	// Registry are the newest records since the report's offset, Next where
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,13 +23,22 @@
 	known = 0.5
 )
 
-// rank orders the instances alike on all that know the same ones.
-func rank(addresses []string) []string {
-	list := slices.Clone(addresses)
-	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(cmp.Compare(balancer.Hash("deputy "+a), balancer.Hash("deputy "+b)), cmp.Compare(a, b))
+// rank orders the instances that have reported: those with wide links first,
+// and else alike for all.
+func rank(members map[string]*member) []string {
+	list := slices.Collect(maps.Values(members))
+	slices.SortFunc(list, func(a, b *member) int {
+		return cmp.Or(
+			cmp.Compare(min(b.link, wideLink), min(a.link, wideLink)),
+			cmp.Compare(balancer.Hash("deputy "+a.address), balancer.Hash("deputy "+b.address)),
+			cmp.Compare(a.address, b.address),
+		)
 	})
-	return list
+	names := make([]string, 0, len(list))
+	for _, m := range list {
+		names = append(names, m.address)
+	}
+	return names
 }
 
 // target returns whom to report to: the holder, or while it does not reply the
--- a/coordinator/deputy_test.go
+++ b/coordinator/deputy_test.go
@@ -83,7 +83,8 @@
 	kill     context.CancelFunc
 }
 
-func members(count int, l *sharedLog) []*member {
+// members starts instances. The first ones have narrow links.
+func members(count, narrow int, l *sharedLog) []*member {
 	var all []*member
 	clock := clockwork.NewRealClock()
 	for i := range count {
@@ -97,8 +98,12 @@
 		registry := tailer.New("registry", m.registry, discard{}, clock, zap.NewNop(), tailer.WithPace(pace), tailer.WithRelief(800*time.Millisecond))
 		config := tailer.New("config", &counted{}, discard{}, clock, zap.NewNop(), tailer.WithPace(pace), tailer.WithRelief(800*time.Millisecond))
 		name := fmt.Sprint("i", i)
+		link := 1000.0
+		if i < narrow {
+			link = 10
+		}
 		m.duties = coordinator.New(coordinator.Parts{
-			Instance: name, Machine: name, Address: listener.Addr().String(), Apart: 300 * time.Millisecond, Window: time.Second, Overage: 1,
+			Instance: name, Machine: name, Address: listener.Addr().String(), Link: link, Apart: 300 * time.Millisecond, Window: time.Second, Overage: 1,
 			Lease: l, Fleet: m.fleet, Suspects: quarantiner.NewGuard(clock, quarantiner.Standard()), Registry: registry, Config: config,
 			Table: func() *matcher.Table { return nil }, Clock: clock, Boot: booter.System{}, Log: zap.NewNop(), Meter: discard{},
 			Peers: messenger.NewClient(clock), Members: func([]string) {},
@@ -119,7 +124,7 @@
 	var left []*member
 	BeforeEach(func() {
 		l = &sharedLog{}
-		left = members(5, l)
+		left = members(5, 2, l)
 		holder := -1
 		Eventually(func() int {
 			for i, m := range left {
@@ -132,6 +137,7 @@
 		for _, m := range left {
 			Eventually(m.duties.Instances, "5s").Should(Equal(5))
 		}
+		Expect(holder).To(BeNumerically(">=", 2), "a narrow link would hold up the reports of all")
 		l.close()
 		left[holder].kill()
 		left = append(left[:holder], left[holder+1:]...)
--- a/coordinator/hub.go
+++ b/coordinator/hub.go
@@ -29,6 +29,7 @@
 
 type member struct {
 	address string
+	link    float64
 	at      time.Time
 	flights map[string]balancer.Flight
 	waiting map[demandKey]int
@@ -86,7 +87,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	m := &member{address: r.Address, at: now, flights: r.Flights, waiting: map[demandKey]int{}, down: r.Down}
+	m := &member{address: r.Address, link: r.Link, at: now, flights: r.Flights, waiting: map[demandKey]int{}, down: r.Down}
 	old, ok := h.members[r.Instance]
 	if ok {
 		h.subtract(old)
@@ -95,7 +96,7 @@
 	for id, f := range m.flights {
 		h.sums[id] = h.sums[id].Add(f)
 	}
-	if !ok || old.address != m.address {
+	if !ok || old.address != m.address || old.link != m.link {
 		h.rename()
 	}
 	starved := false
@@ -145,11 +146,7 @@
 
 // rename makes the list of addresses anew.
 func (h *hub) rename() {
-	h.names = h.names[:0:0]
-	for _, m := range h.members {
-		h.names = append(h.names, m.address)
-	}
-	slices.Sort(h.names)
+	h.names = rank(h.members)
 	h.digest = digest(h.names)
 }
 
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -106,6 +106,8 @@
 	// readAt is when the log was last read here.
 	readAt time.Time
 	ending bool
+	// yields puts this instance's claims after those of others.
+	yields bool
 	// again is when a log that failed is called again, backoff the pause.
 	again   time.Time
 	backoff time.Duration
@@ -165,6 +167,10 @@
 	l.heard = l.boot.Now()
 }
 
+// Yield makes this instance claim the lease only after others had the time to.
+// It must be called before run.
+func (l *Lease) Yield() { l.yields = true }
+
 // Age returns how long ago the log was last read here.
 func (l *Lease) Age() time.Duration {
 	l.mu.Lock()
@@ -361,7 +367,11 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(l.self.Instance)) // a hash takes all
 	_, _ = h.Write([]byte{byte(fence), byte(fence >> 8)})
-	return int(h.Sum32() % ranks)
+	place := int(h.Sum32() % ranks)
+	if l.yields {
+		place += ranks
+	}
+	return place
 }
 
 func (l *Lease) append(ctx context.Context, e Entry, at int64) error {
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -38,6 +38,8 @@
 	// Instance names this life of the instance, Machine where it runs, and
 	// Address is where others reach it.
 	Instance, Machine, Address string
+	// Link is what the machine's link carries, in Mbit/s; zero if unknown.
+	Link float64
 	// Apart is how far apart orders of two holders must be.
 	Apart time.Duration
 	// Window is the time in which loads from the weight store are counted.
@@ -90,6 +92,9 @@
 	c := &Coordinator{Parts: p, hub: newHub(p.Clock), skipped: map[string]time.Time{}}
 	self := Entry{Instance: p.Instance, Machine: p.Machine, Address: p.Address}
 	c.lease = NewLease(self, p.Apart, p.Lease, p.Boot, p.Clock, p.Log, c.taken, c.Patience)
+	if p.Link > 0 && p.Link < wideLink {
+		c.lease.Yield()
+	}
 	c.foreman = newForeman(c)
 	return c
 }
@@ -159,7 +164,7 @@
 		}
 		wants := c.Fleet.Wants()
 		r := Report{
-			Instance: c.Instance, Address: c.Address, Members: c.members, Wants: wants, Flights: c.Fleet.Flights(),
+			Instance: c.Instance, Address: c.Address, Link: c.Link, Members: c.members, Wants: wants, Flights: c.Fleet.Flights(),
 			Registry: c.Registry.Next(), Config: c.version(), Overlay: c.told, Fence: c.fence,
 			Suspects: c.Suspects.Export(), Down: c.Fleet.Down(), Waiting: waits(wants), Deputy: deputy,
 		}
@@ -267,7 +272,7 @@
 	c.instances.Store(int64(r.Instances))
 	if len(r.Members) > 0 {
 		c.members = digest(r.Members)
-		c.ranked = rank(r.Members)
+		c.ranked = r.Members
 		c.Members(r.Members)
 	}
 	c.Fleet.Others(r.Flights)
--- /dev/null
+++ b/stocker/bench_test.go
@@ -0,0 +1,46 @@
+package stocker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"primrosehook/stocker"
+)
+
+// BenchmarkPlan plans for a pool of 140 servers with 120 models, some of them
+// with many adapters, while demand moves.
+func BenchmarkPlan(b *testing.B) {
+	e := engine(120, 0)
+	for i := range 30 {
+		m := e.Models[fmt.Sprintf("m%d", i)]
+		m.Adapters = 40
+		e.Models[m.Name] = m
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	state := stocker.State{Engine: e, Demand: map[string]float64{}, Waiting: map[string]int{}, Loads: 5}
+	for i := range 140 {
+		s := server(fmt.Sprintf("s%03d", i), fmt.Sprintf("m%d", i%120), fmt.Sprintf("m%d", random.IntN(120)), fmt.Sprintf("m%d", random.IntN(20)))
+		for m := range s.Held {
+			for a := range 2 {
+				if e.Models[m].Adapters > 0 {
+					s.Held[m] = append(s.Held[m], fmt.Sprintf("a%d", 1+(i+a*7)%40))
+				}
+			}
+			s.Warm[m] = true
+		}
+		state.Servers = append(state.Servers, s)
+	}
+	for i := range 120 {
+		state.Demand[fmt.Sprintf("m%d", i)] = 300 / float64(1+i)
+		if i < 30 {
+			for a := range 20 {
+				state.Demand[fmt.Sprintf("m%d/a%d", i, a+1)] = 1
+			}
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		stocker.Plan(state)
+	}
+}
