A deputy that stops does not keep others from the lease

Cause (found on reading): a deputy reads the lease during its planned stop, and the others relied on it to claim the lease, which it does not while it stops: up to eight seconds without a holder.

Now it says that it attends to the lease only while it reads the log and would claim.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -99,7 +99,7 @@
 	Overlay       int                   `msgpack:"ov"`
 	Suspects      []quarantiner.Suspect `msgpack:"s"`
 	// Holder is whom a deputy takes for the holder, LeaseFresh says that it
-	// reads the lease at its usual pace.
+	// reads the lease at its usual pace and claims it when it lapses.
 	Holder     string `msgpack:"h"`
 	LeaseFresh bool   `msgpack:"hf"`
 }
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -74,7 +74,7 @@
 func (c *Coordinator) stand(reply Reply) Reply {
 	reply.Holds, reply.Members, reply.Overlays, reply.Overlay = false, nil, nil, 0
 	reply.Holder = c.lease.Holder()
-	reply.LeaseFresh = c.lease.Age() < leaseFresh
+	reply.LeaseFresh = c.lease.Attends(leaseFresh)
 	return reply
 }
 
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -171,11 +171,12 @@
 // It must be called before run.
 func (l *Lease) Yield() { l.yields = true }
 
-// Age returns how long ago the log was last read here.
-func (l *Lease) Age() time.Duration {
+// Attends reports whether this instance has read the log lately and would claim
+// the lease if nobody held it.
+func (l *Lease) Attends(lately time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.boot.Now().Sub(l.readAt)
+	return !l.ending && l.boot.Now().Sub(l.readAt) < lately
 }
 
 func (l *Lease) run(ctx context.Context) {
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -94,6 +94,32 @@
 		Expect(a.Holder()).To(Equal(b.Holder()))
 	})
 
+	// Others that rely on an instance to claim would wait in vain for one that
+	// stops, or that has not read the log.
+	It("attends to the lease while it reads the log, and not while it stops", func() {
+		a := lease("a")
+		Expect(a.Attends(600 * time.Millisecond)).To(BeFalse())
+		steps(time.Second, lease("b"))
+		steps(100*time.Millisecond, a)
+		Expect(a.Attends(600 * time.Millisecond)).To(BeTrue())
+		store.down = true
+		steps(time.Second, a)
+		Expect(a.Attends(600 * time.Millisecond)).To(BeFalse())
+		store.down = false
+		steps(time.Second, a)
+		a.Release(context.Background())
+		Expect(a.Attends(600 * time.Millisecond)).To(BeFalse())
+	})
+
+	It("claims after the others if it yields", func() {
+		a, b := lease("a"), lease("b")
+		a.Yield()
+		for range 12 {
+			steps(50*time.Millisecond, a, b)
+		}
+		Expect(b.MayOrder()).To(BeTrue())
+	})
+
 	It("lets a successor order only after the holder's lease and the time apart", func() {
 		a, b := lease("a"), lease("b")
 		steps(time.Second, a)
