Reproduce answers that are cut when the next server refuses (red)

The test lets the first server pause for longer than the soft timeout and the second one refuse. All three cases fail on this code: a stream in progress is cut ("unexpected EOF" after event 1), a stream before its first event and a plain answer become 502.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -87,6 +87,35 @@
 	}
 }
 
+// pausedStream streams events up to last, and pauses once after an event.
+func pausedStream(last, pauseAfter int, pause time.Duration) handler {
+	return func(w http.ResponseWriter, q *http.Request) {
+		first := streamEvents(pauseAfter, 0)
+		first(w, q)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(pause):
+		case <-q.Context().Done():
+			return
+		}
+		for i := pauseAfter + 1; i <= last; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		}
+	}
+}
+
+// delayedAnswer answers after a delay.
+func delayedAnswer(delay time.Duration, body string) handler {
+	return func(w http.ResponseWriter, q *http.Request) {
+		select {
+		case <-time.After(delay):
+		case <-q.Context().Done():
+			return
+		}
+		signedAnswer(body)(w, q)
+	}
+}
+
 type fixture struct {
 	proxy         *httptest.Server
 	fleet         *balancer.Fleet
@@ -267,6 +296,19 @@
 		Expect([]any{code, body, err}).To(Equal([]any{200, "second", nil}))
 	})
 
+	// Guards against ending an answer that is in progress when the server that was to
+	// take over refuses the request.
+	DescribeTable("keeps a silent server's answer until another server has accepted the request",
+		func(method, path string, slow handler, want string) {
+			w := startRelayer(slow, statusOnly(503, "Refused"))
+			code, body, err := w.send(method, path, "")
+			Expect([]any{code, body, err}).To(Equal([]any{200, want, nil}))
+		},
+		Entry("in the middle of a stream", "POST", "/chat/1", pausedStream(3, 1, 1300*time.Millisecond), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"),
+		Entry("before the first event of a stream", "POST", "/chat/1", pausedStream(2, 0, 1700*time.Millisecond), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"),
+		Entry("before a plain answer", "GET", "/read/1", delayedAnswer(1200*time.Millisecond, "late"), "late"),
+	)
+
 	It("waits for a silent server when there is no other one", func() {
 		w := startRelayer(func(rw http.ResponseWriter, q *http.Request) {
 			time.Sleep(1200 * time.Millisecond)
