Reproduce requests that are repeated since the instance hears nobody (red)

In the incident all 80 instances received a configuration of 1200 more routes within one second over links of 10 Mbit/s. What servers send waits behind that, and the watchdog counts it as the servers' silence.

The test pauses the only server that the instance hears and expects no second send; the request is sent to the second server instead.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -125,7 +125,8 @@
 }
 
 // startRelayer starts a relayer in front of upstreams. Routes: /read/ idempotent,
-// /write/ not idempotent, /chat/ resumable stream, /once/ stream.
+// /write/ not idempotent, /chat/ resumable stream, /slow/ the same with a
+// long latency objective, /once/ stream.
 func startRelayer(handlers ...handler) *fixture {
 	clock := clockwork.NewRealClock()
 	core, logs := observer.New(zap.InfoLevel)
@@ -151,7 +152,10 @@
 			Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond, MaxEventGap: 100 * time.Millisecond, Splits: []matcher.Split{{Service: "svc", Weight: 1}},
 		}
 	}
+	slow := route("/slow/", matcher.Streaming, 2, true)
+	slow.Timeout, slow.LatencyTarget = 5*time.Second, time.Second
 	w.relay.SetTable(matcher.NewTable(1, []matcher.Route{
+		slow,
 		route("/read/", matcher.Idempotent, 2, false), route("/write/", matcher.NonIdempotent, 2, false),
 		route("/chat/", matcher.Streaming, 2, true), route("/once/", matcher.Streaming, 2, false),
 	}, []matcher.Service{{Name: "svc"}}, matcher.Limits{MaxBodyBytes: 1 << 20}))
@@ -309,6 +313,15 @@
 		Entry("before a plain answer", "GET", "/read/1", delayedAnswer(1200*time.Millisecond, "late"), "late"),
 	)
 
+	// Guards against repeating requests elsewhere when it is the instance that receives
+	// nothing: its own link is full, or its process did not run.
+	It("does not take a server for silent while no server is heard", func() {
+		w := startRelayer(pausedStream(3, 1, 2400*time.Millisecond), signedAnswer("unused"))
+		code, body, err := w.send("POST", "/slow/1", "x")
+		Expect([]any{code, body, err}).To(Equal([]any{200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", nil}))
+		Expect(w.requestCounts[1].Load()).To(BeZero())
+	})
+
 	It("waits for a silent server when there is no other one", func() {
 		w := startRelayer(func(rw http.ResponseWriter, q *http.Request) {
 			time.Sleep(1200 * time.Millisecond)
