Log how long no server at all has been heard

The record of the incident does not show whether one server or the instance itself was silent: the line on a silent server gives the silence of the request and of that server only. It now gives the silence of all servers as well, and the line on a configuration in force gives its size, which tells how long it holds a link.

--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -32,7 +32,9 @@
 	seed    uint64
 	clock   clockwork.Clock
 	started time.Time
-	Dials   connector.DialCounter
+	// lastByte is when any server last sent a byte, in nanoseconds since started.
+	lastByte atomic.Int64
+	Dials    connector.DialCounter
 
 	mu              sync.Mutex
 	cores           map[string]*Core
@@ -384,7 +386,11 @@
 }
 
 // RecordBytes records that the server sent bytes.
-func (a *Assignment) RecordBytes() { a.lastByte.Store(int64(a.fleet.clock.Since(a.fleet.started))) }
+func (a *Assignment) RecordBytes() {
+	now := int64(a.fleet.clock.Since(a.fleet.started))
+	a.lastByte.Store(now)
+	a.fleet.lastByte.Store(now)
+}
 
 // IdleTime returns the time since the server last sent bytes, at most the time
 // since the request was sent.
@@ -393,6 +399,11 @@
 	return min(f.clock.Since(f.started)-time.Duration(a.lastByte.Load()), f.clock.Since(a.sent))
 }
 
+// IdleTime returns the time since any server last sent bytes.
+func (f *Fleet) IdleTime() time.Duration {
+	return f.clock.Since(f.started) - time.Duration(f.lastByte.Load())
+}
+
 // Cancel takes the request, which was not sent, off the server's in-flight counts.
 func (a *Assignment) Cancel() {
 	f := a.fleet
--- a/entryassembler/sinks.go
+++ b/entryassembler/sinks.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		if c.relayer.SetTable(t) {
-			c.log.Info("config: in force", zap.Int64("version", t.Version))
+			c.log.Info("config: in force", zap.Int64("version", t.Version), zap.Int("bytes", len(list[i].Value)))
 			c.onConfig(list[i], t.Version)
 		}
 		return
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -134,7 +134,7 @@
 		return
 	}
 	w.exchange.log.Info("relay: server is silent", zap.String("server", w.assignment.ID),
-		zap.Duration("request_silent", silent), zap.Duration("server_silent", serverSilent))
+		zap.Duration("request_silent", silent), zap.Duration("server_silent", serverSilent), zap.Duration("all_silent", w.exchange.fleet.IdleTime()))
 	w.stopped = true
 	w.cancel()
 }
