Keep a silent server's answer until another server has accepted the request

Callers saw streams end in the middle and reads answered with 502 although a server was at work on them.

Cause: the watchdog cancelled the attempt at a silent server as soon as another server was picked. That the other one would accept the request was an assumption.

Now the request is sent to the other server while the silent one keeps it. Its attempt ends only when the other server has begun its stream or has given a complete answer. If the other server refuses, fails or is slower, the answer of the first one is awaited as before. Bytes from the first server end the attempt at the other one, so that each event is sent once. If the first server breaks off meanwhile, the attempt in progress decides. At most one other server is asked at a time, within the route's attempts and the retry budget.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"primrosehook/balancer"
@@ -28,36 +29,98 @@
 	deadlineGrace = 100 * time.Millisecond
 )
 
-// attempt sends the request to one server. It reports whether the request may
-// be sent to another one; if not, the client has been answered.
-func (x *exchange) attempt(assignment *balancer.Assignment) bool {
-	now := x.clock.Now()
-	x.recordAttempt(assignment)
-	ctx, cancel := context.WithCancel(x.context)
-	defer cancel()
-	ctx, span := x.tracer.Start(ctx, "attempt")
-	defer span.End()
-	w := x.startWatchdog(assignment, cancel)
-	defer w.stop()
-	answer, err := assignment.Pool.Do(ctx, connector.Request{
-		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Body: x.body,
-		Header: x.codec.RequestHeader(x.request.Header, ForwardInfo{
-			Server: assignment.ID, TimeLeft: x.deadline.Sub(now), Priority: x.route.Priority, LastEvent: x.meta.LastEvent,
+// attempt is one sending of the request to a server.
+type attempt struct {
+	*exchange
+	assignment     *balancer.Assignment
+	record         *attemptRecord
+	attemptContext context.Context
+	cancel         context.CancelFunc
+	span           trace.Span
+	// resumeAfter is the ID of the last event that the client had when the
+	// request was sent, empty for none.
+	resumeAfter string
+	sent        bool
+	// answer is the server's answer, nil if there is none because of err.
+	answer *connector.Answer
+	info   AnswerInfo
+	err    error
+	// answerBody is the body of an answer that is not a stream, and bodyErr the
+	// error of reading it; both are valid if bodyRead.
+	bodyRead   bool
+	answerBody []byte
+	bodyErr    error
+	// abandoned is set if the answer is no longer needed.
+	abandoned bool
+	// reached is set if the attempt counts as one of the route's attempts, ran if
+	// the server may have run the request.
+	reached, ran bool
+}
+
+// newAttempt returns an attempt that is not sent yet. end must be called in the
+// end.
+func (x *exchange) newAttempt(assignment *balancer.Assignment, lastEvent string) *attempt {
+	t := &attempt{exchange: x, assignment: assignment, resumeAfter: lastEvent, record: x.newRecord(assignment)}
+	t.attemptContext, t.cancel = context.WithCancel(x.context)
+	t.attemptContext, t.span = x.tracer.Start(t.attemptContext, "attempt")
+	return t
+}
+
+// end releases what the attempt uses. Its answer can't be read any more.
+func (t *attempt) end() {
+	t.cancel()
+	t.span.End()
+}
+
+// send sends the request and reads the head of the answer.
+func (t *attempt) send() {
+	t.sent = true
+	t.answer, t.err = t.assignment.Pool.Do(t.attemptContext, connector.Request{
+		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host, Body: t.body,
+		Header: t.codec.RequestHeader(t.request.Header, ForwardInfo{
+			Server: t.assignment.ID, TimeLeft: t.deadline.Sub(t.clock.Now()), Priority: t.route.Priority, LastEvent: t.resumeAfter,
 		}),
-	}, x.ownsAnswer)
-	if err != nil {
-		return x.connectionBroke(assignment, err)
+	}, t.ownsAnswer)
+	if t.err != nil {
+		return
 	}
-	w.received(false)
-	x.sends++
-	info := x.codec.ParseAnswer(answer.StatusCode, answer.Header)
-	if info.KeepAlive > 0 {
-		assignment.Pool.KeepIdle(info.KeepAlive)
+	t.info = t.codec.ParseAnswer(t.answer.StatusCode, t.answer.Header)
+	if t.info.KeepAlive > 0 {
+		t.assignment.Pool.KeepIdle(t.info.KeepAlive)
+	}
+}
+
+// perform makes the attempt and sends its answer to the client. It reports
+// whether the request may be sent to another server, and the attempt that has
+// already been made there, nil if there is none. If the request may not be sent
+// to another server, the client has been answered.
+func (t *attempt) perform() (*attempt, bool) {
+	defer t.end()
+	w := t.startWatchdog(t)
+	defer w.stop()
+	if !t.sent {
+		t.send()
+	}
+	if retryable := t.handle(w); !retryable {
+		return nil, false
+	}
+	return w.successor(), true
+}
+
+// handle handles the server's answer, or why there is none. It reports whether
+// the request may be sent to another server.
+func (t *attempt) handle(w *watchdog) bool {
+	if t.err != nil && !w.isReplaced() {
+		return t.connectionBroke(w)
 	}
-	if x.route.Kind == matcher.Streaming && answer.StatusCode == http.StatusOK && info.Signed && !info.Encoded {
-		return x.forwardStream(assignment, answer, w)
+	t.sends++
+	switch {
+	case !w.received(false, ""):
+		return t.replaced(w)
+	case t.isStream():
+		return t.forwardStream(w)
 	}
-	return x.forwardAnswer(assignment, answer, info)
+	return t.forwardAnswer(w)
 }
 
 // ownsAnswer reports whether an answer belongs to this request: it has the
@@ -67,83 +130,187 @@
 	return info.ID == x.meta.ID || info.ID == "" && info.Refused
 }
 
-// connectionBroke handles an attempt that failed before the head of the answer
-// arrived. It reports whether another server may be tried.
-func (x *exchange) connectionBroke(assignment *balancer.Assignment, err error) bool {
-	verdict := judge.Of(err)
-	clientGone := x.request.Context().Err() != nil
-	assignment.Done(!clientGone)
+// isStream reports whether the answer is a stream whose events are forwarded as
+// they arrive.
+func (t *attempt) isStream() bool {
+	return t.err == nil && t.route.Kind == matcher.Streaming && t.answer.StatusCode == http.StatusOK && t.info.Signed && !t.info.Encoded
+}
+
+// readBody reads the body of an answer that is not a stream.
+func (t *attempt) readBody() {
+	if t.bodyRead {
+		return
+	}
+	t.bodyRead = true
+	t.answerBody, t.bodyErr = io.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes))
+	t.answer.Close(t.bodyErr == nil && len(t.answerBody) < maxAnswerBytes)
+}
+
+// intact reports whether the answer is the server's whole answer.
+func (t *attempt) intact() bool { return t.bodyErr == nil && t.info.Signed && !t.info.Encoded }
+
+// impliesNotRun reports whether clients take the status to mean that the request
+// did not run. Unless the server has confirmed that, it is not forwarded.
+func (t *attempt) impliesNotRun() bool {
+	switch t.answer.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// failed reports whether the answer calls for another attempt.
+func (t *attempt) failed() bool {
+	return !t.intact() || t.impliesNotRun() || t.answer.StatusCode >= http.StatusInternalServerError
+}
+
+// accepted reports whether the server has accepted the request: its stream has
+// begun, or its answer is complete and can be forwarded.
+func (t *attempt) accepted() bool {
+	return t.err == nil && (t.isStream() || !t.info.Refused && !t.failed())
+}
+
+// clientGone reports whether the client has closed its connection.
+func (x *exchange) clientGone() bool { return x.request.Context().Err() != nil }
+
+// recordFailure records why the attempt has no answer for the client: in the
+// log record, for the choice of servers and for the search of requests that
+// crash servers. It changes no state of the exchange.
+func (t *attempt) recordFailure() {
 	switch {
-	case verdict != judge.NotRun:
-		x.sends++
-		x.mayHaveRun = true
-	case !clientGone:
-		assignment.MarkUnreachable()
-	}
-	x.setOutcome(verdict.String() + ": " + causeText(err))
-	if clientGone {
-		x.giveUp("client left")
-		return false
+	case t.abandoned:
+		t.abandon()
+	case t.err != nil:
+		t.recordBroken()
+	case t.info.Refused:
+		t.recordRefused()
+	default:
+		t.reached, t.ran = true, true
+		t.assignment.Done(!t.clientGone() && (!t.intact() || t.answer.StatusCode >= http.StatusInternalServerError))
+		t.record.outcome = describeBadAnswer(t.answer.StatusCode, t.info, t.bodyErr)
+	}
+}
+
+// abandon drops an answer that is no longer needed.
+func (t *attempt) abandon() {
+	t.reached = t.err == nil || judge.Of(t.err) != judge.NotRun
+	t.ran = t.reached && !t.info.Refused
+	if t.answer != nil && !t.bodyRead {
+		t.answer.Close(false)
+	}
+	t.assignment.Done(false)
+	t.record.outcome = "abandoned: the server before answered"
+}
+
+// recordBroken records a connection that broke before the head of the answer
+// arrived.
+func (t *attempt) recordBroken() {
+	verdict := judge.Of(t.err)
+	t.reached = verdict != judge.NotRun
+	t.ran = t.reached
+	t.assignment.Done(!t.clientGone())
+	t.record.outcome = verdict.String() + ": " + causeText(t.err)
+	if t.clientGone() {
+		return
+	}
+	if !t.reached {
+		t.assignment.MarkUnreachable()
 	}
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		x.suspects.EngineLost(assignment.Incarnation)
-	case verdict != judge.NotRun && connector.ClosedByPeer(errors.Unwrap(err)):
-		x.suspects.ConnectionBroke(x.digest, assignment.Incarnation)
+	case errors.Is(t.err, syscall.ECONNREFUSED):
+		t.suspects.EngineLost(t.assignment.Incarnation)
+	case t.reached && connector.ClosedByPeer(errors.Unwrap(t.err)):
+		t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
+	}
+}
+
+// recordRefused records that the server did not run the request.
+func (t *attempt) recordRefused() {
+	t.reached = true
+	t.readBody()
+	t.assignment.Done(false)
+	if t.info.NotLoaded {
+		t.assignment.MarkNotLoaded()
+	}
+	t.record.outcome = "refused with " + strconv.Itoa(t.answer.StatusCode)
+}
+
+// replaced handles an attempt whose server was silent until another one accepted
+// the request. It reports whether the other server's answer is to be forwarded.
+func (t *attempt) replaced(w *watchdog) bool {
+	if t.answer != nil && !t.bodyRead {
+		t.answer.Close(false)
+	}
+	t.assignment.Done(!t.clientGone())
+	t.mayHaveRun = true
+	t.record.outcome = "silent, replaced after event " + t.meta.LastEvent
+	if t.clientGone() {
+		t.giveUp("client left")
+		return false
+	}
+	w.settle()
+	return true
+}
+
+// connectionBroke handles an attempt that failed before the head of the answer
+// arrived. It reports whether another server may be tried.
+func (t *attempt) connectionBroke(w *watchdog) bool {
+	t.recordFailure()
+	t.merge(t)
+	if t.clientGone() {
+		t.giveUp("client left")
+		return false
 	}
-	if verdict == judge.NotRun || x.route.Repeatable() {
+	w.settle()
+	if !t.ran || t.route.Repeatable() {
 		return true
 	}
-	x.giveUp("attempt failed")
+	t.giveUp("attempt failed")
 	return false
 }
 
 // forwardAnswer sends an answer that is not a stream to the client, unless it
 // calls for another attempt. It reports whether another server may be tried.
-func (x *exchange) forwardAnswer(assignment *balancer.Assignment, a *connector.Answer, info AnswerInfo) bool {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
-	a.Close(err == nil && len(body) < maxAnswerBytes)
-	clientGone := x.request.Context().Err() != nil
-	intact := err == nil && info.Signed && !info.Encoded
-	assignment.Done(!clientGone && (!intact || a.StatusCode >= http.StatusInternalServerError) && !info.Refused)
-	if clientGone {
-		x.giveUp("client left")
-		return false
+func (t *attempt) forwardAnswer(w *watchdog) bool {
+	t.readBody()
+	if t.bodyErr != nil && w.isReplaced() {
+		return t.replaced(w)
 	}
-	if info.NotLoaded {
-		assignment.MarkNotLoaded()
+	if t.clientGone() {
+		t.assignment.Done(false)
+		t.giveUp("client left")
+		return false
 	}
-	if info.Refused {
-		x.setOutcome("refused with " + strconv.Itoa(a.StatusCode))
+	if t.info.Refused {
+		t.recordFailure()
+		w.settle()
 		return true
 	}
-	x.mayHaveRun = true
-	// Clients take these statuses to mean that the request did not run, which
-	// the server has not confirmed here, so they are not forwarded.
-	statusImpliesNotRun := a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests ||
-		a.StatusCode == http.StatusRequestTimeout || a.StatusCode == http.StatusMisdirectedRequest
-	failed := !intact || statusImpliesNotRun || a.StatusCode >= http.StatusInternalServerError
-	if failed {
-		x.setOutcome(describeBadAnswer(a.StatusCode, info, err))
-		if x.route.Repeatable() && x.sends < x.route.Attempts {
+	t.mayHaveRun = true
+	if t.failed() {
+		t.recordFailure()
+		w.settle()
+		if t.route.Repeatable() && (w.isReplaced() || t.sends < t.route.Attempts) {
 			return true
 		}
+	} else {
+		t.assignment.Done(false)
 	}
-	if !intact || statusImpliesNotRun || x.headerSent {
-		x.giveUp("bad answer", zap.Int("status", a.StatusCode))
+	if !t.intact() || t.impliesNotRun() || t.headerSent {
+		t.giveUp("bad answer", zap.Int("status", t.answer.StatusCode))
 		return false
 	}
-	x.suspects.RequestCompleted(x.digest)
-	if !failed {
-		x.setOutcome("answered with " + strconv.Itoa(a.StatusCode))
+	t.suspects.RequestCompleted(t.digest)
+	if !t.failed() {
+		t.record.outcome = "answered with " + strconv.Itoa(t.answer.StatusCode)
 	}
-	x.meter.Observe(MetricFirst+x.route.Kind.String(), x.clock.Since(x.started))
-	defer x.finishAnswered(a.StatusCode)
-	x.copyHeader(a)
-	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.writer.WriteHeader(a.StatusCode)
-	if _, err := x.writer.Write(body); err != nil {
-		x.log.Info("relay: client left", zap.Error(err))
+	t.meter.Observe(MetricFirst+t.route.Kind.String(), t.clock.Since(t.started))
+	defer t.finishAnswered(t.answer.StatusCode)
+	t.copyHeader(t.answer)
+	t.writer.Header().Set("Content-Length", strconv.Itoa(len(t.answerBody)))
+	t.writer.WriteHeader(t.answer.StatusCode)
+	if _, err := t.writer.Write(t.answerBody); err != nil {
+		t.log.Info("relay: client left", zap.Error(err))
 	}
 	return false
 }
@@ -155,33 +322,39 @@
 	}
 }
 
+// errReplaced ends the reading of a stream that another server continues.
+var errReplaced = errors.New("another server continues the stream")
+
 // forwardStream sends events to the client as they arrive. It reports whether
 // the stream may be resumed at another server.
-func (x *exchange) forwardStream(assignment *balancer.Assignment, a *connector.Answer, w *watchdog) bool {
-	splitter := streamer.NewSplitterAfter(x.meta.LastEvent)
+func (t *attempt) forwardStream(w *watchdog) bool {
+	splitter := streamer.NewSplitterAfter(t.meta.LastEvent)
 	buffer := make([]byte, streamReadBytes)
 	gotFirst := false
 	var err error
 	for {
 		var n int
-		n, err = a.Body.Read(buffer)
+		n, err = t.answer.Body.Read(buffer)
 		if n > 0 {
 			out, splitErr := splitter.Push(buffer[:n])
 			if splitErr != nil {
 				err = splitErr
 				break
 			}
-			w.received(len(out) > 0)
+			if !w.received(len(out) > 0, splitter.LastID()) {
+				err = errReplaced
+				break
+			}
 			if len(out) > 0 {
 				if !gotFirst {
 					gotFirst = true
-					assignment.RecordFirstEvent()
+					t.assignment.RecordFirstEvent()
 				}
-				x.meta.LastEvent = splitter.LastID()
-				if !x.writeEvents(a, out) {
-					a.Close(false)
-					assignment.Done(false)
-					x.giveUp("client left")
+				t.meta.LastEvent = splitter.LastID()
+				if !t.writeEvents(t.answer, out) {
+					t.answer.Close(false)
+					t.assignment.Done(false)
+					t.giveUp("client left")
 					return false
 				}
 			}
@@ -191,42 +364,46 @@
 		}
 	}
 	if errors.Is(err, io.EOF) {
-		a.Close(true)
-		assignment.Done(false)
-		x.suspects.RequestCompleted(x.digest)
+		t.answer.Close(true)
+		t.assignment.Done(false)
+		t.suspects.RequestCompleted(t.digest)
 		if n, err := strconv.Atoi(splitter.LastID()); err == nil {
-			assignment.RecordStreamEnd(n)
+			t.assignment.RecordStreamEnd(n)
 		}
-		if partial := splitter.Partial(); len(partial) > 0 || !x.headerSent {
-			x.writeEvents(a, partial)
+		if partial := splitter.Partial(); len(partial) > 0 || !t.headerSent {
+			t.writeEvents(t.answer, partial)
 		}
-		x.setOutcome("stream ended")
-		x.finishAnswered(a.StatusCode)
+		t.record.outcome = "stream ended"
+		t.finishAnswered(t.answer.StatusCode)
 		return false
 	}
-	return x.streamBroke(assignment, a, err)
+	return t.streamBroke(w, err)
 }
 
 // streamBroke handles a stream that ended early. It reports whether the stream
 // may be resumed at another server.
-func (x *exchange) streamBroke(assignment *balancer.Assignment, a *connector.Answer, err error) bool {
-	a.Close(false)
-	clientGone := x.request.Context().Err() != nil
-	assignment.Done(!clientGone && x.clock.Now().Before(x.deadline))
-	x.mayHaveRun = true
-	x.setOutcome("stream broke off after event " + x.meta.LastEvent + ": " + err.Error())
-	if clientGone {
-		x.giveUp("client left")
+func (t *attempt) streamBroke(w *watchdog, err error) bool {
+	if w.isReplaced() {
+		t.meter.Add(MetricResumed, 1)
+		return t.replaced(w)
+	}
+	t.answer.Close(false)
+	t.assignment.Done(!t.clientGone() && t.clock.Now().Before(t.deadline))
+	t.mayHaveRun = true
+	t.record.outcome = "stream broke off after event " + t.meta.LastEvent + ": " + err.Error()
+	if t.clientGone() {
+		t.giveUp("client left")
 		return false
 	}
 	if connector.ClosedByPeer(err) {
-		x.suspects.ConnectionBroke(x.digest, assignment.Incarnation)
+		t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
 	}
-	if x.route.Resumable && x.sends < x.route.Attempts {
-		x.meter.Add(MetricResumed, 1)
+	w.settle()
+	if t.route.Resumable && (w.isReplaced() || t.sends < t.route.Attempts) {
+		t.meter.Add(MetricResumed, 1)
 		return true
 	}
-	x.giveUp("stream broke off")
+	t.giveUp("stream broke off")
 	return false
 }
 
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -22,7 +22,7 @@
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
-func (a attemptRecord) MarshalLogObject(e zapcore.ObjectEncoder) error {
+func (a *attemptRecord) MarshalLogObject(e zapcore.ObjectEncoder) error {
 	e.AddString("server", a.server)
 	e.AddInt64("at_ms", a.at.Milliseconds())
 	e.AddString("outcome", a.outcome)
@@ -34,17 +34,13 @@
 	return nil
 }
 
-// recordAttempt adds an attempt to the log record of the request; setOutcome
-// sets its outcome.
-func (x *exchange) recordAttempt(assignment *balancer.Assignment) {
+// newRecord returns the log record of an attempt that begins now.
+func (x *exchange) newRecord(assignment *balancer.Assignment) *attemptRecord {
 	at := x.clock.Since(x.started)
 	x.meter.Observe(MetricWait+x.route.Kind.String(), at)
-	x.attempts = append(x.attempts, attemptRecord{server: assignment.ID, at: at, inputs: assignment.Inputs, outcome: "under way"})
+	return &attemptRecord{server: assignment.ID, at: at, inputs: assignment.Inputs, outcome: "under way"}
 }
 
-// setOutcome sets the outcome of the last attempt.
-func (x *exchange) setOutcome(outcome string) { x.attempts[len(x.attempts)-1].outcome = outcome }
-
 // finishAnswered measures an answered request and logs it if it was late, took
 // more than one attempt or has an error status. The others are sampled by the
 // hash of the request ID.
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -38,6 +38,9 @@
 	// minWait are always allowed.
 	targetWaitShare = 0.7
 	minWait         = 100 * time.Millisecond
+	// maxUnreachable is how many servers, beyond the route's attempts, a request
+	// is offered to if some take no connection.
+	maxUnreachable = 2
 	// defaultTimeout applies when the client sends no time limit; the route's
 	// timeout may shorten it.
 	defaultTimeout = 30 * time.Second
@@ -177,32 +180,28 @@
 	x.context = ctx
 	x.countRequest(x.service)
 	x.fleet.RecordArrival(x.service, x.query)
-	var reserved *balancer.Assignment
+	var next *attempt
 	for {
-		assignment, status := reserved, balancer.Found
-		if assignment == nil {
-			assignment, status = x.takeServer()
-		}
-		reserved = nil
-		if assignment == nil {
-			x.backlog = x.fleet.RetryDelay(x.service, x.query, status)
-			x.giveUp("no server", append(x.refusalFields(), zap.Stringer("status", status), zap.Duration("backlog", x.backlog))...)
-			return
-		}
-		retryable := x.attempt(assignment)
-		if next := x.takeReserved(); next != nil {
-			if retryable {
-				x.query.Exclude = append(x.query.Exclude, assignment.ID)
-				reserved = next
-				continue
+		t := next
+		if t == nil {
+			assignment, status := x.takeServer()
+			if assignment == nil {
+				x.backlog = x.fleet.RetryDelay(x.service, x.query, status)
+				x.giveUp("no server", append(x.refusalFields(), zap.Stringer("status", status), zap.Duration("backlog", x.backlog))...)
+				return
 			}
-			next.Cancel()
+			t = x.newAttempt(assignment, x.meta.LastEvent)
 		}
-		if !retryable {
+		x.attempts = append(x.attempts, t.record)
+		var retryable bool
+		if next, retryable = t.perform(); !retryable {
 			return
 		}
-		x.query.Exclude = append(x.query.Exclude, assignment.ID)
-		if x.sends >= x.route.Attempts || len(x.query.Exclude) > x.route.Attempts+2 {
+		x.query.Exclude = append(x.query.Exclude, t.assignment.ID)
+		if next != nil {
+			continue
+		}
+		if x.sends >= x.route.Attempts || len(x.query.Exclude) > x.route.Attempts+maxUnreachable {
 			x.giveUp("attempts are used up", zap.Int("sends", x.sends))
 			return
 		}
@@ -215,6 +214,14 @@
 	}
 }
 
+// merge adds a failed attempt to the state of the request.
+func (x *exchange) merge(t *attempt) {
+	if t.reached {
+		x.sends++
+	}
+	x.mayHaveRun = x.mayHaveRun || t.ran
+}
+
 // takeServer chooses a server. The request waits while all servers are busy or
 // none has its model loaded, as long as an answer in time is still possible.
 func (x *exchange) takeServer() (*balancer.Assignment, balancer.Status) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -286,7 +286,7 @@
 	context    context.Context
 	// attempts are the attempts and their outcomes, for the log; firstByte is
 	// when the first bytes of a stream were sent to the client.
-	attempts  []attemptRecord
+	attempts  []*attemptRecord
 	firstByte time.Time
 	// lastWrite is when events were last sent to the client, longestPause the
 	// longest time between two such writes and longestPauseAt when that pause
@@ -297,9 +297,4 @@
 	// backlog is the estimated time until a server is free, for a request that
 	// got none.
 	backlog time.Duration
-
-	// reservedAssignment is another server, taken because the current
-	// one is silent; nil if there is none.
-	mu                 sync.Mutex
-	reservedAssignment *balancer.Assignment
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -313,6 +313,41 @@
 		Entry("before a plain answer", "GET", "/read/1", delayedAnswer(1200*time.Millisecond, "late"), "late"),
 	)
 
+	It("continues a stream at another server that accepts it while the first one is silent", func() {
+		w := startRelayer(pausedStream(3, 1, 5*time.Second), streamEvents(3, 0))
+		code, body, err := w.send("POST", "/chat/1", "x")
+		Expect([]any{code, body, err}).To(Equal([]any{200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", nil}))
+		Expect(w.attemptCount()).To(Equal(2))
+	})
+
+	It("drops the other server when the silent one sends again", func() {
+		dropped := make(chan struct{})
+		hang := func(_ http.ResponseWriter, q *http.Request) {
+			_, _ = io.Copy(io.Discard, q.Body)
+			<-q.Context().Done()
+			close(dropped)
+		}
+		w := startRelayer(pausedStream(3, 1, 1600*time.Millisecond), hang)
+		code, body, err := w.send("POST", "/chat/1", "x")
+		Expect([]any{code, body, err}).To(Equal([]any{200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", nil}))
+		Eventually(dropped).Should(BeClosed())
+	})
+
+	It("waits for the other server when the silent one breaks off", func() {
+		breakOff := func(rw http.ResponseWriter, q *http.Request) {
+			streamEvents(1, 0)(rw, q)
+			time.Sleep(1600 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		}
+		slow := func(rw http.ResponseWriter, q *http.Request) {
+			time.Sleep(400 * time.Millisecond)
+			streamEvents(3, 0)(rw, q)
+		}
+		w := startRelayer(breakOff, slow)
+		code, body, err := w.send("POST", "/chat/1", "x")
+		Expect([]any{code, body, err}).To(Equal([]any{200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", nil}))
+	})
+
 	// Guards against repeating requests elsewhere when it is the instance that receives
 	// nothing: its own link is full, or its process did not run.
 	It("does not take a server for silent while no server is heard", func() {
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -1,7 +1,7 @@
 package relayer
 
 import (
-	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,26 +36,44 @@
 	recheckInterval = 200 * time.Millisecond
 )
 
-// watchdog cancels an attempt at a silent server once another server is
-// reserved. Without another one the answer is awaited until the deadline:
-// silence alone ends no attempt.
+// watchdog sends the request to another server when the server of an attempt is
+// silent. The silent server keeps the request until the other one has accepted
+// it: silence alone ends no attempt, and neither does a refusal by the other
+// server.
 type watchdog struct {
-	exchange   *exchange
-	assignment *balancer.Assignment
-	cancel     context.CancelFunc
+	exchange *exchange
+	attempt  *attempt
+	// attemptsLeft is how many more servers the request may be sent to, excluded
+	// are those that it is not sent to.
+	attemptsLeft int
+	excluded     []string
 
 	mu           sync.Mutex
 	lastReceived time.Time
+	lastEvent    string
 	gotEvent     bool
 	stopped      bool
 	timer        clockwork.Timer
+	// takeover is the attempt at another server while it is in progress, and
+	// after its server has accepted the request. takeoverDone is closed when it
+	// is no longer in progress.
+	takeover     *attempt
+	takeoverDone chan struct{}
+	// replaced is set when the takeover's server has accepted the request. What
+	// the silent server sends from then on is dropped.
+	replaced bool
+	// failed are the takeovers that failed.
+	failed []*attempt
 }
 
 // startWatchdog returns a watchdog for an attempt. It never fires if the request
 // may not be sent to another server.
-func (x *exchange) startWatchdog(assignment *balancer.Assignment, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{exchange: x, assignment: assignment, cancel: cancel, lastReceived: x.clock.Now()}
-	if !x.route.Repeatable() || x.sends+1 >= x.route.Attempts {
+func (x *exchange) startWatchdog(t *attempt) *watchdog {
+	w := &watchdog{
+		exchange: x, attempt: t, lastReceived: x.clock.Now(), lastEvent: x.meta.LastEvent,
+		attemptsLeft: x.route.Attempts - x.sends - 1, excluded: append(slices.Clone(x.query.Exclude), t.assignment.ID),
+	}
+	if !x.route.Repeatable() || w.attemptsLeft <= 0 {
 		return w
 	}
 	w.mu.Lock()
@@ -65,23 +83,80 @@
 }
 
 // received records that bytes of the answer arrived, and whether they completed
-// an event.
-func (w *watchdog) received(event bool) {
+// an event, whose ID is lastEvent. It reports false if the bytes must be dropped,
+// since another server has accepted the request.
+func (w *watchdog) received(event bool, lastEvent string) bool {
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempt.assignment.RecordBytes()
+	if w.replaced {
+		return false
+	}
 	w.lastReceived = w.exchange.clock.Now()
-	w.gotEvent = w.gotEvent || event
-	w.mu.Unlock()
-	w.assignment.RecordBytes()
+	if event {
+		w.gotEvent, w.lastEvent = true, lastEvent
+	}
+	if w.takeover != nil {
+		w.takeover.abandoned = true
+		w.takeover.cancel()
+	}
+	return true
 }
 
-// stop stops the watchdog.
-func (w *watchdog) stop() {
+// isReplaced reports whether another server has accepted the request.
+func (w *watchdog) isReplaced() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.replaced
+}
+
+// settle ends the watch after the attempt has failed. It waits for a takeover in
+// progress and adds the failed ones to the exchange.
+func (w *watchdog) settle() {
+	w.end()
+	for _, t := range w.failed {
+		w.exchange.merge(t)
+		w.exchange.attempts = append(w.exchange.attempts, t.record)
+		w.exchange.query.Exclude = append(w.exchange.query.Exclude, t.assignment.ID)
+	}
+	w.failed = nil
+}
+
+// successor returns the attempt whose server has accepted the request, nil if
+// there is none. The watch must be settled.
+func (w *watchdog) successor() *attempt {
+	next := w.takeover
+	w.takeover = nil
+	return next
+}
+
+// stop ends the watch and drops a takeover.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	if w.takeover != nil {
+		w.takeover.abandoned = true
+		w.takeover.cancel()
+	}
+	w.mu.Unlock()
+	w.end()
+	if next := w.successor(); next != nil {
+		next.recordFailure()
+		next.end()
+	}
+}
+
+// end prevents further takeovers and waits for the one in progress.
+func (w *watchdog) end() {
+	w.mu.Lock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	done := w.takeoverDone
+	w.mu.Unlock()
+	if done != nil {
+		<-done
+	}
 }
 
 // softTimeout returns how long the answer may be silent before a server that is
@@ -114,12 +189,12 @@
 	return max(minClientTimeout, clientTimeoutTargets*r.LatencyTarget, clientTimeoutGaps*r.MaxEventGap)
 }
 
-// check cancels the attempt if its server is to be given up and another one can
-// be reserved; otherwise it sets the timer for the next check.
+// check sends the request to another server if the attempt's server is silent
+// and another one has capacity; otherwise it sets the timer for the next check.
 func (w *watchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
+	if w.stopped || w.takeover != nil {
 		return
 	}
 	silent := w.exchange.clock.Since(w.lastReceived)
@@ -128,42 +203,69 @@
 		w.timer.Reset(soft - silent)
 		return
 	}
-	serverSilent := w.assignment.IdleTime()
-	if (serverSilent < time.Duration(serverSilenceShare*float64(soft)) && silent < w.hardTimeout()) || !w.exchange.reserveOther(w.assignment) {
+	serverSilent := w.attempt.assignment.IdleTime()
+	if serverSilent < time.Duration(serverSilenceShare*float64(soft)) && silent < w.hardTimeout() {
+		w.timer.Reset(recheckInterval)
+		return
+	}
+	next := w.exchange.reserveOther(w.excluded)
+	if next == nil {
 		w.timer.Reset(recheckInterval)
 		return
 	}
-	w.exchange.log.Info("relay: server is silent", zap.String("server", w.assignment.ID),
+	w.exchange.log.Info("relay: server is silent", zap.String("server", w.attempt.assignment.ID), zap.String("other", next.ID),
 		zap.Duration("request_silent", silent), zap.Duration("server_silent", serverSilent), zap.Duration("all_silent", w.exchange.fleet.IdleTime()))
-	w.stopped = true
-	w.cancel()
+	w.takeover, w.takeoverDone = w.exchange.newAttempt(next, w.lastEvent), make(chan struct{})
+	go w.runTakeover(w.takeover, w.takeoverDone)
+}
+
+// runTakeover sends the request to another server, and cancels the attempt at the
+// silent one if that server accepts it.
+func (w *watchdog) runTakeover(t *attempt, done chan<- struct{}) {
+	defer close(done)
+	t.send()
+	if t.err == nil && !t.isStream() {
+		t.readBody()
+	}
+	w.mu.Lock()
+	if t.accepted() && !t.abandoned {
+		w.replaced = true
+		w.mu.Unlock()
+		w.attempt.cancel()
+		return
+	}
+	w.takeover = nil
+	w.mu.Unlock()
+	t.recordFailure()
+	t.end()
+	w.exchange.log.Info("relay: request stays at the silent server", zap.String("server", w.attempt.assignment.ID), zap.String("other", t.assignment.ID),
+		zap.String("outcome", t.record.outcome))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failed = append(w.failed, t)
+	w.excluded = append(w.excluded, t.assignment.ID)
+	if t.reached {
+		w.attemptsLeft--
+	}
+	if !w.stopped && w.attemptsLeft > 0 && len(w.excluded) <= w.exchange.route.Attempts+maxUnreachable {
+		w.timer.Reset(recheckInterval)
+	}
 }
 
-// reserveOther takes another server and a retry from the budget. It
-// reports false, and takes neither, if either is unavailable.
-func (x *exchange) reserveOther(assignment *balancer.Assignment) bool {
+// reserveOther takes a server that is not excluded, and a retry from the budget.
+// It returns nil, and takes neither, if either is unavailable.
+func (x *exchange) reserveOther(excluded []string) *balancer.Assignment {
 	q := x.query
 	q.NeedsReservation = false
-	q.Exclude = append(append([]string(nil), q.Exclude...), assignment.ID)
+	q.Exclude = excluded
 	next, status := x.fleet.Take(x.service, q)
 	if status != balancer.Found {
-		return false
+		return nil
 	}
 	if !x.allowRetry(x.service) {
 		next.Cancel()
-		return false
+		return nil
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.reservedAssignment = next
-	return true
-}
-
-// takeReserved returns and clears the reserved assignment, nil if there is none.
-func (x *exchange) takeReserved() *balancer.Assignment {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	next := x.reservedAssignment
-	x.reservedAssignment = nil
+	x.meter.Add(MetricRetried, 1)
 	return next
 }
