--- a/coordinator/deputy_test.go
+++ b/coordinator/deputy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +81,8 @@
 	coordinator *coordinator.Coordinator
 	fleet       *balancer.Fleet
 	registry    *countingSource
+	config      *countingSource
+	address     string
 	stop        context.CancelFunc
 }
 
@@ -92,11 +95,11 @@
 		Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		m := &instance{fleet: balancer.NewFleet("z", uint64(i), clock), registry: &countingSource{}, stop: cancel}
+		m := &instance{fleet: balancer.NewFleet("z", uint64(i), clock), registry: &countingSource{}, config: &countingSource{}, address: listener.Addr().String(), stop: cancel}
 		m.fleet.Update([]registrar.Server{{ID: "s", Incarnation: "s", Service: "llm", Address: "127.0.0.1:1", Zone: "z", Slots: 64, Loaded: []registrar.LoadedModel{{Model: "m"}}}})
 		interval := func() time.Duration { return 100 * time.Millisecond }
 		registry := tailer.New("registry", m.registry, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
-		config := tailer.New("config", &countingSource{}, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
+		config := tailer.New("config", m.config, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
 		name := fmt.Sprint("i", i)
 		link := 1000.0
 		if i < narrow {
@@ -179,3 +182,51 @@
 		Eventually(func() int { return remaining[2].fleet.Congestion("llm", q).InFlight }, "10s").Should(BeZero())
 	})
 })
+
+// Guards against replies that take longer than the timeout of an exchange on a
+// narrow link: the holder is then taken for dead, and the configuration is sent
+// again by a deputy and by the store.
+var _ = Describe("A large configuration", func() {
+	It("is read from the store by each instance", func() {
+		all := startInstances(4, 2, &sharedLog{})
+		holder := -1
+		Eventually(func() int {
+			holder = slices.IndexFunc(all, func(m *instance) bool { return m.coordinator.HoldsLease() })
+			return holder
+		}, "5s").Should(BeNumerically(">=", 0))
+		others := slices.Delete(slices.Clone(all), holder, holder+1)
+		reads := func() (list []int64) {
+			for _, m := range others {
+				list = append(list, m.config.reads.Load())
+			}
+			return list
+		}
+		for _, m := range others {
+			Eventually(m.coordinator.Instances, "5s").Should(Equal(4))
+		}
+		before := reads()
+		Eventually(func() bool {
+			last := before
+			before = reads()
+			return slices.Equal(last, before)
+		}, "5s", "1s").Should(BeTrue(), "the holder's feed replaces reads of the store")
+		for _, m := range all {
+			m.coordinator.UpdateConfig(tailer.Record{Offset: 1, Key: "config", Value: make([]byte, 400<<10)}, 1)
+		}
+		for i, m := range others {
+			Eventually(m.config.reads.Load, "2s").Should(BeNumerically(">", before[i]))
+		}
+	})
+
+	It("is not part of replies, but a small one is", func() {
+		for size, count := range map[int]int{1 << 10: 1, 400 << 10: 0} {
+			m := startInstances(1, 0, &sharedLog{})[0]
+			Eventually(m.coordinator.HoldsLease, "5s").Should(BeTrue())
+			m.coordinator.UpdateConfig(tailer.Record{Offset: 1, Key: "config", Value: make([]byte, size)}, 1)
+			var reply coordinator.Reply
+			Expect(messenger.NewClient(clockwork.NewRealClock()).Call(context.Background(), m.address, "exchange", coordinator.Report{Instance: "other", Config: -1}, &reply)).To(Succeed())
+			Expect(reply.HoldsLease).To(BeTrue())
+			Expect(len(reply.Config)).To(Equal(count), "records in the reply for a configuration of %d bytes", size)
+		}
+	})
+})
