Read a large configuration from the store instead of from the lease holder

Cause: the lease holder put the configuration into its reply to every instance. With 80 instances that is more than its link carries within the 500 ms that an exchange may take. Each instance then took the holder for dead, asked a deputy, which sent the configuration again, and read the store as well.

A reply now carries a configuration of up to 64 KiB. For a larger one it says that the configuration is in the store, and the instance reads it there at once. A process of an older build gets no fresh feed and reads the store by itself.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -191,7 +191,11 @@
 		}
 	}
 	slices.SortFunc(out.Registry, func(a, b tailer.Record) int { return int(a.Offset - b.Offset) })
-	if r.Config < c.configVersion {
+	switch {
+	case r.Config >= c.configVersion:
+	case len(c.configRecord.Value) > maxForwardedConfigBytes:
+		out.ConfigInStore = true
+	default:
 		out.Config = []tailer.Record{c.configRecord}
 		out.ConfigNext = c.configRecord.Offset + 1
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -34,6 +34,10 @@
 	memberTTL = 3 * time.Second
 	// exchangeTimeout is the timeout of a report with its reply.
 	exchangeTimeout = 500 * time.Millisecond
+	// maxForwardedConfigBytes is the largest configuration in a reply. It takes
+	// 50 ms on a link of 10 Mbit/s; one that does not arrive within
+	// exchangeTimeout is sent again and again.
+	maxForwardedConfigBytes = 64 << 10
 	// unreachableTTL is how long a report that a server is unreachable counts.
 	unreachableTTL = time.Second
 	// overlayWait is the longest delay of the reply to an instance whose
@@ -98,12 +102,15 @@
 	// where to read on. RegistryFresh and ConfigFresh are set if the sender
 	// reads the store at its usual pace. Overlays are those after the report's
 	// Overlay, and Overlay is how many there were in the coordinator's term.
-	Registry      []tailer.Record       `msgpack:"r"`
-	Next          int64                 `msgpack:"x"`
-	RegistryFresh bool                  `msgpack:"rf"`
-	ConfigFresh   bool                  `msgpack:"cf"`
-	Config        []tailer.Record       `msgpack:"c"`
-	ConfigNext    int64                 `msgpack:"cx"`
+	Registry      []tailer.Record `msgpack:"r"`
+	Next          int64           `msgpack:"x"`
+	RegistryFresh bool            `msgpack:"rf"`
+	ConfigFresh   bool            `msgpack:"cf"`
+	Config        []tailer.Record `msgpack:"c"`
+	ConfigNext    int64           `msgpack:"cx"`
+	// ConfigInStore is set if the newest configuration is too large for a reply
+	// and is to be read from the store.
+	ConfigInStore bool                  `msgpack:"cs"`
 	Overlays      []balancer.Overlay    `msgpack:"o"`
 	Overlay       int                   `msgpack:"ov"`
 	Suspects      []quarantiner.Suspect `msgpack:"s"`
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -95,5 +95,5 @@
 	}
 	c.Suspects.Merge(r.Suspects)
 	c.Registry.Feed(r.Registry, r.Next, r.RegistryFresh)
-	c.Config.Feed(r.Config, r.ConfigNext, r.ConfigFresh)
+	c.feedConfig(r)
 }
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -266,7 +266,9 @@
 	reply.Fence = c.lease.Fence()
 	reply.Next = next
 	reply.RegistryFresh = c.Registry.Age() < maxReadAge
-	reply.ConfigFresh = c.Config.Age() < maxReadAge
+	// An instance that does not know ConfigInStore reads the store when no fresh
+	// feed arrives.
+	reply.ConfigFresh = c.Config.Age() < maxReadAge && !reply.ConfigInStore
 	reply.Suspects = c.Suspects.Export()
 	if !holds {
 		return c.deputyReply(reply)
@@ -274,6 +276,16 @@
 	return reply
 }
 
+// feedConfig applies the configuration of a reply, or reads it from the store if
+// it is too large for one.
+func (c *Coordinator) feedConfig(r Reply) {
+	if r.ConfigInStore {
+		c.Config.ReadNow()
+		return
+	}
+	c.Config.Feed(r.Config, r.ConfigNext, r.ConfigFresh)
+}
+
 // applyReply applies a reply of the coordinator.
 func (c *Coordinator) applyReply(r Reply) {
 	c.lease.HolderReplied()
@@ -288,7 +300,7 @@
 	c.Suspects.Merge(r.Suspects)
 	if !c.lease.Valid() {
 		c.Registry.Feed(r.Registry, r.Next, r.RegistryFresh)
-		c.Config.Feed(r.Config, r.ConfigNext, r.ConfigFresh)
+		c.feedConfig(r)
 	}
 	c.Fleet.ApplyOverlays(r.Overlays)
 }
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -116,8 +116,12 @@
 	return t
 }
 
-// ReadNow ends the current pause before the next read.
+// ReadNow makes this instance read the store at once, also while a peer feeds the
+// stream.
 func (t *Tailer) ReadNow() {
+	t.mu.Lock()
+	t.fedAt = time.Time{}
+	t.mu.Unlock()
 	select {
 	case t.readNow <- struct{}{}:
 	default:
