Forward a configuration if the links carry it within an exchange

The bound now follows from what it stands for: the configuration must reach all instances from the sender's link, and each one over its own link, within half the timeout of an exchange. With 200 Mbit/s and 80 instances that is 78 kB.

The test of the bound becomes a table: narrow and wide receivers, a narrow sender with one and with many instances.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -64,6 +64,7 @@
 	// records are the newest registry records by key.
 	records       map[string]tailer.Record
 	servers       []registrar.Server
+	linkMbps      float64
 	configRecord  tailer.Record
 	configVersion int64
 	// overlaysAdded is closed and replaced when overlays are added.
@@ -72,9 +73,9 @@
 	planNow chan struct{}
 }
 
-func newClusterState(clock clockwork.Clock) *clusterState {
+func newClusterState(clock clockwork.Clock, linkMbps float64) *clusterState {
 	return &clusterState{
-		clock: clock, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, demand: map[demandKey]*demandRates{},
+		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, demand: map[demandKey]*demandRates{},
 		records: map[string]tailer.Record{}, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
 	}
 }
@@ -193,7 +194,7 @@
 	slices.SortFunc(out.Registry, func(a, b tailer.Record) int { return int(a.Offset - b.Offset) })
 	switch {
 	case r.Config >= c.configVersion:
-	case len(c.configRecord.Value) > maxForwardedConfigBytes:
+	case len(c.configRecord.Value) > c.maxConfigBytes(r):
 		out.ConfigInStore = true
 	default:
 		out.Config = []tailer.Record{c.configRecord}
@@ -207,6 +208,18 @@
 	return out, c.overlaysAdded
 }
 
+// maxConfigBytes returns the size of the largest configuration that fits a reply
+// to an instance: all instances want it at the same time, from this instance's
+// link. A reply that is not complete within exchangeTimeout is sent again and
+// again. c.mu must be held.
+func (c *clusterState) maxConfigBytes(r Report) int {
+	mbps := c.linkMbps / float64(max(len(c.members), 1))
+	if r.Link > 0 {
+		mbps = min(mbps, r.Link)
+	}
+	return int(mbps * bytesPerSecondPerMbps * maxConfigTime.Seconds())
+}
+
 // digestOf returns a digest by which lists of member addresses are compared.
 func digestOf(members []string) uint64 { return balancer.Hash(strings.Join(members, " ")) }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -34,10 +34,11 @@
 	memberTTL = 3 * time.Second
 	// exchangeTimeout is the timeout of a report with its reply.
 	exchangeTimeout = 500 * time.Millisecond
-	// maxForwardedConfigBytes is the largest configuration in a reply. It takes
-	// 50 ms on a link of 10 Mbit/s; one that does not arrive within
-	// exchangeTimeout is sent again and again.
-	maxForwardedConfigBytes = 64 << 10
+	// maxConfigTime is the longest time that sending a configuration may take of
+	// exchangeTimeout; the rest is left for other traffic on the link.
+	maxConfigTime = exchangeTimeout / 2
+	// bytesPerSecondPerMbps converts Mbit/s to bytes per second.
+	bytesPerSecondPerMbps = 1e6 / 8
 	// unreachableTTL is how long a report that a server is unreachable counts.
 	unreachableTTL = time.Second
 	// overlayWait is the longest delay of the reply to an instance whose
--- a/coordinator/deputy_test.go
+++ b/coordinator/deputy_test.go
@@ -187,14 +187,14 @@
 // narrow link: the holder is then taken for dead, and the configuration is sent
 // again by a deputy and by the store.
 var _ = Describe("A large configuration", func() {
-	It("is read from the store by each instance", func() {
-		all := startInstances(4, 2, &sharedLog{})
+	It("is read from the store by instances with a narrow link", func() {
+		all := startInstances(4, 3, &sharedLog{})
 		holder := -1
 		Eventually(func() int {
 			holder = slices.IndexFunc(all, func(m *instance) bool { return m.coordinator.HoldsLease() })
 			return holder
-		}, "5s").Should(BeNumerically(">=", 0))
-		others := slices.Delete(slices.Clone(all), holder, holder+1)
+		}, "5s").Should(Equal(3))
+		others := all[:holder]
 		reads := func() (list []int64) {
 			for _, m := range others {
 				list = append(list, m.config.reads.Load())
@@ -218,15 +218,26 @@
 		}
 	})
 
-	It("is not part of replies, but a small one is", func() {
-		for size, count := range map[int]int{1 << 10: 1, 400 << 10: 0} {
-			m := startInstances(1, 0, &sharedLog{})[0]
+	DescribeTable("is part of a reply only if it arrives in time",
+		func(size, narrow, instances int, link float64, count int) {
+			m := startInstances(1, narrow, &sharedLog{})[0]
 			Eventually(m.coordinator.HoldsLease, "5s").Should(BeTrue())
 			m.coordinator.UpdateConfig(tailer.Record{Offset: 1, Key: "config", Value: make([]byte, size)}, 1)
+			peers := messenger.NewClient(clockwork.NewRealClock())
 			var reply coordinator.Reply
-			Expect(messenger.NewClient(clockwork.NewRealClock()).Call(context.Background(), m.address, "exchange", coordinator.Report{Instance: "other", Config: -1}, &reply)).To(Succeed())
+			for i := range instances {
+				reply = coordinator.Reply{}
+				Expect(peers.Call(context.Background(), m.address, "exchange", coordinator.Report{Instance: fmt.Sprint("other", i), Link: link, Config: -1}, &reply)).To(Succeed())
+			}
 			Expect(reply.HoldsLease).To(BeTrue())
-			Expect(len(reply.Config)).To(Equal(count), "records in the reply for a configuration of %d bytes", size)
-		}
-	})
+			Expect(len(reply.Config)).To(Equal(count))
+			Expect(reply.ConfigInStore).To(Equal(count == 0))
+			Expect(reply.ConfigFresh && reply.ConfigInStore).To(BeFalse(), "a fresh feed stops the reads of the store")
+		},
+		Entry("a small one to a narrow link", 64<<10, 0, 1, 10.0, 1),
+		Entry("a large one to a narrow link", 400<<10, 0, 1, 10.0, 0),
+		Entry("a large one to a wide link", 400<<10, 0, 1, 1000.0, 1),
+		Entry("a small one from a narrow link to one instance", 64<<10, 1, 1, 1000.0, 1),
+		Entry("a small one from a narrow link to many instances", 64<<10, 1, 20, 1000.0, 0),
+	)
 })
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -95,7 +95,7 @@
 
 // New returns a coordinator.
 func New(d Dependencies) *Coordinator {
-	c := &Coordinator{Dependencies: d, cluster: newClusterState(d.Clock), backoffUntil: map[string]time.Time{}}
+	c := &Coordinator{Dependencies: d, cluster: newClusterState(d.Clock, d.LinkMbps), backoffUntil: map[string]time.Time{}}
 	self := Entry{Instance: d.Instance, Machine: d.Machine, Address: d.Address}
 	c.lease = NewLease(self, d.OrderGap, d.LeaseLog, d.Boot, d.Clock, d.Log, c.leaseAcquired, c.MaxRetryInterval)
 	if d.LinkMbps > 0 && d.LinkMbps < wideLinkMbps {
