--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -54,15 +54,15 @@
 	gotEvent     bool
 	stopped      bool
 	timer        clockwork.Timer
-	// takeover is the attempt at another server while it is in progress, and
-	// after its server has accepted the request. takeoverDone is closed when it
+	// failover is the attempt at another server while it is in progress, and
+	// after its server has accepted the request. failoverDone is closed when it
 	// is no longer in progress.
-	takeover     *attempt
-	takeoverDone chan struct{}
-	// replaced is set when the takeover's server has accepted the request. What
+	failover     *attempt
+	failoverDone chan struct{}
+	// replaced is set when the failover's server has accepted the request. What
 	// the silent server sends from then on is dropped.
 	replaced bool
-	// failed are the takeovers that failed.
+	// failed are the failovers that failed.
 	failed []*attempt
 }
 
@@ -96,9 +96,9 @@
 	if event {
 		w.gotEvent, w.lastEvent = true, lastEvent
 	}
-	if w.takeover != nil {
-		w.takeover.abandoned = true
-		w.takeover.cancel()
+	if w.failover != nil {
+		w.failover.abandoned = true
+		w.failover.cancel()
 	}
 	return true
 }
@@ -110,7 +110,7 @@
 	return w.replaced
 }
 
-// settle ends the watch after the attempt has failed. It waits for a takeover in
+// settle ends the watch after the attempt has failed. It waits for a failover in
 // progress and adds the failed ones to the exchange.
 func (w *watchdog) settle() {
 	w.end()
@@ -125,17 +125,17 @@
 // successor returns the attempt whose server has accepted the request, nil if
 // there is none. The watch must be settled.
 func (w *watchdog) successor() *attempt {
-	next := w.takeover
-	w.takeover = nil
+	next := w.failover
+	w.failover = nil
 	return next
 }
 
-// stop ends the watch and drops a takeover.
+// stop ends the watch and drops a failover.
 func (w *watchdog) stop() {
 	w.mu.Lock()
-	if w.takeover != nil {
-		w.takeover.abandoned = true
-		w.takeover.cancel()
+	if w.failover != nil {
+		w.failover.abandoned = true
+		w.failover.cancel()
 	}
 	w.mu.Unlock()
 	w.end()
@@ -145,14 +145,14 @@
 	}
 }
 
-// end prevents further takeovers and waits for the one in progress.
+// end prevents further failovers and waits for the one in progress.
 func (w *watchdog) end() {
 	w.mu.Lock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	done := w.takeoverDone
+	done := w.failoverDone
 	w.mu.Unlock()
 	if done != nil {
 		<-done
@@ -194,7 +194,7 @@
 func (w *watchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || w.takeover != nil {
+	if w.stopped || w.failover != nil {
 		return
 	}
 	silent := w.exchange.clock.Since(w.lastReceived)
@@ -218,13 +218,13 @@
 	}
 	w.exchange.log.Info("relay: server is silent", zap.String("server", w.attempt.assignment.ID), zap.String("other", next.ID),
 		zap.Duration("request_silent", silent), zap.Duration("server_silent", serverSilent), zap.Duration("all_silent", allSilent))
-	w.takeover, w.takeoverDone = w.exchange.newAttempt(next, w.lastEvent), make(chan struct{})
-	go w.runTakeover(w.takeover, w.takeoverDone)
+	w.failover, w.failoverDone = w.exchange.newAttempt(next, w.lastEvent), make(chan struct{})
+	go w.runFailover(w.failover, w.failoverDone)
 }
 
-// runTakeover sends the request to another server, and cancels the attempt at the
+// runFailover sends the request to another server, and cancels the attempt at the
 // silent one if that server accepts it.
-func (w *watchdog) runTakeover(t *attempt, done chan<- struct{}) {
+func (w *watchdog) runFailover(t *attempt, done chan<- struct{}) {
 	defer close(done)
 	t.send()
 	if t.err == nil && !t.isStream() {
@@ -237,7 +237,7 @@
 		w.attempt.cancel()
 		return
 	}
-	w.takeover = nil
+	w.failover = nil
 	w.mu.Unlock()
 	t.recordFailure()
 	t.end()
