Let an answered repeat end before the count in the test of handed over outcomes

Cause: the first owner calls the third instance too, one overlap after the second, since its call to the second has timed out by then and its own record of the outcome ends only a moment later. If that instance has the shard's state (it followed the shard before the others were listed), the repeat waits there. The handover answers it under the writer's mutex, but its entry is removed by its own goroutine. The test took its first count about 0.2 ms after the handover and expected that goroutine to be through. The writer promises the answer, not the moment at which the entry goes.

Change: before the unchanged check that the count stays 1 for 2.5 s, the count must become 1 within 1 s; the wait of the repeat would last 20 s.

--- a/writer/writer_test.go
+++ b/writer/writer_test.go
@@ -273,6 +273,9 @@
 				Expect(string(r.Body)).To(Equal("first"))
 			}
 		}
+		// The last instance may have had a repeat that waited. The handover has
+		// answered it, but it counts until its goroutine has ended.
+		Eventually(func() int { return left[0].writer.Stats().InProgress }, "1s", "5ms").Should(Equal(1))
 		// The last instance has not read the claim.
 		Consistently(func() int { return left[0].writer.Stats().InProgress }, "2500ms", "100ms").Should(Equal(1))
 		left[0].node.Log.SetUnreachable(false)
