Test that an answer is read whose upstream closed with a large body unread

A caller gets a broken connection (may have run) in place of an answer that the upstream sent before it closed the connection without reading a large body.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -163,6 +164,34 @@
 		Expect(dials.Count()).To(BeEquivalentTo(2))
 	})
 
+	// A failed write of the body closed the connection before the answer was read.
+	It("reads an answer whose upstream closed with the large body unread", func() {
+		closed := make(chan struct{})
+		signal := sync.OnceFunc(func() { close(closed) })
+		p := pool(listen(func(_ int, c net.Conn, r *bufio.Reader) bool {
+			if _, err := http.ReadRequest(r); err != nil {
+				return false
+			}
+			writeAnswer(c, "q", strings.Repeat("y", 8<<10))
+			_ = c.Close()
+			signal()
+			return false
+		}))
+		post := connector.Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 16<<20))}
+		a, err := p.Do(context.Background(), post, func(status int, h http.Header) bool {
+			<-closed
+			time.Sleep(50 * time.Millisecond) // until the write has failed
+			return own(status, h)
+		})
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(a.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveLen(8 << 10))
+		a.Close(true)
+		_, _ = fetch(p, get)
+		Expect(dials.Count()).To(BeEquivalentTo(2))
+	})
+
 	It("closes the connection when the context ends", func() {
 		gone := make(chan struct{})
 		p := pool(listen(func(_ int, _ net.Conn, r *bufio.Reader) bool {
