Add a failing test: a call is cut before another server has accepted it

Callers would see an error for a call whose server answers within the deadline: an attempt is cut at half of the deadline even if no other server exists, the retry budget refuses, or the other server answers 503 without running the call.

Evidence, with a deadline of 1 s and an answer after 700 ms: expected [200, "k1/form?"], got 502 "no answer" (twice) and 503 "server is full".

--- a/server/routes_test.go
+++ b/server/routes_test.go
@@ -16,6 +16,7 @@
 
 	"primrosehook/forwarder"
 	"primrosehook/judge"
+	"primrosehook/lister"
 	"primrosehook/server"
 )
 
@@ -67,6 +68,43 @@
 		Expect(sendRequest("GET", kiosk+"/form", "").body).To(Equal("k2/form?"))
 	})
 
+	// Guards against a call that is cancelled at a server before another has accepted it.
+	DescribeTable("keep a call at a slow server until another one has answered",
+		func(servers int, exhausted bool, other func(context.Context, forwarder.Call) (forwarder.Answer, error), body string) {
+			b.close()
+			b = newHarness(server.WithInstances(fakeView{
+				{Name: "k1", Kind: lister.KindService, Pool: "kiosk", Addr: "k1", State: lister.StateLive},
+				{Name: "k2", Kind: lister.KindService, Pool: "kiosk", Addr: "k2", Zone: "far", State: lister.StateLive},
+			}[:servers]), server.WithRules(newRules(strings.Replace(ruleList, "deadline: 2s", "deadline: 1s", 1))))
+			b.dispatcher.budgetExhausted = exhausted
+			ended := make(chan error, 1)
+			b.services.handlers["k1"] = func(ctx context.Context, c forwarder.Call) (forwarder.Answer, error) {
+				select {
+				case <-time.After(700 * time.Millisecond):
+				case <-ctx.Done():
+				}
+				ended <- ctx.Err()
+				if ctx.Err() != nil {
+					return forwarder.Answer{}, judge.Unknown("service", "no answer", ctx.Err())
+				}
+				return answerWith("k1")(ctx, c)
+			}
+			b.services.handlers["k2"] = other
+			p := sendRequest("GET", b.callers.URL+"/services/kiosk/form", "")
+			Expect([]any{p.status, p.body}).To(Equal([]any{200, body}))
+			if body == "k1/form?" {
+				Expect(ended).To(Receive(BeNil()))
+			} else {
+				Eventually(ended).Should(Receive(MatchError(context.Canceled)))
+			}
+		},
+		Entry("without another server", 1, false, nil, "k1/form?"),
+		Entry("without a retry in the budget", 2, true, answerWith("k2"), "k1/form?"),
+		Entry("while another server refuses it", 2, false,
+			failWith(judge.Unavailable("service", "server is full", time.Second)), "k1/form?"),
+		Entry("until another server answers", 2, false, answerWith("k2"), "k2/form?"),
+	)
+
 	It("stop retrying if the retry budget is exhausted", func() {
 		b.dispatcher.budgetExhausted = true
 		b.services.handlers["k1"] = failWith(judge.Unknown("service", "answer was cut", nil))
