--- a/server/service.go
+++ b/server/service.go
@@ -30,10 +30,6 @@
 // maxKeyBytes is the longest idempotency key.
 const maxKeyBytes = 255
 
-// attemptDeadlineDivisor divides the deadline of a call into the longest time
-// of one attempt, so that an unresponsive server leaves time for another.
-const attemptDeadlineDivisor = 2
-
 // handleService serves /services/{service}/*.
 func (s *Server) handleService(c echo.Context) error {
 	s.counters.requests.Add(1)
@@ -192,74 +188,10 @@
 	return nil
 }
 
-// runCall executes an idempotent call on one server of the pool after another,
-// while the retry budget allows.
-func (sr *serviceRequest) runCall(ctx context.Context) (forwarder.Answer, error) {
-	s := sr.server
-	if s.forwarder == nil {
-		return forwarder.Answer{}, judge.Unavailable("forwarder", "instance forwards no calls", time.Second)
-	}
-	s.counters.calls.Add(1)
-	failure := judge.Unavailable("no-server", "no server of the service is known", time.Second)
-	tried := map[string]bool{}
-	for number := range s.limits.MaxAttempts {
-		server, ok := s.chooseServer(sr.pool, tried)
-		if !ok || number > 0 && !s.mayRetry() {
-			break
-		}
-		tried[server.Name] = true
-		answer, err := sr.runAttempt(ctx, server)
-		if err == nil {
-			return answer, nil
-		}
-		if ctx.Err() != nil {
-			return forwarder.Answer{}, errClientGone
-		}
-		worst := max(failure.Verdict, judge.Of(err))
-		next := *judge.As(err)
-		failure = &next
-		failure.Verdict = worst
-		if failure.RetryAfter == 0 {
-			failure.RetryAfter = time.Second
-		}
-		s.counters.retries.Add(1)
-	}
-	return forwarder.Answer{}, failure
-}
-
 // mayRetry takes a retry from the retry budget and reports whether the budget
 // allowed it. Without a dispatcher there is no budget.
 func (s *Server) mayRetry() bool { return s.dispatcher == nil || s.dispatcher.Retry() }
 
-// runAttempt sends the call to one server, with a time limit of a share of its
-// deadline.
-func (sr *serviceRequest) runAttempt(ctx context.Context, server lister.Instance) (forwarder.Answer, error) {
-	s := sr.server
-	limit := s.limits.CallTimeout
-	if d := sr.decision.Then.Deadline; d > 0 {
-		limit = min(limit, d/attemptDeadlineDivisor)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timer := s.clock.AfterFunc(limit, cancel)
-	defer timer.Stop()
-	ctx, span := s.tracer.Start(ctx, "call")
-	s.inFlight.add(server.Name, 1)
-	answer, err := s.forwarder.Forward(ctx, server.Addr, withTraceContext(ctx, sr.call))
-	s.inFlight.add(server.Name, -1)
-	if err == nil && answer.Status == http.StatusServiceUnavailable {
-		err = judge.Unavailable("server", "server of the service takes no calls now", time.Second)
-	}
-	tracer.EndSpan(span, err)
-	record := explainer.Attempt{Target: server.Name}
-	if err != nil {
-		r := judge.As(err)
-		record.Code, record.Verdict, record.Reason = r.Code, r.Verdict.String(), r.Error()
-	}
-	sr.explanation.Attempts = append(sr.explanation.Attempts, record)
-	return answer, err
-}
-
 // chooseServer returns the live server of a pool with the fewest calls in
 // flight from this instance, and prefers its own availability zone among
 // equals. Servers that are leaving and those already tried are not chosen.
