Add failing tests: a generation is cancelled before another engine has accepted it

Callers would see a stream end with an error, or an error instead of an answer, although the engine was still at work: a generation that is silent for StallTimeout is cancelled first. Then no other engine may take it, the retry budget or MaxAttempts may not allow it, or the other engine refuses.

The fake engine forgets cancelled generations, as a real one does, and can be released from a stall.

--- a/server/fakes_test.go
+++ b/server/fakes_test.go
@@ -57,8 +57,11 @@
 	refusal error
 	// firstTokenDelay is the time to the first token.
 	firstTokenDelay time.Duration
-	// stalls sends nothing after the first token.
-	stalls bool
+	// stalls sends nothing after the first token until released is closed, and
+	// stallsAtOnce nothing before it either.
+	stalls       bool
+	stallsAtOnce bool
+	released     chan struct{}
 	// allReady makes all tokens available at once.
 	allReady  bool
 	started   map[string]driver.Request
@@ -68,7 +71,7 @@
 }
 
 func newEngine(name string) *fakeEngine {
-	return &fakeEngine{name: name, started: map[string]driver.Request{}}
+	return &fakeEngine{name: name, released: make(chan struct{}), started: map[string]driver.Request{}}
 }
 
 func wordsOf(q driver.Request) []string {
@@ -111,6 +114,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cancelled = append(e.cancelled, id)
+	delete(e.started, id)
 	return nil
 }
 
@@ -151,6 +155,13 @@
 	return true
 }
 
+// lose makes the engine refuse every connection from now on.
+func (e *fakeEngine) lose() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = true
+}
+
 func (e *fakeEngine) calls() ([]driver.Request, []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -175,9 +186,12 @@
 			return driver.Token{}, judge.Unknown("engine", "engine stream was cut", s.ctx.Err())
 		}
 	}
-	if s.engine.stalls && s.at > 0 {
-		<-s.ctx.Done()
-		return driver.Token{}, judge.Unknown("engine", "engine stream was cut", s.ctx.Err())
+	if s.engine.stallsAtOnce || s.engine.stalls && s.at > 0 {
+		select {
+		case <-s.engine.released:
+		case <-s.ctx.Done():
+			return driver.Token{}, judge.Unknown("engine", "engine stream was cut", s.ctx.Err())
+		}
 	}
 	if s.engine.cut(s.at) {
 		return driver.Token{}, judge.Unknown("engine", "engine stream was cut", io.ErrUnexpectedEOF)
--- a/server/generate_test.go
+++ b/server/generate_test.go
@@ -255,6 +255,115 @@
 		Expect(b.quarantine.crashed).To(BeEmpty())
 	})
 
+	Describe("a generation on a stalled engine", func() {
+		limits := server.DefaultLimits()
+		limits.StallTimeout = 50 * time.Millisecond
+		const pause = 400 * time.Millisecond
+
+		setUp := func(change func(*server.Limits), list string) {
+			b.close()
+			l := limits
+			change(&l)
+			b = newHarness(server.WithLimits(l), server.WithRules(newRules(list)))
+			chat = b.callers.URL + "/v1/chat/completions"
+			b.engines["e1"].stalls = true
+		}
+		keep := func(*server.Limits) {}
+
+		// Guards against a generation that is cancelled on a live engine before
+		// another engine has accepted it.
+		DescribeTable("is kept until another engine has accepted it",
+			func(change func(*server.Limits), prepare func()) {
+				setUp(change, ruleList)
+				prepare()
+				e1 := b.engines["e1"]
+				time.AfterFunc(pause, func() { close(e1.released) })
+				text, ids, last := parseEvents(sendRequest("POST", chat, streamed(chatBody)).body)
+				Expect([]any{text, last}).To(Equal([]any{wholeAnswer, "[DONE]"}))
+				Expect(ids).To(Equal([]string{"1", "2", "3", "4", "5", "6"}))
+				requests, cancelled := e1.calls()
+				Expect(requests).To(HaveLen(1))
+				Expect(cancelled).To(BeEmpty())
+			},
+			Entry("without another engine", keep, func() { b.dispatcher.engines = []string{"e1"} }),
+			Entry("before the first token", keep, func() {
+				b.dispatcher.engines = []string{"e1"}
+				b.engines["e1"].stallsAtOnce = true
+			}),
+			Entry("without a retry in the budget", keep, func() { b.dispatcher.budgetExhausted = true }),
+			Entry("without an attempt left", func(l *server.Limits) { l.MaxAttempts = 1 }, func() {}),
+			Entry("while another engine refuses it", keep, func() {
+				b.engines["e2"].refusal = judge.Unavailable("engine", "engine is full", time.Second)
+			}),
+		)
+
+		It("ends if the engine is found to be lost", func() {
+			setUp(keep, ruleList)
+			b.dispatcher.engines = []string{"e1"}
+			time.AfterFunc(pause, b.engines["e1"].lose)
+			text, _, last := parseEvents(sendRequest("POST", chat, streamed(chatBody)).body)
+			Expect(wholeAnswer).To(HavePrefix(text))
+			Expect(last).To(And(ContainSubstring(`"verdict":"may-have-run"`), ContainSubstring(`"delivered":1`)))
+			Expect(b.quarantine.crashed).To(Equal([]string{"e1"}))
+		})
+
+		It("ends if the engine is no longer in the instance list", func() {
+			setUp(keep, ruleList)
+			b.dispatcher.engines = []string{"e3"}
+			b.engines["e3"] = newEngine("e3")
+			b.engines["e3"].stalls = true
+			_, _, last := parseEvents(sendRequest("POST", chat, streamed(chatBody)).body)
+			Expect(last).To(ContainSubstring(`"delivered":1`))
+			_, cancelled := b.engines["e3"].calls()
+			Expect(cancelled).To(HaveLen(1))
+		})
+
+		It("ends at the deadline if it has no token", func() {
+			setUp(keep, strings.Replace(ruleList, "deadline: 2s", "deadline: 300ms", 1))
+			b.dispatcher.engines = []string{"e1"}
+			b.engines["e1"].stallsAtOnce = true
+			p := sendRequest("POST", chat, streamed(chatBody))
+			_, verdict, _ := p.refusal()
+			Expect([]any{p.status, verdict}).To(Equal([]any{503, "may-have-run"}))
+			_, cancelled := b.engines["e1"].calls()
+			Expect(cancelled).To(HaveLen(1))
+		})
+
+		It("is cancelled if the client disconnects meanwhile", func() {
+			setUp(keep, ruleList)
+			b.dispatcher.engines = []string{"e1"}
+			ctx, cancel := context.WithTimeout(context.Background(), pause)
+			defer cancel()
+			q, _ := http.NewRequestWithContext(ctx, http.MethodPost, chat, strings.NewReader(streamed(chatBody)))
+			p, err := http.DefaultClient.Do(q)
+			Expect(err).NotTo(HaveOccurred())
+			defer p.Body.Close()
+			_, err = io.ReadAll(p.Body)
+			Expect(err).To(MatchError(context.DeadlineExceeded))
+			Eventually(func() []string { _, gone := b.engines["e1"].calls(); return gone }).Should(HaveLen(1))
+		})
+
+		// Guards against a resumed stream that is given up at a live engine.
+		DescribeTable("is kept by a resumed stream", func(method, body string) {
+			setUp(keep, ruleList)
+			e1 := b.engines["e1"]
+			e1.stalls = false
+			token := sendRequest("POST", chat, streamed(chatBody)).header.Get(server.ResumeHeader)
+			e1.stalls = true
+			b.dispatcher.engines = []string{"e1"}
+			time.AfterFunc(pause, func() { close(e1.released) })
+			p := sendRequest(method, b.callers.URL+"/v1/streams/"+token+"?from=1", body)
+			text, _, last := parseEvents(p.body)
+			Expect([]any{p.status, text, last}).To(Equal([]any{200, strings.TrimPrefix(wholeAnswer, "tiny/42 "), "[DONE]"}))
+			requests, cancelled := e1.calls()
+			Expect(requests).To(HaveLen(1))
+			Expect(cancelled).To(BeEmpty())
+		},
+			Entry("that cannot be generated again", "GET", ""),
+			Entry("that no engine generates again", "POST", streamed(chatBody)),
+		)
+	})
+
 	It("does not cancel deferred work that waits in an engine", func(ctx context.Context) {
 		limits := server.DefaultLimits()
 		limits.StallTimeout = 20 * time.Millisecond
