Keep a stalled generation until another engine has accepted it

Callers saw a stream end with an error, or an error instead of an answer, although the engine was still at work and its generation could be resumed. A resumed stream (GET /v1/streams) ended with "stream-lost" after the same silence.

Cause: an attempt whose engine was silent for StallTimeout cancelled the generation and only then asked the retry budget and the dispatcher for another engine.

Evidence: "no engine holds the model; 1 tokens were delivered" and "engine stream was cut; 1 tokens were delivered" instead of [DONE] (server, "a generation on a stalled engine", 9 specs).

Change: a silent attempt is stalled: it keeps its generation and its slot. Another engine is tried as before, within MaxAttempts and the retry budget; once it has accepted the rest, the stalled attempt is cancelled and released. If none accepts, the stalled attempt is resumed and the search is repeated after each further silence. It ends if the engine is lost, refuses the resumption or is no longer in the instance list, or if the first token is overdue. An attempt that was not accepted is cancelled at once if another one is stalled. Connections that break without a silence are handled as before.

--- a/server/attempt.go
+++ b/server/attempt.go
@@ -9,6 +9,7 @@
 
 	"primrosehook/driver"
 	"primrosehook/judge"
+	"primrosehook/lister"
 )
 
 // Limits of the calls to an engine around a generation.
@@ -48,19 +49,30 @@
 	concurrent int
 	// crashed is set if the engine was found to be lost.
 	crashed bool
+	// silent is set if the last stream was cut because it sent no data.
+	silent bool
+	// stalled is set if the attempt has ended for now, while the engine may still
+	// be at work. The generation on the engine is not cancelled then.
+	stalled bool
 }
 
 // openFunc opens a stream at the engine.
 type openFunc func(ctx context.Context) (driver.Stream, error)
 
-// run passes tokens to the sink until the last one. A broken stream is resumed
-// on the same engine as long as each resumption yields new tokens.
+// run starts the generation and passes tokens to the sink until the last one.
 func (a *attempt) run(ctx context.Context) error {
 	timeout := a.startTimeout()
 	err := a.relay(ctx, silenceLimits{open: timeout, first: timeout}, a.generate)
 	if err != nil {
 		a.concurrent = a.generation.server.inFlight.get(a.engineName)
 	}
+	return a.resumeAfter(ctx, err)
+}
+
+// resumeAfter resumes a broken stream on the same engine as long as each
+// resumption yields new tokens.
+func (a *attempt) resumeAfter(ctx context.Context, err error) error {
+	a.stalled = false
 	for err != nil {
 		if ctx.Err() != nil || errors.Is(err, errClientGone) {
 			a.cancel(ctx)
@@ -75,7 +87,9 @@
 			err = resumeErr
 			continue
 		}
-		if a.crashed = a.engineLost(ctx, resumeErr); !a.crashed {
+		a.crashed = a.engineLost(ctx, resumeErr)
+		a.stalled = !a.crashed && a.mayContinue()
+		if !a.crashed && !a.stalled {
 			a.cancel(ctx)
 		}
 		return err
@@ -83,6 +97,16 @@
 	return nil
 }
 
+// mayContinue reports whether to leave a generation on its engine until another
+// engine has accepted the rest. That is so if the engine was only silent, is still
+// in the instance list, and the first token is not overdue. An attempt that was
+// not accepted replaces none.
+func (a *attempt) mayContinue() bool {
+	g := a.generation
+	_, listed := g.server.findInstance(lister.KindEngine, a.engineName)
+	return a.silent && listed && !g.overdue() && g.stalled == nil
+}
+
 // startTimeout is how long the engine may take to accept the request, and then
 // to send the first token. For an urgent request it is short, so that a frozen
 // engine is given up early; the retry budget keeps that from doubling the load
@@ -177,15 +201,19 @@
 // waits for one that has not arrived.
 func (a *attempt) relay(ctx context.Context, limits silenceLimits, open openFunc) error {
 	s := a.generation.server
-	ctx, cancel := context.WithCancel(ctx)
+	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stall := s.clock.AfterFunc(limits.open, cancel)
 	defer stall.Stop()
-	stream, err := open(ctx)
+	// Only the timer cancels streamCtx alone before relay returns.
+	defer func() { a.silent = streamCtx.Err() != nil && ctx.Err() == nil }()
+	stream, err := open(streamCtx)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = stream.Close() }()
+	stall.Stop()
+	a.generation.dropStalled(ctx)
 	a.generation.sink.setOrigin(a.engineName, a.generationID)
 	stall.Reset(limits.first)
 	for err == nil && !a.done {
--- a/server/generate.go
+++ b/server/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -55,6 +56,17 @@
 	// granted is set if the newest attempt got a slot on an engine.
 	granted       bool
 	freeRetryUsed bool
+	// stalled is the attempt to go on with unless another engine accepts the rest,
+	// nil if there is none.
+	stalled *stalledAttempt
+}
+
+// stalledAttempt is an attempt whose engine is silent and may still be at work,
+// with its slot and the error that it ended with for now.
+type stalledAttempt struct {
+	*attempt
+	grant dispatcher.Grant
+	err   error
 }
 
 // generate applies the rules and writes the answer to the sink. A failed
@@ -113,7 +125,10 @@
 	}
 }
 
+// run passes the answer to the sink. A stalled attempt goes on until another
+// engine has accepted the rest, since other engines may refuse it.
 func (g *generation) run(ctx context.Context) error {
+	defer g.dropStalled(ctx)
 	s := g.server
 	if err := s.checkAllowed(g.request); err != nil {
 		return err
@@ -123,17 +138,15 @@
 			return err
 		}
 	}
-	for number, counted := 0, 0; ; number++ {
-		err := g.runAttempt(ctx, number)
-		if err == nil {
-			return nil
-		}
+	attempts, counted := 1, 0
+	err := g.runAttempt(ctx, 0)
+	for resumed := false; err != nil; {
 		if errors.Is(err, errClientGone) || ctx.Err() != nil {
 			return errClientGone
 		}
 		r := judge.As(err)
 		g.worstVerdict = max(g.worstVerdict, r.Verdict)
-		if r.Verdict != judge.NotRun {
+		if r.Verdict != judge.NotRun && !resumed {
 			counted++
 		}
 		if g.pauseNext && !g.pauseAfterCrash(ctx) {
@@ -144,12 +157,19 @@
 		if refused := s.checkAllowed(g.request); refused != nil {
 			return g.finalRefusal(judge.As(refused))
 		}
-		last := counted >= s.limits.MaxAttempts || number+1 >= s.limits.MaxAttempts*offersPerAttempt
-		if last || !g.mayRetry(r) {
+		last := counted >= s.limits.MaxAttempts || attempts >= s.limits.MaxAttempts*offersPerAttempt
+		switch {
+		case !last && g.mayRetry(r):
+			s.counters.retries.Add(1)
+			err, resumed = g.runAttempt(ctx, attempts), false
+			attempts++
+		case g.stalled != nil:
+			err, resumed = g.resumeStalled(ctx), true
+		default:
 			return g.finalRefusal(r)
 		}
-		s.counters.retries.Add(1)
 	}
+	return nil
 }
 
 // minDeferredMaxWait is the smallest limit on the queueing time of deferred
@@ -274,7 +294,7 @@
 	if err == nil {
 		a := g.newAttempt(number)
 		err = a.run(ctx)
-		g.release(a, err)
+		g.endAttempt(a, err)
 	}
 	tracer.EndSpan(span, err)
 	g.recordAttempt(from, err)
@@ -312,9 +332,61 @@
 	}
 }
 
+// endAttempt releases the slot of an attempt, or keeps it if the attempt is
+// stalled.
+func (g *generation) endAttempt(a *attempt, err error) {
+	if !a.stalled {
+		g.release(a, g.grant, err)
+		return
+	}
+	g.exclude(a.engineName)
+	g.stalled = &stalledAttempt{attempt: a, grant: g.grant, err: err}
+}
+
+// resumeStalled goes on with the stalled attempt.
+func (g *generation) resumeStalled(ctx context.Context) error {
+	a, from := g.stalled, g.sent
+	g.stalled, g.grant, g.granted = nil, a.grant, true
+	err := a.resumeAfter(ctx, a.err)
+	g.endAttempt(a.attempt, err)
+	if g.stalled == nil || g.sent > from {
+		g.recordAttempt(from, err)
+	}
+	return err
+}
+
+// dropStalled cancels and releases the stalled attempt if there is one.
+func (g *generation) dropStalled(ctx context.Context) {
+	a := g.stalled
+	if a == nil {
+		return
+	}
+	g.stalled = nil
+	a.cancel(ctx)
+	g.release(a.attempt, a.grant, a.err)
+}
+
+// exclude keeps the dispatcher from granting an engine again.
+func (g *generation) exclude(engine string) {
+	if !slices.Contains(g.work.Exclude, engine) {
+		g.work.Exclude = append(g.work.Exclude, engine)
+	}
+}
+
+// overdue reports whether the deadline has passed without a first token. Deferred
+// work has none for its first token.
+func (g *generation) overdue() bool {
+	d := g.work.Deadline
+	return g.sent == 0 && !g.work.Deferred && !d.IsZero() && g.server.clock.Now().After(d)
+}
+
 // release returns the slot and reports the outcome to the dispatcher and, after
 // a crash, to the quarantine.
-func (g *generation) release(a *attempt, err error) {
+func (g *generation) release(a *attempt, grant dispatcher.Grant, err error) {
+	if grant.Engine.Name == "" {
+		// The attempt resumed the generation of an earlier request.
+		return
+	}
 	s := g.server
 	s.inFlight.add(a.engineName, -1)
 	result := dispatcher.Result{
@@ -324,9 +396,9 @@
 	if err != nil && !errors.Is(err, errClientGone) {
 		result.Verdict = judge.Of(err)
 		result.Crashed = a.crashed
-		g.work.Exclude = append(g.work.Exclude, a.engineName)
+		g.exclude(a.engineName)
 	}
-	s.dispatcher.Release(g.grant, result)
+	s.dispatcher.Release(grant, result)
 	if !a.crashed {
 		return
 	}
--- a/server/resume.go
+++ b/server/resume.go
@@ -143,24 +143,26 @@
 }
 
 // resume continues the generation that the resume token names. It acquires no
-// slot on the engine, since the generation has one.
+// slot on the engine, since the generation has one. Without the prompt no other
+// engine can take over, so it waits as long as the engine may be at work.
 func (g *generation) resume(ctx context.Context) error {
 	s, token := g.server, g.request.resumeToken
 	record := explainer.Attempt{Target: token.Engine, Offset: g.sent}
-	err := error(&judge.Refusal{
+	lost := &judge.Refusal{
 		Verdict: judge.MayHaveRun, Status: http.StatusGone, Code: "stream-lost",
 		Reason: fmt.Sprintf("the engine is gone; POST the request to this URL to go on after token %d", g.sent),
-	})
+	}
+	err := error(lost)
 	if i, ok := s.findInstance(lister.KindEngine, token.Engine); ok {
 		a := &attempt{generation: g, engine: s.engines(i.Addr), generationID: token.Generation, engineName: token.Engine, start: s.clock.Now()}
-		failure := a.relay(ctx, s.resumeLimits(), a.resume)
-		switch {
-		case failure == nil:
-			err = nil
-		case ctx.Err() != nil || errors.Is(failure, errClientGone):
-			a.cancel(ctx)
-			err = errClientGone
+		err = a.resumeAfter(ctx, lost)
+		for a.stalled && g.request.prompt == "" {
+			err = a.resumeAfter(ctx, err)
+		}
+		if err != nil && !errors.Is(err, errClientGone) {
+			err = lost
 		}
+		g.endAttempt(a, err)
 	}
 	if err != nil {
 		record.Code, record.Reason = judge.As(err).Code, err.Error()
