Give the service planner what servers have loaded now, with the order under way

The planner got servers as they would be once their orders were completed, so it could not tell a replica that is loaded from one whose load is under way. It now applies the pending order itself. No plan changes: the replicas that it counts are still the planned ones.

Ran: go test ./serviceplanner ./coordinator

--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -72,7 +72,7 @@
 	}
 	if done {
 		x.mu.Lock()
-		x.state.applyOrder(x.state.loaded, x.order)
+		x.order.Apply(x.state.loaded)
 		x.state.changedAt = x.Clock.Now()
 		x.mu.Unlock()
 	}
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -148,7 +148,7 @@
 		state := serviceplanner.State{Engine: service.Engine, Demand: demand, Waiting: waiting, ColdLoads: coldLoadLimit(service.Engine, r.ColdLoadWindow, r.ColdLoadOverage) - r.coldLoadCounter(name).Count(now)}
 		for _, known := range r.servers {
 			if known.registration.Service == name {
-				state.Servers = append(state.Servers, known.planned(now, unreachable[known.registration.Incarnation]))
+				state.Servers = append(state.Servers, known.plannerInput(now, unreachable[known.registration.Incarnation]))
 			}
 		}
 		for _, o := range serviceplanner.Plan(state) {
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -32,39 +31,17 @@
 	}
 }
 
-// planned returns the server as it will be once the orders under way are
-// completed. An unreachable server counts as leaving.
-func (s *serverState) planned(now time.Time, unreachable bool) serviceplanner.Server {
-	out := serviceplanner.Server{
+// plannerInput returns the server as the planner gets it. An unreachable server
+// counts as leaving.
+func (s *serverState) plannerInput(now time.Time, unreachable bool) serviceplanner.Server {
+	in := serviceplanner.Server{
 		ID: s.registration.ID, Zone: s.registration.Zone, Leaving: s.registration.Draining || unreachable,
-		Busy: s.pending != nil || now.Before(s.busyUntil), Loaded: maps.Clone(s.loaded), Warm: map[string]bool{},
-	}
-	if out.Loaded == nil {
-		out.Loaded = map[string][]string{}
+		Busy: s.pending != nil || now.Before(s.busyUntil), Loaded: s.loaded, Pending: s.pending, Warm: map[string]bool{},
 	}
 	for _, m := range slices.Concat(s.registration.InMemory, s.registration.OnDisk) {
-		out.Warm[m] = true
-	}
-	for o := s.pending; o != nil; o = o.Next {
-		s.applyOrder(out.Loaded, *o)
-	}
-	return out
-}
-
-// applyOrder changes the loaded models and adapters as an order does.
-func (*serverState) applyOrder(loaded map[string][]string, o serviceplanner.Order) {
-	switch {
-	case o.Op == serviceplanner.Load && o.Adapter == "":
-		loaded[o.Model] = nil
-	case o.Op == serviceplanner.Load:
-		if !slices.Contains(loaded[o.Model], o.Adapter) {
-			loaded[o.Model] = append(slices.Clone(loaded[o.Model]), o.Adapter)
-		}
-	case o.Adapter == "":
-		delete(loaded, o.Model)
-	default:
-		loaded[o.Model] = slices.DeleteFunc(slices.Clone(loaded[o.Model]), func(a string) bool { return a == o.Adapter })
+		in.Warm[m] = true
 	}
+	return in
 }
 
 // satisfied reports whether the loaded models and adapters are already as the
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -54,7 +54,7 @@
 	return "unload"
 }
 
-// Server is a server as it will be once the orders under way are completed.
+// Server is a server as it is now, with the order under way.
 type Server struct {
 	ID   string
 	Zone string
@@ -62,8 +62,11 @@
 	Leaving bool
 	// Busy servers take no orders at present.
 	Busy bool
-	// Loaded maps each loaded model to its loaded adapters.
+	// Loaded maps each model that the server is known to have loaded to its
+	// loaded adapters.
 	Loaded map[string][]string
+	// Pending is the order under way, nil for none.
+	Pending *Order
 	// Warm are the models whose weights the server need not fetch from the
 	// weight store.
 	Warm map[string]bool
@@ -96,6 +99,23 @@
 	Reason string
 }
 
+// Apply changes loaded models and adapters as the order does. It does not apply
+// the order that follows.
+func (o Order) Apply(loaded map[string][]string) {
+	switch {
+	case o.Op == Load && o.Adapter == "":
+		loaded[o.Model] = nil
+	case o.Op == Load:
+		if !slices.Contains(loaded[o.Model], o.Adapter) {
+			loaded[o.Model] = append(slices.Clone(loaded[o.Model]), o.Adapter)
+		}
+	case o.Adapter == "":
+		delete(loaded, o.Model)
+	default:
+		loaded[o.Model] = slices.DeleteFunc(slices.Clone(loaded[o.Model]), func(a string) bool { return a == o.Adapter })
+	}
+}
+
 // Fits reports whether a server with the given models loaded has room for what
 // the order loads.
 func Fits(e *matcher.Engine, loaded map[string][]string, o Order) bool {
@@ -124,11 +144,30 @@
 	return total
 }
 
+// server is a server during a plan.
+type server struct {
+	Server
+	// planned is what the server will have loaded once the orders under way and
+	// those of this plan are completed.
+	planned map[string][]string
+}
+
+func newServer(s Server) *server {
+	planned := maps.Clone(s.Loaded)
+	if planned == nil {
+		planned = map[string][]string{}
+	}
+	for o := s.Pending; o != nil; o = o.Next {
+		o.Apply(planned)
+	}
+	return &server{Server: s, planned: planned}
+}
+
 type planner struct {
 	State
-	servers []*Server
+	servers []*server
 	// modelDemand is the demand for a model including its adapters, replicas
-	// the number of its replicas.
+	// the number of its planned replicas.
 	modelDemand map[string]float64
 	waiting     map[string]int
 	replicas    map[string]int
@@ -139,18 +178,17 @@
 // Plan returns orders that may all be sent at once, at most one per server.
 func Plan(state State) []Order {
 	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}}
-	for i := range state.Servers {
-		s := state.Servers[i]
-		if s.Leaving {
+	for _, known := range state.Servers {
+		if known.Leaving {
 			continue
 		}
-		s.Loaded = maps.Clone(s.Loaded)
-		p.servers = append(p.servers, &s)
-		for m := range s.Loaded {
+		s := newServer(known)
+		p.servers = append(p.servers, s)
+		for m := range s.planned {
 			p.replicas[m]++
 		}
 	}
-	slices.SortFunc(p.servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(p.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	for key, d := range state.Demand {
 		m := modelOf(key)
 		p.modelDemand[m] += d
@@ -207,11 +245,11 @@
 // makes room with the load to follow. It reports whether it found a server.
 func (p *planner) addReplica(m, reason string, missing bool) bool {
 	spec := p.Engine.Models[m]
-	var best *Server
+	var best *server
 	var victim string
 	bestCost := 0.0
 	for _, s := range p.servers {
-		if _, ok := s.Loaded[m]; ok || s.Busy {
+		if _, ok := s.planned[m]; ok || s.Busy {
 			continue
 		}
 		v, ok := "", true
@@ -247,19 +285,19 @@
 		next := order
 		order = Order{Server: best.ID, Op: Unload, Model: victim, Next: &next, Reason: "room for " + m + ": " + reason}
 		p.replicas[victim]--
-		delete(best.Loaded, victim)
+		delete(best.planned, victim)
 	}
 	p.orders = append(p.orders, order)
 	p.replicas[m]++
-	best.Loaded[m] = nil
+	best.planned[m] = nil
 	return true
 }
 
 // demandShare returns a server's share of the demand for the models that it has
 // loaded, in requests a second.
-func (p *planner) demandShare(s *Server) float64 {
+func (p *planner) demandShare(s *server) float64 {
 	total := 0.0
-	for m := range s.Loaded {
+	for m := range s.planned {
 		total += p.modelDemand[m] / float64(max(p.replicas[m], 1))
 	}
 	return total
@@ -270,10 +308,10 @@
 // missing, the demand per remaining replica of the victim, with that for the
 // adapters that are lost, must be clearly less than the demand per replica of m
 // after the load.
-func (p *planner) victim(s *Server, m string, missing bool) (string, bool) {
+func (p *planner) victim(s *server, m string, missing bool) (string, bool) {
 	spec := p.Engine.Models[m]
 	best, least := "", 0.0
-	for v := range s.Loaded {
+	for v := range s.planned {
 		n := p.replicas[v]
 		if n < 2 || p.usedMemory(s)-p.Engine.Models[v].SizeMB+spec.SizeMB > p.Engine.MemoryMB {
 			continue
@@ -292,9 +330,9 @@
 // lostAdapterDemand returns the demand for the adapters that are unloaded along
 // with a model and that no other server has loaded. They are loaded again within
 // milliseconds on another replica.
-func (p *planner) lostAdapterDemand(s *Server, m string) float64 {
+func (p *planner) lostAdapterDemand(s *server, m string) float64 {
 	total := 0.0
-	for _, a := range s.Loaded[m] {
+	for _, a := range s.planned[m] {
 		if p.adapterReplicas(m, a) < 2 {
 			total += p.Demand[balancer.Key(m, a)]
 		}
@@ -305,18 +343,18 @@
 func (p *planner) adapterReplicas(m, a string) int {
 	n := 0
 	for _, s := range p.servers {
-		if slices.Contains(s.Loaded[m], a) {
+		if slices.Contains(s.planned[m], a) {
 			n++
 		}
 	}
 	return n
 }
 
-func (p *planner) usedMemory(s *Server) float64 { return usedMemory(p.Engine, s.Loaded) }
+func (p *planner) usedMemory(s *server) float64 { return usedMemory(p.Engine, s.planned) }
 
-func (p *planner) freeSlots(s *Server) int {
+func (p *planner) freeSlots(s *server) int {
 	n := 0
-	for _, adapters := range s.Loaded {
+	for _, adapters := range s.planned {
 		n += len(adapters)
 	}
 	return p.Engine.AdapterSlots - n
@@ -331,7 +369,7 @@
 		}
 		loaded := map[string]bool{}
 		for _, s := range p.servers {
-			for _, a := range s.Loaded[m] {
+			for _, a := range s.planned[m] {
 				loaded[a] = true
 			}
 		}
@@ -351,10 +389,10 @@
 // that makes room for it.
 func (p *planner) loadAdapter(m, a string, mayEvict bool) {
 	spec := p.Engine.Models[m]
-	var best *Server
+	var best *server
 	room := 0
 	for _, s := range p.servers {
-		if _, ok := s.Loaded[m]; !ok || s.Busy || p.usedMemory(s)+spec.AdapterSizeMB > p.Engine.MemoryMB {
+		if _, ok := s.planned[m]; !ok || s.Busy || p.usedMemory(s)+spec.AdapterSizeMB > p.Engine.MemoryMB {
 			continue
 		}
 		if n := p.freeSlots(s); n > room {
@@ -363,7 +401,7 @@
 	}
 	if best != nil {
 		p.orders = append(p.orders, Order{Server: best.ID, Op: Load, Model: m, Adapter: a, Reason: "no server has the adapter loaded"})
-		best.Loaded[m] = append(slices.Clone(best.Loaded[m]), a)
+		best.planned[m] = append(slices.Clone(best.planned[m]), a)
 		best.Busy = true
 		return
 	}
@@ -375,15 +413,15 @@
 // evictAdapter unloads an adapter at a replica of m, to make room for the adapter
 // a of m. It does nothing unless there is one in clearly less demand than a.
 func (p *planner) evictAdapter(m, a string) {
-	var best *Server
+	var best *server
 	var model, adapter string
 	least := p.Demand[balancer.Key(m, a)] + float64(p.Waiting[balancer.Key(m, a)])*demandPerWaiting
 	for _, s := range p.servers {
-		if _, ok := s.Loaded[m]; !ok || s.Busy {
+		if _, ok := s.planned[m]; !ok || s.Busy {
 			continue
 		}
-		for _, vm := range slices.Sorted(maps.Keys(s.Loaded)) {
-			for _, va := range s.Loaded[vm] {
+		for _, vm := range slices.Sorted(maps.Keys(s.planned)) {
+			for _, va := range s.planned[vm] {
 				d := p.Demand[balancer.Key(vm, va)] / float64(p.adapterReplicas(vm, va))
 				if d*minDemandRatio < least {
 					best, model, adapter, least = s, vm, va, d
