--- a/serviceplanner/serviceplanner_test.go
+++ b/serviceplanner/serviceplanner_test.go
@@ -149,6 +149,136 @@
 	})
 })
 
+var _ = Describe("Plan while orders are under way", func() {
+	loadOf := func(model, adapter string) *serviceplanner.Order {
+		return &serviceplanner.Order{Op: serviceplanner.Load, Model: model, Adapter: adapter}
+	}
+	pending := func(s serviceplanner.Server, o *serviceplanner.Order) serviceplanner.Server {
+		s.Busy, s.Pending = true, o
+		return s
+	}
+
+	// Guards against unloading the only replica that serves a model because a load
+	// elsewhere, which takes a second or fails, already counts.
+	DescribeTable("keeps the only loaded replica of a model while another one is",
+		func(other serviceplanner.Server) {
+			state := serviceplanner.State{
+				Engine:  engine(5, 0),
+				Servers: []serviceplanner.Server{server("a", "m0", "m1", "m2"), other, server("c", "m1", "m2")},
+				Demand:  map[string]float64{"m1": 9, "m2": 9}, Waiting: map[string]int{"m3": 1}, ColdLoads: 5,
+			}
+			state.Servers[2].Busy = true
+			Expect(serviceplanner.Plan(state)).NotTo(ContainElement(And(HaveField("Op", serviceplanner.Unload), HaveField("Model", "m0"))))
+			other.Loaded["m0"], other.Pending = nil, nil
+			state.Servers[1] = other
+			Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Op", serviceplanner.Unload), HaveField("Model", "m0"), HaveField("Next.Model", "m3"))),
+				"once the other one is loaded")
+		},
+		Entry("being loaded", pending(server("b", "m1"), loadOf("m0", ""))),
+		Entry("to be loaded once an unload has made room", pending(server("b", "m1", "m2", "m4"),
+			&serviceplanner.Order{Op: serviceplanner.Unload, Model: "m4", Next: loadOf("m0", "")})),
+	)
+
+	It("keeps the only loaded replica of a model while another one is being unloaded, or is on a leaving server", func() {
+		unloading := pending(server("b", "m0", "m1", "m2"), &serviceplanner.Order{Op: serviceplanner.Unload, Model: "m0"})
+		leaving := server("c", "m0")
+		leaving.Leaving = true
+		state := serviceplanner.State{
+			Engine: engine(4, 0), Servers: []serviceplanner.Server{server("a", "m0", "m1", "m2"), unloading, leaving},
+			Waiting: map[string]int{"m3": 1}, ColdLoads: 5,
+		}
+		Expect(serviceplanner.Plan(state)).NotTo(ContainElement(And(HaveField("Op", serviceplanner.Unload), HaveField("Model", "m0"))))
+	})
+
+	// Guards against loads of the same model on one server after the other, because
+	// the load under way does not count.
+	It("adds no replica that a load under way already adds", func() {
+		state := serviceplanner.State{
+			Engine:  engine(2, 0),
+			Servers: []serviceplanner.Server{server("a", "m0"), pending(server("b"), loadOf("m0", "")), server("c", "m1")},
+			Demand:  map[string]float64{"m0": 5}, ColdLoads: 5,
+		}
+		Expect(serviceplanner.Plan(state)).To(BeEmpty())
+		state.Servers[1] = pending(server("b"), loadOf("m1", ""))
+		state.Servers[2] = server("c")
+		Expect(serviceplanner.Plan(state)).NotTo(ContainElement(HaveField("Model", "m1")))
+	})
+
+	It("leaves a loaded replica of each model when several replicas are replaced in one plan", func() {
+		state := serviceplanner.State{
+			Engine: engine(6, 0),
+			Servers: []serviceplanner.Server{
+				server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m2"), server("c", "m0", "m1", "m2"),
+			},
+			Waiting: map[string]int{"m3": 1, "m4": 1, "m5": 1}, ColdLoads: 5,
+		}
+		unloads := map[string]int{}
+		for _, o := range serviceplanner.Plan(state) {
+			if o.Op == serviceplanner.Unload {
+				unloads[o.Model]++
+			}
+		}
+		Expect(unloads).NotTo(BeEmpty())
+		Expect(unloads).To(HaveEach(BeNumerically("<", 3)))
+	})
+
+	// Guards against unloading the only replica with an adapter in demand, because
+	// the load of the adapter elsewhere, which may fail, already counts.
+	It("does not count an adapter that is being loaded elsewhere as kept", func() {
+		old := server("a", "m0", "m1", "m2")
+		old.Loaded["m0"] = []string{"a1"}
+		loading := pending(server("b", "m0", "m1", "m3"), loadOf("m0", "a1"))
+		state := serviceplanner.State{
+			Engine: engine(4, 0), Servers: []serviceplanner.Server{old, loading, server("c", "m1", "m2")},
+			Demand: map[string]float64{"m3": 90, "m0/a1": 20, "m1": 90, "m2": 90}, ColdLoads: 5,
+		}
+		adapted := state.Engine.Models["m0"]
+		adapted.Adapters = 1
+		state.Engine.Models["m0"] = adapted
+		state.Servers[2].Busy = true
+		Expect(serviceplanner.Plan(state)).To(BeEmpty())
+		loading.Busy, loading.Pending, loading.Loaded["m0"] = false, nil, []string{"a1"}
+		state.Servers[1] = loading
+		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Server", "a"), HaveField("Op", serviceplanner.Unload), HaveField("Model", "m0"))),
+			"once the adapter is loaded there")
+	})
+})
+
+var _ = Describe("Plan for full adapter slots", func() {
+	full := func(id string, adapters ...string) serviceplanner.Server {
+		s := server(id, "m0")
+		s.Loaded["m0"] = adapters
+		return s
+	}
+
+	// Guards against evicting the only loaded copy of an adapter in demand, because
+	// the load of the adapter elsewhere, which may fail, halves the demand for it.
+	It("does not count an adapter that is being loaded elsewhere", func() {
+		loading := full("b")
+		loading.Busy, loading.Pending = true, &serviceplanner.Order{Op: serviceplanner.Load, Model: "m0", Adapter: "a1"}
+		state := serviceplanner.State{
+			Engine: engine(1, 2), Servers: []serviceplanner.Server{full("a", "a1"), loading},
+			Demand: map[string]float64{"m0/a1": 4, "m0/a2": 4},
+		}
+		state.Engine.AdapterSlots = 1
+		Expect(serviceplanner.Plan(state)).To(BeEmpty())
+		state.Servers[1] = full("b", "a1")
+		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Op", serviceplanner.Unload), HaveField("Adapter", "a1"), HaveField("Next.Adapter", "a2"))),
+			"once it is loaded there")
+	})
+
+	// Guards against evicting all copies of an adapter in demand in one plan, each
+	// because of the other.
+	It("counts an adapter that it evicts as no longer loaded", func() {
+		state := serviceplanner.State{
+			Engine: engine(1, 3), Servers: []serviceplanner.Server{full("a", "a1"), full("b", "a1")},
+			Demand: map[string]float64{"m0/a1": 4, "m0/a2": 4, "m0/a3": 4},
+		}
+		state.Engine.AdapterSlots = 1
+		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Op", serviceplanner.Unload), HaveField("Adapter", "a1"))))
+	})
+})
+
 var _ = Describe("Fits", func() {
 	e := engine(4, 9)
 	loaded := map[string][]string{"m0": {"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"}, "m1": nil, "m2": nil}
