Unload a replica only if another one is loaded, not if it is being loaded

Callers of a model with one loaded replica and a second one on its way lost the first: requests were answered 421 until the load ended, a second or more, or until the next plan if it failed.

Cause: the planner counted replicas as they would be once all orders under way were completed, also to decide which replica may go.

Evidence: 'keeps the only loaded replica of a model while another one is', on a server that has m0, m1 and m2, with m0 being loaded on the other: the plan is {unload m0, next: load m3}. The same with the load behind an unload.

Change: a replica remains if its server has it loaded now and no order under way or of this plan unloads it. Whether to add a replica still depends on the planned ones, so a load under way is not ordered twice.

--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -163,21 +163,31 @@
 	return &server{Server: s, planned: planned}
 }
 
+// has reports whether the server has a model loaded now and keeps it.
+func (s *server) has(m string) bool {
+	_, loaded := s.Loaded[m]
+	_, kept := s.planned[m]
+	return loaded && kept
+}
+
 type planner struct {
 	State
 	servers []*server
 	// modelDemand is the demand for a model including its adapters, replicas
-	// the number of its planned replicas.
+	// the number of its planned replicas, loaded that of the replicas among them
+	// that are loaded now. A load under way counts against adding a replica, but
+	// no replica is unloaded because of it, since it takes time and may fail.
 	modelDemand map[string]float64
 	waiting     map[string]int
 	replicas    map[string]int
+	loaded      map[string]int
 	models      []string
 	orders      []Order
 }
 
 // Plan returns orders that may all be sent at once, at most one per server.
 func Plan(state State) []Order {
-	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}}
+	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}, loaded: map[string]int{}}
 	for _, known := range state.Servers {
 		if known.Leaving {
 			continue
@@ -186,6 +196,9 @@
 		p.servers = append(p.servers, s)
 		for m := range s.planned {
 			p.replicas[m]++
+			if s.has(m) {
+				p.loaded[m]++
+			}
 		}
 	}
 	slices.SortFunc(p.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
@@ -285,6 +298,7 @@
 		next := order
 		order = Order{Server: best.ID, Op: Unload, Model: victim, Next: &next, Reason: "room for " + m + ": " + reason}
 		p.replicas[victim]--
+		p.loaded[victim]--
 		delete(best.planned, victim)
 	}
 	p.orders = append(p.orders, order)
@@ -304,15 +318,15 @@
 }
 
 // victim returns the model to unload from a server to make room for m, and
-// whether there is one. It is never the last replica of a model. Unless m is
-// missing, the demand per remaining replica of the victim, with that for the
-// adapters that are lost, must be clearly less than the demand per replica of m
-// after the load.
+// whether there is one. It is never the last loaded replica of a model. Unless m
+// is missing, the demand per remaining loaded replica of the victim, with that for
+// the adapters that are lost, must be clearly less than the demand per replica of
+// m after the load.
 func (p *planner) victim(s *server, m string, missing bool) (string, bool) {
 	spec := p.Engine.Models[m]
 	best, least := "", 0.0
 	for v := range s.planned {
-		n := p.replicas[v]
+		n := p.loaded[v]
 		if n < 2 || p.usedMemory(s)-p.Engine.Models[v].SizeMB+spec.SizeMB > p.Engine.MemoryMB {
 			continue
 		}
