Count an adapter as kept only where it is loaded, not where it is being loaded

Callers of an adapter with one loaded copy and a second one on its way lost the first, with its model or for another adapter, although their demand was as high as that of what replaced it. They waited for the load elsewhere, or for the next plan if it failed.

Cause: the planner counted copies of adapters as they would be once all orders under way were completed, so the demand that an unload would lose was halved or taken for nothing.

Evidence: 'does not count an adapter that is being loaded elsewhere' plans {unload m0/a1, next: load m0/a2} at equal demand; the same for the model m0.

Change: a copy counts if its server has it loaded now and no order under way unloads it. A load under way still keeps the adapter from being loaded twice.

--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -347,17 +347,19 @@
 func (p *planner) lostAdapterDemand(s *server, m string) float64 {
 	total := 0.0
 	for _, a := range s.planned[m] {
-		if p.adapterReplicas(m, a) < 2 {
+		if p.loadedAdapters(m, a) < 2 {
 			total += p.Demand[balancer.Key(m, a)]
 		}
 	}
 	return total
 }
 
-func (p *planner) adapterReplicas(m, a string) int {
+// loadedAdapters returns the number of servers that have an adapter loaded now and
+// keep it.
+func (p *planner) loadedAdapters(m, a string) int {
 	n := 0
 	for _, s := range p.servers {
-		if slices.Contains(s.planned[m], a) {
+		if slices.Contains(s.Loaded[m], a) && slices.Contains(s.planned[m], a) {
 			n++
 		}
 	}
@@ -436,7 +438,7 @@
 		}
 		for _, vm := range slices.Sorted(maps.Keys(s.planned)) {
 			for _, va := range s.planned[vm] {
-				d := p.Demand[balancer.Key(vm, va)] / float64(p.adapterReplicas(vm, va))
+				d := p.Demand[balancer.Key(vm, va)] / float64(p.loadedAdapters(vm, va))
 				if d*minDemandRatio < least {
 					best, model, adapter, least = s, vm, va, d
 				}
