Count an adapter that a plan evicts as no longer loaded

Callers of an adapter with two copies lost both at once if two other adapters needed their slots, although each of those had no more demand than the copy that would have remained.

Cause: an eviction changed nothing in the state of the plan, so the next one still counted the copy that had just been given up.

Evidence: 'counts an adapter that it evicts as no longer loaded' plans {unload m0/a1 on a, next: load m0/a2} and {unload m0/a1 on b, next: load m0/a3}.

Change: the plan applies the unload and the load that follows to the server. That the only copy may be evicted stays: adapters may outnumber the slots, and the comparison of demand then decides; the comment says so.

Ran: go test ./serviceplanner; all specs pass.

--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -427,7 +427,9 @@
 }
 
 // evictAdapter unloads an adapter at a replica of m, to make room for the adapter
-// a of m. It does nothing unless there is one in clearly less demand than a.
+// a of m. It does nothing unless there is one in clearly less demand than a. That
+// may be the only copy of the adapter: there may be more adapters than slots, and
+// it is loaded again within milliseconds where a slot is free.
 func (p *planner) evictAdapter(m, a string) {
 	var best *server
 	var model, adapter string
@@ -449,6 +451,9 @@
 		return
 	}
 	next := Order{Server: best.ID, Op: Load, Model: m, Adapter: a, Reason: "no server has the adapter loaded"}
-	p.orders = append(p.orders, Order{Server: best.ID, Op: Unload, Model: model, Adapter: adapter, Next: &next, Reason: "room for " + m + "/" + a})
+	order := Order{Server: best.ID, Op: Unload, Model: model, Adapter: adapter, Next: &next, Reason: "room for " + m + "/" + a}
+	p.orders = append(p.orders, order)
+	order.Apply(best.planned)
+	next.Apply(best.planned)
 	best.Busy = true
 }
