--- a/poolmanager/poolmanager_test.go
+++ b/poolmanager/poolmanager_test.go
@@ -70,6 +70,55 @@
 	return moves
 }
 
+// unloadingPlanner loads as greedyPlanner does until it is told to unload weights
+// from an engine, and records the states that it gets.
+type unloadingPlanner struct {
+	greedyPlanner
+	mu     sync.Mutex
+	engine string
+	unload driver.Weights
+	states []poolplanner.State
+}
+
+func (p *unloadingPlanner) Plan(now time.Time, s poolplanner.State) []poolplanner.Move {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.states = append(p.states, s)
+	if p.engine == "" {
+		return p.greedyPlanner.Plan(now, s)
+	}
+	return []poolplanner.Move{{Engine: p.engine, Op: driver.OpUnload, Weights: p.unload, Reason: "test"}}
+}
+
+// start makes the planner unload weights from an engine, from its next plan on.
+func (p *unloadingPlanner) start(engine string, w driver.Weights) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engine, p.unload, p.states = engine, w, nil
+}
+
+// stateOf returns the state of the weights that are unloaded as of the last plan,
+// and whether their engine was busy then.
+func (p *unloadingPlanner) stateOf() (state string, busy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.states) == 0 {
+		return "", false
+	}
+	for _, e := range p.states[len(p.states)-1].Engines {
+		if e.Name != p.engine {
+			continue
+		}
+		busy = e.Busy
+		for _, r := range e.Loaded {
+			if r.Weights == p.unload {
+				state = r.State
+			}
+		}
+	}
+	return state, busy
+}
+
 // region is a region of two fake engines and some entry instances in one process.
 type region struct {
 	name     string
@@ -81,6 +130,7 @@
 	stops    map[string]context.CancelFunc
 	managers map[string]*poolmanager.Manager
 	seen     map[string][]dispatcher.Engine
+	planner  poolplanner.Planner
 }
 
 const rules = `
@@ -99,7 +149,7 @@
 	r := &region{
 		name: name, log: log, list: faker.NewList(faker.ListSettings{}),
 		engines: map[string]*faker.Engine{}, stops: map[string]context.CancelFunc{},
-		managers: map[string]*poolmanager.Manager{}, seen: map[string][]dispatcher.Engine{},
+		managers: map[string]*poolmanager.Manager{}, seen: map[string][]dispatcher.Engine{}, planner: greedyPlanner{},
 	}
 	for i := range 2 {
 		settings := faker.DefaultEngine()
@@ -150,7 +200,7 @@
 		Log: r.log, View: &fakeView{self: self, region: r}, List: r.list,
 		Engines: func(addr string) driver.Engine { return driver.NewClient(addr, http.DefaultClient) },
 		Rules:   func() *ruler.List { return list },
-		Planner: func() poolplanner.Planner { return greedyPlanner{} },
+		Planner: func() poolplanner.Planner { return r.planner },
 		Peers:   messenger.NewClient(clockwork.NewRealClock()),
 	}
 	manager := poolmanager.New(deps, poolmanager.WithSettings(shortSettings))
@@ -324,6 +374,29 @@
 		r.expectNoViolations()
 	})
 
+	// Guards against unloading the last replica of a model because another one, whose
+	// unload is ordered but not reported yet, still counts as ready.
+	It("does not show the planner a replica as ready whose unload is under way", func() {
+		r := newRegion()
+		p := &unloadingPlanner{}
+		r.planner = p
+		a := r.start("a")
+		Eventually(r.shown("a"), waitLimit).Should(Equal(allModelsReady))
+		Eventually(func() int { return len(status(a).Reservations) }, waitLimit).Should(BeZero())
+		stale := faker.EngineFaults{ReportLag: 2 * time.Second}
+		r.engines["engine-1"].SetFaults(stale)
+		p.start("engine-1", driver.Weights{Model: "beta"})
+		Eventually(func() bool { _, busy := p.stateOf(); return busy }, waitLimit).Should(BeTrue())
+		Consistently(func() string {
+			state, busy := p.stateOf()
+			if !busy {
+				return ""
+			}
+			return state
+		}, "1s").ShouldNot(Equal(driver.StateReady))
+		r.expectNoViolations()
+	})
+
 	It("counts a load that it did not order as unexpected", func() {
 		r := newRegion()
 		a := r.start("a")
--- a/poolplanner/planner_test.go
+++ b/poolplanner/planner_test.go
@@ -143,6 +143,42 @@
 		Expect(moves(s)).To(ConsistOf("load a/x on two"))
 	})
 
+	// Guards against the loss of an adapter's only two replicas in one plan, each
+	// because of the other: both are unloaded with replicas of their model.
+	It("does not count the adapters of a replica that it evicts", func() {
+		s := state([]poolplanner.Engine{withAdapter(host("one", 0, "a"), "a", "x"), withAdapter(host("two", 0, "a"), "a", "x"), host("zthree", 1, "a")},
+			model("a", 0.1), adapter("a"), model("b", 1), model("c", 1))
+		Expect(moves(s)).To(ConsistOf("unload a/x on one", "load a/x on zthree"))
+	})
+
+	// Guards against the loss of an adapter whose other replica is lost between the
+	// start of an eviction and its own unload.
+	It("keeps an adapter of an evicted replica once it is ready nowhere else", func() {
+		one := withAdapter(withAdapter(host("one", 0, "a"), "a", "x"), "a", "y")
+		two := withAdapter(withAdapter(host("two", 0, "a"), "a", "x"), "a", "y")
+		y := adapter("a")
+		y.Adapter = "y"
+		s := state([]poolplanner.Engine{one, two, host("zthree", 2, "a")}, model("a", 0.1), adapter("a"), y, model("b", 1))
+		p := poolplanner.New()
+		Expect(names(p.Plan(start, s))).To(ContainElement("unload a/x on one"))
+		s.Engines = []poolplanner.Engine{withAdapter(host("one", 1, "a"), "a", "y"), withAdapter(host("zthree", 1, "a"), "a", "x")}
+		Expect(names(p.Plan(start.Add(time.Second), s))).To(ConsistOf("load a/y on zthree"))
+		s.Engines[1] = withAdapter(s.Engines[1], "a", "y")
+		Expect(names(p.Plan(start.Add(2*time.Second), s))).To(ContainElement("unload a/y on one"))
+	})
+
+	// Guards against unloading both replicas of a model, when the first unload is no
+	// longer needed but already under way.
+	It("counts a replica as evicted while its unload may be under way", func() {
+		s := state([]poolplanner.Engine{host("one", 0, "a"), host("two", 0, "a")}, model("a", 0.1), model("b", 1))
+		p := poolplanner.New()
+		Expect(names(p.Plan(start, s))).To(ConsistOf("unload a on one"))
+		s.Engines[0].Busy = true
+		s.Engines = append(s.Engines, host("three", 10))
+		s.Models = append(s.Models, model("c", 1))
+		Expect(names(p.Plan(start.Add(time.Second), s))).To(ConsistOf(HavePrefix("load")))
+	})
+
 	It("unloads the last replica of an idle model if the models exceed the memory", func() {
 		s := state([]poolplanner.Engine{host("one", 0, "a")}, model("a", 0), model("b", 1))
 		p := poolplanner.New()
