Count no adapter as ready on an engine that is evicting its model

Callers of an adapter with two replicas lost both if one plan evicted two replicas of its model, although a third replica of the model had room for it.

Cause: the count of ready replicas left out the weights that are evicted, but not their adapters, which are unloaded along with them.

Evidence: 'does not count the adapters of a replica that it evicts' plans {unload a/x on one, unload a/x on two} instead of loading a/x on the third.

Change: an adapter is being evicted if its model is.

--- a/poolplanner/planner.go
+++ b/poolplanner/planner.go
@@ -186,7 +186,7 @@
 		m := &state.Models[i]
 		p.models[m.Weights] = m
 		if m.Adapter != "" {
-			base := driver.Weights{Model: m.Model, Version: m.Version}
+			base := baseOf(m.Weights)
 			p.adapterMemory[base] += m.Memory
 			p.adapterDemand[base] += c.models[m.Weights].peak
 		}
@@ -257,14 +257,26 @@
 func (p *plan) readyCount(w driver.Weights, except *host) int {
 	count := 0
 	for _, h := range p.replicasOf(w) {
-		_, emptied := p.evictions[replicaKey{h.Name, w}]
-		if h != except && !emptied && h.stateOf(w) == driver.StateReady {
+		if h != except && !p.isEvicting(h, w) && h.stateOf(w) == driver.StateReady {
 			count++
 		}
 	}
 	return count
 }
 
+// isEvicting reports whether a host is evicting weights, adapters along with their
+// model.
+func (p *plan) isEvicting(h *host, w driver.Weights) bool {
+	_, itself := p.evictions[replicaKey{h.Name, w}]
+	_, withBase := p.evictions[replicaKey{h.Name, baseOf(w)}]
+	return itself || withBase
+}
+
+// baseOf returns the model of an adapter, and a model itself.
+func baseOf(w driver.Weights) driver.Weights {
+	return driver.Weights{Model: w.Model, Version: w.Version}
+}
+
 // loadMissing loads the models that pass the filter and have no replica, those
 // with the highest density first. Models go before adapters: the store has few
 // slots for them, while an adapter can follow in the next plan.
@@ -325,7 +337,7 @@
 	if m.Adapter != "" {
 		return m.Memory
 	}
-	return m.Memory + p.adapterMemory[driver.Weights{Model: m.Model, Version: m.Version}]
+	return m.Memory + p.adapterMemory[baseOf(m.Weights)]
 }
 
 // density returns the urgent demand that a load serves per MB, since the time of
@@ -367,9 +379,8 @@
 	if m.Adapter == "" {
 		return true
 	}
-	base := driver.Weights{Model: m.Model, Version: m.Version}
-	_, emptied := p.evictions[replicaKey{h.Name, base}]
-	return !emptied && h.stateOf(base) == driver.StateReady
+	base := baseOf(m.Weights)
+	return !p.isEvicting(h, base) && h.stateOf(base) == driver.StateReady
 }
 
 // The score penalties of a zone that already has a replica, and of free memory
@@ -431,7 +442,7 @@
 // loadBase loads another replica of an adapter's model, with memory for the
 // adapter, because all present ones are full.
 func (p *plan) loadBase(m *Model) {
-	base, ok := p.models[driver.Weights{Model: m.Model, Version: m.Version}]
+	base, ok := p.models[baseOf(m.Weights)]
 	if !ok || !p.canLoad(base) || p.isLoading(base.Weights) || p.hasPendingHost(base.Weights) {
 		return
 	}
