Check the adapters of a replica again while its eviction goes on

Callers of an adapter lost its last replica if the engine with the other one was lost after the eviction of a replica of its model had begun.

Cause: an eviction takes several plans, and only the first one made sure that each adapter is ready elsewhere.

Evidence: 'keeps an adapter of an evicted replica once it is ready nowhere else' plans {unload a/y on one} in the second plan, after engine two is gone.

Change: each plan that continues an eviction loads such adapters elsewhere first, as the plan that begins it does.

--- a/poolplanner/evictions.go
+++ b/poolplanner/evictions.go
@@ -35,7 +35,8 @@
 }
 
 // continueEvictions continues the evictions of earlier plans, and drops those that
-// are no longer safe or needed.
+// are no longer safe or needed. An adapter may have lost its other replicas since
+// an eviction began, and is then loaded elsewhere first.
 func (p *plan) continueEvictions() {
 	keys := make([]replicaKey, 0, len(p.evictions))
 	for key := range p.evictions {
@@ -50,7 +51,9 @@
 			delete(p.evictions, key)
 			continue
 		}
-		p.unload(h, key.Weights, "makes room for "+p.evictions[key].replacement.Model)
+		if !p.moveAdapters(victim{host: h, weights: key.Weights}) {
+			p.unload(h, key.Weights, "makes room for "+p.evictions[key].replacement.Model)
+		}
 	}
 }
 
