Keep an eviction on record while its engine is busy

Callers of a model with two replicas lost both if an empty engine joined, or a replica was lost, right after the first unload was ordered.

Cause: an eviction that was no longer needed or safe was dropped from the record although its unload was under way, and its replica counted as ready again.

Evidence: 'counts a replica as evicted while its unload may be under way' plans {load b on three, unload a on two} after {unload a on one}.

Change: whether an eviction goes on is decided only once its engine takes orders again. It then either reports the replica as ready, or it is gone.

Ran: go test ./poolplanner, and three times with -rapid.checks=500; all pass.

--- a/poolplanner/evictions.go
+++ b/poolplanner/evictions.go
@@ -47,6 +47,10 @@
 	})
 	for _, key := range keys {
 		h, ok := p.byName[key.engine]
+		if ok && h.Busy {
+			// The unload may be under way, so the replica must not count as ready.
+			continue
+		}
 		if !ok || h.stateOf(key.Weights) != driver.StateReady || !p.canUnload(h, key.Weights) || p.isEvictionObsolete(p.evictions[key]) {
 			delete(p.evictions, key)
 			continue
