Show the pool planner a replica as unloading once its unload is ordered

Callers of a model with two replicas could lose both: while the unload of one was ordered but not in the engine's report yet, another holder's planner, which has no record of the eviction, still got it as ready.

Cause: the planner's input took the states of replicas from the reports alone.

Evidence: 'does not show the planner a replica as ready whose unload is under way' gets "ready" with a report that lags by 2 s.

--- a/poolmanager/planning.go
+++ b/poolmanager/planning.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -214,12 +215,13 @@
 			continue
 		}
 		leaving := i.State != lister.StateLive
+		loaded := withOpenUnloads(entry.report.Loaded, account)
 		s.Engines = append(s.Engines, poolplanner.Engine{
 			Name: i.Name, Zone: i.Zone, Free: account.Free(), Busy: p.controller.Busy(m, i.Name),
-			Leaving: leaving, Loaded: entry.report.Loaded,
+			Leaving: leaving, Loaded: loaded,
 			Running: entry.report.Running, Waiting: entry.report.Waiting, Batch: entry.report.MaxBatch,
 		})
-		for _, r := range entry.report.Loaded {
+		for _, r := range loaded {
 			if !leaving && r.State == driver.StateReady {
 				replicas[weightsKey{r.Model, r.Adapter}]++
 			}
@@ -229,6 +231,23 @@
 	return s
 }
 
+// withOpenUnloads returns what an engine has reported as loaded, with the weights
+// that an open order unloads as unloading: the report may be older than the order.
+func withOpenUnloads(loaded []driver.LoadedWeights, account *orderchecker.Engine) []driver.LoadedWeights {
+	all := slices.Clone(loaded)
+	for _, t := range account.Open() {
+		if t.Order.Op != driver.OpUnload {
+			continue
+		}
+		for i := range all {
+			if all[i].Weights == t.Order.Weights {
+				all[i].State = driver.StateUnloading
+			}
+		}
+	}
+	return all
+}
+
 // withBaseModels adds the demand for each adapter to the demand for its model,
 // because an adapter cannot be used without its model.
 func withBaseModels(demand map[weightsKey]weightsDemand) map[weightsKey]weightsDemand {
