Let only a stream replace a stream

Callers would see a stream cut if the server that was to take over answered it with a complete answer of another kind, such as 404: it counted as accepted, and could not be forwarded after the first event.

On a streaming route only a stream counts as accepted now. The spec 'does not replace a stream in progress by an answer that is not a stream' failed before and passes.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -167,7 +167,10 @@
 // accepted reports whether the server has accepted the request: its stream has
 // begun, or its answer is complete and can be forwarded.
 func (t *attempt) accepted() bool {
-	return t.err == nil && (t.isStream() || !t.info.Refused && !t.failed())
+	if t.err != nil || t.route.Kind == matcher.Streaming {
+		return t.isStream()
+	}
+	return !t.info.Refused && !t.failed()
 }
 
 // clientGone reports whether the client has closed its connection.
