Keep the failover until the silent server has sent an event or a whole answer

Callers would see 502 or 503 although another server was at work on their request: the head of the silent server's answer ended the failover even if it was a refusal or a failure.

The failover ends only with an event of the first server's stream, or with its complete answer. If that is a refusal or a failure, the failover's answer is awaited.

--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -95,10 +95,7 @@
 	w.lastReceived = w.exchange.clock.Now()
 	if event {
 		w.gotEvent, w.lastEvent = true, lastEvent
-	}
-	if w.failover != nil {
-		w.failover.abandoned = true
-		w.failover.cancel()
+		w.abandonFailover()
 	}
 	return true
 }
@@ -130,13 +127,19 @@
 	return next
 }
 
-// stop ends the watch and drops a failover.
-func (w *watchdog) stop() {
-	w.mu.Lock()
+// abandonFailover cancels the failover, whose events the client gets from the
+// attempt's own server. w.mu must be held.
+func (w *watchdog) abandonFailover() {
 	if w.failover != nil {
 		w.failover.abandoned = true
 		w.failover.cancel()
 	}
+}
+
+// stop ends the watch and drops a failover.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	w.abandonFailover()
 	w.mu.Unlock()
 	w.end()
 	if next := w.successor(); next != nil {
