Count no silence from before the instance received again

Callers would see requests repeated right after the instance's link was free again: the first byte of any other server ended the state in which no server counts as silent, while the bytes of the server in question were still on their way.

Fleet.ReceivingTime says for how long bytes have arrived without a pause of half a second, and a server's silence counts for no longer than that. The spec 'does not begin right after the instance hears servers again' failed before and passes.

--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -32,9 +32,11 @@
 	seed    uint64
 	clock   clockwork.Clock
 	started time.Time
-	// lastByte is when any server last sent a byte, in nanoseconds since started.
-	lastByte atomic.Int64
-	Dials    connector.DialCounter
+	// lastByte is when any server last sent a byte, receivingSince when the first
+	// byte after a pause of maxReceivePause arrived, both in nanoseconds since
+	// started.
+	lastByte, receivingSince atomic.Int64
+	Dials                    connector.DialCounter
 
 	mu              sync.Mutex
 	cores           map[string]*Core
@@ -389,7 +391,9 @@
 func (a *Assignment) RecordBytes() {
 	now := int64(a.fleet.clock.Since(a.fleet.started))
 	a.lastByte.Store(now)
-	a.fleet.lastByte.Store(now)
+	if now-a.fleet.lastByte.Swap(now) >= int64(maxReceivePause) {
+		a.fleet.receivingSince.Store(now)
+	}
 }
 
 // IdleTime returns the time since the server last sent bytes, at most the time
@@ -399,9 +403,18 @@
 	return min(f.clock.Since(f.started)-time.Duration(a.lastByte.Load()), f.clock.Since(a.sent))
 }
 
-// IdleTime returns the time since any server last sent bytes.
-func (f *Fleet) IdleTime() time.Duration {
-	return f.clock.Since(f.started) - time.Duration(f.lastByte.Load())
+// maxReceivePause is the longest pause between bytes from any server after which
+// this instance still counts as receiving.
+const maxReceivePause = 500 * time.Millisecond
+
+// ReceivingTime returns for how long bytes from servers have arrived without a
+// pause of maxReceivePause, zero during such a pause.
+func (f *Fleet) ReceivingTime() time.Duration {
+	now := f.clock.Since(f.started)
+	if now-time.Duration(f.lastByte.Load()) >= maxReceivePause {
+		return 0
+	}
+	return now - time.Duration(f.receivingSince.Load())
 }
 
 // Cancel takes the request, which was not sent, off the server's in-flight counts.
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -206,11 +206,11 @@
 		w.timer.Reset(soft - silent)
 		return
 	}
-	serverSilent, allSilent := w.attempt.assignment.IdleTime(), w.exchange.fleet.IdleTime()
+	serverSilent, receiving := w.attempt.assignment.IdleTime(), w.exchange.fleet.ReceivingTime()
 	limit := time.Duration(serverSilenceShare * float64(soft))
-	// When no server is heard, the instance may be the one that receives nothing:
-	// its link is full or its process did not run.
-	if (serverSilent < limit || allSilent >= limit) && silent < w.hardTimeout() {
+	// While no server is heard, the instance may be the one that receives nothing:
+	// its link is full or its process does not run.
+	if min(serverSilent, receiving) < limit && silent < w.hardTimeout() {
 		w.timer.Reset(recheckInterval)
 		return
 	}
@@ -220,7 +220,7 @@
 		return
 	}
 	w.exchange.log.Info("relay: server is silent", zap.String("server", w.attempt.assignment.ID), zap.String("other", next.ID),
-		zap.Duration("request_silent", silent), zap.Duration("server_silent", serverSilent), zap.Duration("all_silent", allSilent))
+		zap.Duration("request_silent", silent), zap.Duration("server_silent", serverSilent), zap.Duration("receiving", receiving))
 	w.failover, w.failoverDone = w.exchange.newAttempt(next, w.lastEvent), make(chan struct{})
 	go w.runFailover(w.failover, w.failoverDone)
 }
