Read an answer that was sent before the upstream closed with a large body unread

A caller with a body above 8 KB saw a broken connection (502, may have run) in place of the answer, for example an early refusal, if this side got no processor time between the answer and the reset.

Cause: the upstream answers and closes with the body unread, so the kernel sends a reset after the answer. The write of the body then failed and closed the connection on this side, while the answer was received but not read.

Change: after a reset the reader reads the answer or finds the end of the connection. After other failures of the write, for example a timeout, the connection is closed as before, so that they are not taken for an end by the upstream. A connection whose body failed is not reused.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -222,8 +222,10 @@
 	stopWatching func() bool
 	once         sync.Once
 	// bodyWritten is closed when a body that is written concurrently has been
-	// written or its write has failed; nil if there is no such body.
+	// written or its write has failed; nil if there is no such body. bodyFailed
+	// is set before.
 	bodyWritten chan struct{}
+	bodyFailed  bool
 }
 
 func (c *connection) close() { c.once.Do(func() { _ = c.conn.Close() }) }
@@ -269,7 +271,7 @@
 	if n, err := c.conn.Write(b.Bytes()); err != nil {
 		return nil, brokenError(err, n == 0)
 	}
-	c.bodyWritten = nil
+	c.bodyWritten, c.bodyFailed = nil, false
 	if separate {
 		c.bodyWritten = make(chan struct{})
 		go c.runBodyWrite(q.Body)
@@ -280,11 +282,18 @@
 // runBodyWrite writes a large body while the answer is awaited.
 func (c *connection) runBodyWrite(body []byte) {
 	defer close(c.bodyWritten)
-	if _, err := c.conn.Write(body); err != nil {
-		// The reader of the answer reports the failure. The rest of the body
-		// was not sent, so the connection must not be reused.
-		c.close()
+	_, err := c.conn.Write(body)
+	if err == nil {
+		return
+	}
+	c.bodyFailed = true
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		// The upstream closed the connection. An answer that it sent before can
+		// still be read, and the reader then finds the end of the connection.
+		return
 	}
+	// The reader of the answer reports the failure.
+	c.close()
 }
 
 // readHead reads answers until one matches the request.
@@ -319,6 +328,8 @@
 	if c.bodyWritten != nil {
 		select {
 		case <-c.bodyWritten:
+			// The upstream may not have got the whole body.
+			complete = complete && !c.bodyFailed
 		default:
 			complete = false
 		}
