Add a failing test: the rest of a stream carries the deadline of its first token

A client that asks for the rest of a stream with POST /v1/streams/TOKEN after its engine was lost would get 503 "late" if the stream began longer ago than the deadline.

--- a/server/generate_test.go
+++ b/server/generate_test.go
@@ -520,6 +520,14 @@
 			Expect(last).To(Equal("[DONE]"))
 		})
 
+		// Guards against a refusal of the rest of a stream because its start is long ago.
+		It("generates the rest again without a deadline for the first token", func() {
+			b.engines["e1"].lost = true
+			sendRequest("POST", b.callers.URL+"/v1/streams/"+token+"?from=2", streamed(chatBody))
+			Expect(b.dispatcher.works).NotTo(BeEmpty())
+			Expect(b.dispatcher.works[len(b.dispatcher.works)-1].Deadline).To(BeZero())
+		})
+
 		It("is rejected with another request", func() {
 			p := sendRequest("POST", b.callers.URL+"/v1/streams/"+token, strings.Replace(chatBody, "room", "hall", 1))
 			code, _, message := p.refusal()
