Offer the rest of a stream without the deadline of its first token

A client that asked for the rest of a stream with POST /v1/streams/TOKEN after its engine was lost got 503 "late" if the stream had begun longer ago than the deadline.

Cause: the deadline was dropped only after a token of the present request, not for tokens that the client already had.

Evidence: expected a zero deadline, got 2026-12-04T06:04:38Z (server, "generates the rest again without a deadline for the first token").

Change: the deadline applies only if the client has no token.

--- a/server/generate.go
+++ b/server/generate.go
@@ -305,7 +305,7 @@
 func (g *generation) acquire(ctx context.Context, span trace.Span) error {
 	g.grant = dispatcher.Grant{}
 	work := g.work
-	if g.sent > g.request.firstOffset {
+	if g.sent > 0 {
 		// The first token was sent, so the deadline for it no longer applies.
 		work.Deadline = time.Time{}
 	}
