Do not count a replica as loaded while an unload of it may still be executed

Callers of a model with two replicas could lose both: an unload whose replies were lost was given up, the other replica was unloaded in its place, and the first unload was then executed late. The same with an accepted unload that was not completed in time.

Cause: the coordinator gave up such an order and took what it had known before as the state of the server.

Change: a server keeps the unloads that were given up after they were sent, until it reports more orders than they expected, while it is not busy, or until the time in which an order may arrive late is over. The planner does not count their replicas as kept. It may give the same unload again.

Ran: go test -race ./serviceplanner ./coordinator ./platform ./entryassembler; all pass.

--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -23,8 +23,12 @@
 	coldLoad *ColdLoad
 	// backoff is how long the server is sent no order after a failure.
 	backoff time.Duration
-	engine  *matcher.Engine
-	server  registrar.Server
+	// unsettled is set while the current order may be executed: its reply was lost,
+	// or it was accepted. expected is the order count that it was last sent with.
+	unsettled bool
+	expected  int64
+	engine    *matcher.Engine
+	server    registrar.Server
 }
 
 func (x *execution) run(ctx context.Context) {
@@ -66,6 +70,7 @@
 	if x.order.Op == serviceplanner.Unload {
 		x.publishOverlays(false)
 	}
+	x.unsettled = false
 	done := x.send(ctx)
 	if done {
 		done = x.awaitCompletion(ctx)
@@ -76,6 +81,11 @@
 		x.state.changedAt = x.Clock.Now()
 		x.mu.Unlock()
 	}
+	if !done && x.unsettled && x.order.Op == serviceplanner.Unload {
+		x.mu.Lock()
+		x.state.addUnsettled(x.Clock.Now(), order, x.expected)
+		x.mu.Unlock()
+	}
 	if done == (x.order.Op == serviceplanner.Load) {
 		x.publishOverlays(true)
 	}
@@ -140,6 +150,7 @@
 		cancel()
 		switch out {
 		case Accepted:
+			x.unsettled, x.expected = true, expected
 			x.mu.Lock()
 			x.state.orderCount = expected + 1
 			x.mu.Unlock()
@@ -159,6 +170,7 @@
 				return true
 			}
 			if changed {
+				x.unsettled = false
 				return false
 			}
 		case Rejected:
@@ -172,6 +184,7 @@
 				return false
 			}
 		case Unknown:
+			x.unsettled, x.expected = true, expected
 			x.mu.Lock()
 			x.unanswered[x.server.ID] = x.Clock.Now()
 			x.mu.Unlock()
@@ -214,6 +227,7 @@
 func (x *execution) updateState(r ServerReport) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.state.settle(r)
 	if r.Orders >= x.state.orderCount {
 		x.state.orderCount = r.Orders
 		x.state.setLoaded(r.Loaded)
@@ -248,6 +262,9 @@
 		s, ok := x.fetchReport(ctx)
 		x.mu.Lock()
 		current := ok && !s.Busy && s.Orders >= x.state.orderCount
+		if ok {
+			x.state.settle(s)
+		}
 		x.mu.Unlock()
 		if !current {
 			continue
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -22,6 +22,30 @@
 	// busyUntil.
 	pending   *serviceplanner.Order
 	busyUntil time.Time
+	// unsettled are the unloads that were given up and may still be executed.
+	unsettled []unsettledUnload
+}
+
+// unsettledUnload is an unload that may be executed until a time, as long as the
+// server has not accepted more than expected orders.
+type unsettledUnload struct {
+	order    serviceplanner.Order
+	expected int64
+	until    time.Time
+}
+
+// addUnsettled adds an unload that was given up now.
+func (s *serverState) addUnsettled(now time.Time, o serviceplanner.Order, expected int64) {
+	s.unsettled = slices.DeleteFunc(s.unsettled, func(u unsettledUnload) bool { return !now.Before(u.until) })
+	s.unsettled = append(s.unsettled, unsettledUnload{order: o, expected: expected, until: now.Add(lateOrderWindow)})
+}
+
+// settle drops the unloads that a report shows to be executed or refused. A busy
+// server may still be executing one.
+func (s *serverState) settle(r ServerReport) {
+	if !r.Busy {
+		s.unsettled = slices.DeleteFunc(s.unsettled, func(u unsettledUnload) bool { return r.Orders > u.expected })
+	}
 }
 
 func (s *serverState) setLoaded(list []registrar.LoadedModel) {
@@ -38,6 +62,11 @@
 		ID: s.registration.ID, Zone: s.registration.Zone, Leaving: s.registration.Draining || unreachable,
 		Busy: s.pending != nil || now.Before(s.busyUntil), Loaded: s.loaded, Pending: s.pending, Warm: map[string]bool{},
 	}
+	for _, u := range s.unsettled {
+		if now.Before(u.until) {
+			in.Unsettled = append(in.Unsettled, u.order)
+		}
+	}
 	for _, m := range slices.Concat(s.registration.InMemory, s.registration.OnDisk) {
 		in.Warm[m] = true
 	}
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -67,6 +67,8 @@
 	Loaded map[string][]string
 	// Pending is the order under way, nil for none.
 	Pending *Order
+	// Unsettled are the unloads that were given up and may still be executed.
+	Unsettled []Order
 	// Warm are the models whose weights the server need not fetch from the
 	// weight store.
 	Warm map[string]bool
@@ -150,44 +152,56 @@
 	// planned is what the server will have loaded once the orders under way and
 	// those of this plan are completed.
 	planned map[string][]string
+	// kept is the part of Loaded that no order unloads, whichever of the orders
+	// are executed.
+	kept map[string][]string
 }
 
-func newServer(s Server) *server {
-	planned := maps.Clone(s.Loaded)
-	if planned == nil {
-		planned = map[string][]string{}
+func newServer(known Server) *server {
+	s := &server{Server: known, planned: map[string][]string{}, kept: map[string][]string{}}
+	maps.Copy(s.planned, known.Loaded)
+	maps.Copy(s.kept, known.Loaded)
+	for o := known.Pending; o != nil; o = o.Next {
+		s.apply(*o)
 	}
-	for o := s.Pending; o != nil; o = o.Next {
-		o.Apply(planned)
+	for _, o := range known.Unsettled {
+		o.Apply(s.kept)
 	}
-	return &server{Server: s, planned: planned}
+	return s
 }
 
-// has reports whether the server has a model loaded now and keeps it.
-func (s *server) has(m string) bool {
-	_, loaded := s.Loaded[m]
-	_, kept := s.planned[m]
-	return loaded && kept
+// apply changes what the server will have loaded as the order does. What an order
+// loads is not kept, since the load takes time and may fail.
+func (s *server) apply(o Order) {
+	o.Apply(s.planned)
+	if o.Op == Unload {
+		o.Apply(s.kept)
+	}
+}
+
+func (s *server) keeps(m string) bool {
+	_, ok := s.kept[m]
+	return ok
 }
 
 type planner struct {
 	State
 	servers []*server
 	// modelDemand is the demand for a model including its adapters, replicas
-	// the number of its planned replicas, loaded that of the replicas among them
-	// that are loaded now. A load under way counts against adding a replica, but
-	// no replica is unloaded because of it, since it takes time and may fail.
+	// the number of its planned replicas, kept that of the servers that keep it
+	// loaded. A load under way counts against adding a replica, but no replica is
+	// unloaded because of it.
 	modelDemand map[string]float64
 	waiting     map[string]int
 	replicas    map[string]int
-	loaded      map[string]int
+	kept        map[string]int
 	models      []string
 	orders      []Order
 }
 
 // Plan returns orders that may all be sent at once, at most one per server.
 func Plan(state State) []Order {
-	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}, loaded: map[string]int{}}
+	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}, kept: map[string]int{}}
 	for _, known := range state.Servers {
 		if known.Leaving {
 			continue
@@ -196,9 +210,9 @@
 		p.servers = append(p.servers, s)
 		for m := range s.planned {
 			p.replicas[m]++
-			if s.has(m) {
-				p.loaded[m]++
-			}
+		}
+		for m := range s.kept {
+			p.kept[m]++
 		}
 	}
 	slices.SortFunc(p.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
@@ -298,8 +312,10 @@
 		next := order
 		order = Order{Server: best.ID, Op: Unload, Model: victim, Next: &next, Reason: "room for " + m + ": " + reason}
 		p.replicas[victim]--
-		p.loaded[victim]--
-		delete(best.planned, victim)
+		if best.keeps(victim) {
+			p.kept[victim]--
+		}
+		best.apply(order)
 	}
 	p.orders = append(p.orders, order)
 	p.replicas[m]++
@@ -326,11 +342,14 @@
 	spec := p.Engine.Models[m]
 	best, least := "", 0.0
 	for v := range s.planned {
-		n := p.loaded[v]
-		if n < 2 || p.usedMemory(s)-p.Engine.Models[v].SizeMB+spec.SizeMB > p.Engine.MemoryMB {
+		others := p.kept[v]
+		if s.keeps(v) {
+			others--
+		}
+		if others < 1 || p.usedMemory(s)-p.Engine.Models[v].SizeMB+spec.SizeMB > p.Engine.MemoryMB {
 			continue
 		}
-		after := p.modelDemand[v]/float64(n-1) + p.lostAdapterDemand(s, v)
+		after := p.modelDemand[v]/float64(others) + p.lostAdapterDemand(s, v)
 		if !missing && after*minDemandRatio > p.modelDemand[m]/float64(p.replicas[m]+1) {
 			continue
 		}
@@ -347,19 +366,19 @@
 func (p *planner) lostAdapterDemand(s *server, m string) float64 {
 	total := 0.0
 	for _, a := range s.planned[m] {
-		if p.loadedAdapters(m, a) < 2 {
+		if p.adapterReplicasExcept(s, m, a) == 0 {
 			total += p.Demand[balancer.Key(m, a)]
 		}
 	}
 	return total
 }
 
-// loadedAdapters returns the number of servers that have an adapter loaded now and
-// keep it.
-func (p *planner) loadedAdapters(m, a string) int {
+// adapterReplicasExcept returns the number of servers other than one that keep an
+// adapter loaded.
+func (p *planner) adapterReplicasExcept(except *server, m, a string) int {
 	n := 0
 	for _, s := range p.servers {
-		if slices.Contains(s.Loaded[m], a) && slices.Contains(s.planned[m], a) {
+		if s != except && slices.Contains(s.kept[m], a) {
 			n++
 		}
 	}
@@ -440,7 +459,7 @@
 		}
 		for _, vm := range slices.Sorted(maps.Keys(s.planned)) {
 			for _, va := range s.planned[vm] {
-				d := p.Demand[balancer.Key(vm, va)] / float64(p.loadedAdapters(vm, va))
+				d := p.Demand[balancer.Key(vm, va)] / float64(1+p.adapterReplicasExcept(s, vm, va))
 				if d*minDemandRatio < least {
 					best, model, adapter, least = s, vm, va, d
 				}
@@ -453,7 +472,7 @@
 	next := Order{Server: best.ID, Op: Load, Model: m, Adapter: a, Reason: "no server has the adapter loaded"}
 	order := Order{Server: best.ID, Op: Unload, Model: model, Adapter: adapter, Next: &next, Reason: "room for " + m + "/" + a}
 	p.orders = append(p.orders, order)
-	order.Apply(best.planned)
-	next.Apply(best.planned)
+	best.apply(order)
+	best.apply(next)
 	best.Busy = true
 }
--- a/serviceplanner/serviceplanner_test.go
+++ b/serviceplanner/serviceplanner_test.go
@@ -190,6 +190,18 @@
 		Expect(serviceplanner.Plan(state)).NotTo(ContainElement(And(HaveField("Op", serviceplanner.Unload), HaveField("Model", "m0"))))
 	})
 
+	It("keeps the only replica of a model whose other one may still be unloaded by an order that was given up", func() {
+		state := serviceplanner.State{
+			Engine: engine(4, 0), Servers: []serviceplanner.Server{server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m2")},
+			Waiting: map[string]int{"m3": 1}, ColdLoads: 5,
+		}
+		state.Servers[0].Busy = true
+		state.Servers[0].Unsettled = []serviceplanner.Order{{Op: serviceplanner.Unload, Model: "m0"}}
+		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Server", "b"), HaveField("Model", "m1"))))
+		state.Servers[0].Busy, state.Servers[1].Busy = false, true
+		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Server", "a"), HaveField("Model", "m0"))), "the same unload again")
+	})
+
 	// Guards against loads of the same model on one server after the other, because
 	// the load under way does not count.
 	It("adds no replica that a load under way already adds", func() {
