--- a/serviceplanner/serviceplanner_test.go
+++ b/serviceplanner/serviceplanner_test.go
@@ -202,6 +202,18 @@
 		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Server", "a"), HaveField("Model", "m0"))), "the same unload again")
 	})
 
+	// Guards against a replica that is counted but not there, after an order for an
+	// adapter whose model the server has lost.
+	DescribeTable("does not count a model as loaded because of an order for its adapter",
+		func(op serviceplanner.Op) {
+			lost := pending(server("a", "m1"), &serviceplanner.Order{Op: op, Model: "m0", Adapter: "a1"})
+			state := serviceplanner.State{Engine: engine(2, 0), Servers: []serviceplanner.Server{lost, server("b")}, ColdLoads: 5}
+			Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Server", "b"), HaveField("Op", serviceplanner.Load), HaveField("Model", "m0"))))
+		},
+		Entry("a load", serviceplanner.Load),
+		Entry("an unload", serviceplanner.Unload),
+	)
+
 	// Guards against loads of the same model on one server after the other, because
 	// the load under way does not count.
 	It("adds no replica that a load under way already adds", func() {
