Do not count a model as loaded because of an order for its adapter

A model that no server had loaded was not loaded while an order for one of its adapters was under way on a server that had lost it, and after the order until the registry showed the server again; requests for it were answered 421.

Cause: applying the order to what a server has loaded added the model.

Change: an order for an adapter changes nothing unless its model is loaded.

--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -102,19 +102,22 @@
 }
 
 // Apply changes loaded models and adapters as the order does. It does not apply
-// the order that follows.
+// the order that follows. An order for an adapter changes nothing unless its model
+// is loaded.
 func (o Order) Apply(loaded map[string][]string) {
+	adapters, ok := loaded[o.Model]
 	switch {
 	case o.Op == Load && o.Adapter == "":
 		loaded[o.Model] = nil
-	case o.Op == Load:
-		if !slices.Contains(loaded[o.Model], o.Adapter) {
-			loaded[o.Model] = append(slices.Clone(loaded[o.Model]), o.Adapter)
-		}
 	case o.Adapter == "":
 		delete(loaded, o.Model)
+	case !ok:
+	case o.Op == Load:
+		if !slices.Contains(adapters, o.Adapter) {
+			loaded[o.Model] = append(slices.Clone(adapters), o.Adapter)
+		}
 	default:
-		loaded[o.Model] = slices.DeleteFunc(slices.Clone(loaded[o.Model]), func(a string) bool { return a == o.Adapter })
+		loaded[o.Model] = slices.DeleteFunc(slices.Clone(adapters), func(a string) bool { return a == o.Adapter })
 	}
 }
 
