--- a/serviceplanner/serviceplanner_test.go
+++ b/serviceplanner/serviceplanner_test.go
@@ -291,6 +291,21 @@
 			"once it is loaded there")
 	})
 
+	// Guards against evicting an adapter for one that then does not fit.
+	It("evicts no adapter where the other one lacks the memory", func() {
+		s := server("a", "m0", "m1", "m2")
+		s.Loaded["m0"] = []string{"a1"}
+		state := serviceplanner.State{Engine: engine(3, 0), Servers: []serviceplanner.Server{s}, Demand: map[string]float64{"m1/a1": 9}}
+		state.Engine.AdapterSlots = 1
+		large := state.Engine.Models["m1"]
+		large.Adapters, large.AdapterSizeMB = 1, 20
+		state.Engine.Models["m1"] = large
+		Expect(serviceplanner.Plan(state)).To(BeEmpty())
+		large.AdapterSizeMB = 10
+		state.Engine.Models["m1"] = large
+		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Op", serviceplanner.Unload), HaveField("Next.Model", "m1"))))
+	})
+
 	// Guards against evicting all copies of an adapter in demand in one plan, each
 	// because of the other.
 	It("counts an adapter that it evicts as no longer loaded", func() {
