Evict no adapter where the other one lacks the memory

Callers of an adapter lost it to another one that then did not fit, and again at each plan, since the adapter was loaded again in between.

Cause: an eviction checked that it frees a slot, but not the memory, while the load that follows checks both.

Evidence: 'evicts no adapter where the other one lacks the memory' plans {unload m0/a1, next: load m1/a1} with 14 MB free for 20 MB.

Change: only adapters after which the other one fits are considered.

Ran: go test ./serviceplanner; all pass.

--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -460,8 +460,12 @@
 		if _, ok := s.planned[m]; !ok || s.Busy {
 			continue
 		}
+		free := p.Engine.MemoryMB - p.usedMemory(s)
 		for _, vm := range slices.Sorted(maps.Keys(s.planned)) {
 			for _, va := range s.planned[vm] {
+				if p.Engine.Models[m].AdapterSizeMB > free+p.Engine.Models[vm].AdapterSizeMB {
+					continue
+				}
 				d := p.Demand[balancer.Key(vm, va)] / float64(1+p.adapterReplicasExcept(s, vm, va))
 				if d*minDemandRatio < least {
 					best, model, adapter, least = s, vm, va, d
