--- a/coordinator/reconciler_test.go
+++ b/coordinator/reconciler_test.go
@@ -78,30 +78,73 @@
 	}
 }
 
-// startReconciler starts an instance that holds the lease, for servers with room
-// for three of the four models.
-func startReconciler(f *fakeServers) {
-	engine := &matcher.Engine{MemoryMB: 230, ColdLoadsPerSecond: 5, Models: map[string]matcher.Model{}}
-	for _, m := range []string{"m0", "m1", "m2", "m3"} {
-		engine.Models[m] = matcher.Model{Name: m, SizeMB: 72, ColdLoadTime: time.Millisecond}
+// busyAdapter is a server with one adapter slot. Its adapter is in use, so that it
+// accepts the unload but keeps the adapter loaded until release.
+type busyAdapter struct {
+	mu     sync.Mutex
+	orders int64
+	loaded []string
+	sent   []string
+}
+
+func (b *busyAdapter) Send(_ context.Context, _ registrar.Server, o coordinator.Order, _ func() bool) (coordinator.Outcome, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.orders++
+	b.sent = append(b.sent, o.Op.String()+" "+o.Adapter)
+	if o.Op == serviceplanner.Load {
+		b.loaded = append(b.loaded, o.Adapter)
 	}
-	table := &matcher.Table{Services: map[string]matcher.Service{"llm": {Engine: engine}}}
+	return coordinator.Accepted, nil
+}
+
+func (b *busyAdapter) Report(context.Context, registrar.Server) (coordinator.ServerReport, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return coordinator.ServerReport{Orders: b.orders, Loaded: []registrar.LoadedModel{{Model: "m0", Adapters: slices.Clone(b.loaded)}}}, nil
+}
+
+func (b *busyAdapter) sentOrders() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.sent)
+}
+
+func (b *busyAdapter) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loaded = nil
+}
+
+// startReconciler starts an instance that holds the lease.
+func startReconciler(e *matcher.Engine, sender coordinator.OrderSender, servers []registrar.Server) *balancer.Fleet {
+	table := &matcher.Table{Services: map[string]matcher.Service{"llm": {Engine: e}}}
 	clock := clockwork.NewRealClock()
+	fleet := balancer.NewFleet("z", 1, clock)
 	stream := tailer.New("stream", &countingSource{}, discard{}, clock, zap.NewNop())
 	c := coordinator.New(coordinator.Dependencies{
 		Instance: "i", Machine: "i", Address: "i", OrderGap: 100 * time.Millisecond, ColdLoadWindow: time.Second, ColdLoadOverage: 1,
-		LeaseLog: &sharedLog{}, OrderSender: f, Fleet: balancer.NewFleet("z", 1, clock), Suspects: quarantiner.NewGuard(clock, quarantiner.DefaultOptions()),
+		LeaseLog: &sharedLog{}, OrderSender: sender, Fleet: fleet, Suspects: quarantiner.NewGuard(clock, quarantiner.DefaultOptions()),
 		Registry: stream, Config: stream, Meter: discard{}, Table: func() *matcher.Table { return table }, Clock: clock, Boot: clocker.SystemClock{},
 		Log: zap.NewNop(), Peers: messenger.NewClient(clock), OnMembers: func([]string) {},
 	})
-	var servers []registrar.Server
-	for _, id := range slices.Sorted(maps.Keys(f.loaded)) {
-		servers = append(servers, registrar.Server{ID: id, Incarnation: id, Service: "llm", Loaded: f.models(id), ReadAt: clock.Now()})
+	for i := range servers {
+		servers[i].Incarnation, servers[i].Service, servers[i].ReadAt = servers[i].ID, "llm", clock.Now()
 	}
 	c.UpdateRegistry(nil, servers)
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	go c.Run(ctx)
+	return fleet
+}
+
+func engineOf(models ...matcher.Model) *matcher.Engine {
+	e := &matcher.Engine{MemoryMB: 230, AdapterSlots: 1, ColdLoadsPerSecond: 5, Models: map[string]matcher.Model{}}
+	for _, m := range models {
+		m.SizeMB, m.ColdLoadTime = 72, time.Millisecond
+		e.Models[m.Name] = m
+	}
+	return e
 }
 
 var _ = Describe("Orders", func() {
@@ -113,9 +156,25 @@
 			silent: "a", loaded: map[string]map[string]bool{"a": full(), "b": full()},
 			orders: map[string]int64{}, sent: map[string][]serviceplanner.Order{},
 		}
-		startReconciler(f)
+		e := engineOf(matcher.Model{Name: "m0"}, matcher.Model{Name: "m1"}, matcher.Model{Name: "m2"}, matcher.Model{Name: "m3"})
+		startReconciler(e, f, []registrar.Server{{ID: "a", Loaded: f.models("a")}, {ID: "b", Loaded: f.models("b")}})
 		Eventually(f.sentTo("a"), "10s").Should(Equal([]string{"unload m0"}))
 		Eventually(f.sentTo("b"), "10s").Should(HaveLen(2))
 		Expect(f.sentTo("b")()).To(Equal([]string{"unload m1", "load m3"}))
 	})
+
+	// Guards against a load into the slot of an adapter that is still in use, which
+	// crashes the server.
+	It("load an adapter only once the one that it replaces is unloaded", func() {
+		b := &busyAdapter{loaded: []string{"a1"}}
+		fleet := startReconciler(engineOf(matcher.Model{Name: "m0", Adapters: 2, AdapterSizeMB: 1}), b,
+			[]registrar.Server{{ID: "a", Loaded: []registrar.LoadedModel{{Model: "m0", Adapters: []string{"a1"}}}}})
+		for range 100 {
+			fleet.RecordArrival("llm", balancer.Request{Model: "m0", Adapter: "a2"})
+		}
+		Eventually(b.sentOrders, "10s").Should(Equal([]string{"unload a1"}))
+		Consistently(b.sentOrders, "500ms").Should(Equal([]string{"unload a1"}))
+		b.release()
+		Eventually(b.sentOrders, "10s").Should(Equal([]string{"unload a1", "load a2"}))
+	})
 })
