Load an adapter only once the one that it replaces is unloaded

A server crashes if it is ordered to load more adapters than it has slots, with all that it runs. An unload waits for the requests that use the adapter, and the load that follows was sent 12 ms after the unload was accepted.

Cause: the time of an adapter order was taken as fixed; only a load has one.

Evidence: 'load an adapter only once the one that it replaces is unloaded' sends {load a2} while the server still reports a1 in its only slot.

Change: an accepted unload of an adapter is completed once the server reports the adapter gone, as that of a model. An adapter that was not in use costs no report more: the server answers that the unload already holds. Given up, such an unload stays unsettled until the adapter is gone.

Ran: go test -race ./serviceplanner ./coordinator ./platform, the specs of orders 4 more times; all pass. Whether the users' servers refuse such a load, or count the slot as free at once, was not tried.

--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -245,9 +244,10 @@
 	return r, err == nil
 }
 
-// awaitCompletion waits until the accepted order is completed.
+// awaitCompletion waits until the accepted order is completed. An unload waits for
+// the requests that use what it names.
 func (x *execution) awaitCompletion(ctx context.Context) bool {
-	if x.order.Adapter != "" {
+	if x.order.Adapter != "" && (x.order.Op == serviceplanner.Load || x.isSatisfied()) {
 		return x.sleep(ctx, adapterLoadTime)
 	}
 	expected := firstUnloadCheck
@@ -269,14 +269,20 @@
 		if !current {
 			continue
 		}
-		loaded := slices.ContainsFunc(s.Loaded, func(m registrar.LoadedModel) bool { return m.Model == x.order.Model })
-		if loaded == (x.order.Op == serviceplanner.Load) {
+		if satisfied(loadedModels(s.Loaded), x.order) {
 			return true
 		}
 	}
 	return false
 }
 
+// isSatisfied reports whether the last known state is already as the order makes it.
+func (x *execution) isSatisfied() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return satisfied(x.state.loaded, x.order)
+}
+
 func (x *execution) sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -40,19 +40,28 @@
 	s.unsettled = append(s.unsettled, unsettledUnload{order: o, expected: expected, until: now.Add(lateOrderWindow)})
 }
 
-// settle drops the unloads that a report shows to be executed or refused. A busy
-// server may still be executing one.
+// settle drops the unloads that a report shows to be executed or refused. A server
+// may still be executing one while it is busy, and one of an adapter also when it
+// is not.
 func (s *serverState) settle(r ServerReport) {
-	if !r.Busy {
-		s.unsettled = slices.DeleteFunc(s.unsettled, func(u unsettledUnload) bool { return r.Orders > u.expected })
+	if r.Busy {
+		return
 	}
+	loaded := loadedModels(r.Loaded)
+	s.unsettled = slices.DeleteFunc(s.unsettled, func(u unsettledUnload) bool {
+		return r.Orders > u.expected && (u.order.Adapter == "" || satisfied(loaded, u.order))
+	})
 }
 
-func (s *serverState) setLoaded(list []registrar.LoadedModel) {
-	s.loaded = make(map[string][]string, len(list))
+func (s *serverState) setLoaded(list []registrar.LoadedModel) { s.loaded = loadedModels(list) }
+
+// loadedModels maps each model to its adapters.
+func loadedModels(list []registrar.LoadedModel) map[string][]string {
+	loaded := make(map[string][]string, len(list))
 	for _, m := range list {
-		s.loaded[m.Model] = m.Adapters
+		loaded[m.Model] = m.Adapters
 	}
+	return loaded
 }
 
 // plannerInput returns the server as the planner gets it. An unreachable server
