--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -22,13 +22,46 @@
 	// busyUntil.
 	pending   *serviceplanner.Order
 	busyUntil time.Time
+	// unsettled are the unloads that were given up and may still be executed.
+	unsettled []unsettledUnload
 }
 
-func (s *serverState) setLoaded(list []registrar.LoadedModel) {
-	s.loaded = make(map[string][]string, len(list))
+// unsettledUnload is an unload that may be executed until a time, as long as the
+// server has not accepted more than expected orders.
+type unsettledUnload struct {
+	order    serviceplanner.Order
+	expected int64
+	until    time.Time
+}
+
+// addUnsettled adds an unload that was given up now.
+func (s *serverState) addUnsettled(now time.Time, o serviceplanner.Order, expected int64) {
+	s.unsettled = slices.DeleteFunc(s.unsettled, func(u unsettledUnload) bool { return !now.Before(u.until) })
+	s.unsettled = append(s.unsettled, unsettledUnload{order: o, expected: expected, until: now.Add(lateOrderWindow)})
+}
+
+// settle drops the unloads that a report shows to be executed or refused. A server
+// may still be executing one while it is busy, and one of an adapter also when it
+// is not.
+func (s *serverState) settle(r ServerReport) {
+	if r.Busy {
+		return
+	}
+	loaded := loadedModels(r.Loaded)
+	s.unsettled = slices.DeleteFunc(s.unsettled, func(u unsettledUnload) bool {
+		return r.Orders > u.expected && (u.order.Adapter == "" || satisfied(loaded, u.order))
+	})
+}
+
+func (s *serverState) setLoaded(list []registrar.LoadedModel) { s.loaded = loadedModels(list) }
+
+// loadedModels maps each model to its adapters.
+func loadedModels(list []registrar.LoadedModel) map[string][]string {
+	loaded := make(map[string][]string, len(list))
 	for _, m := range list {
-		s.loaded[m.Model] = m.Adapters
+		loaded[m.Model] = m.Adapters
 	}
+	return loaded
 }
 
 // plannerInput returns the server as the planner gets it. An unreachable server
@@ -38,6 +71,11 @@
 		ID: s.registration.ID, Zone: s.registration.Zone, Leaving: s.registration.Draining || unreachable,
 		Busy: s.pending != nil || now.Before(s.busyUntil), Loaded: s.loaded, Pending: s.pending, Warm: map[string]bool{},
 	}
+	for _, u := range s.unsettled {
+		if now.Before(u.until) {
+			in.Unsettled = append(in.Unsettled, u.order)
+		}
+	}
 	for _, m := range slices.Concat(s.registration.InMemory, s.registration.OnDisk) {
 		in.Warm[m] = true
 	}
