Let the takeover tests reach the other server again

Since a server is not taken for silent while no server is heard, a lone request is moved at the hard timeout (1.4 s, checked at 1.6 s) only. "in the middle of a stream" pauses for 1.3 s and no longer reached the other server (0 arrivals in 3 of 3 runs); "drops the other server" raced the check (0 arrivals in 1 of 3). The pauses are now 1.75 s, and the tests check that the other server got the request.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -307,8 +307,9 @@
 			w := startRelayer(slow, statusOnly(503, "Refused"))
 			code, body, err := w.send(method, path, "")
 			Expect([]any{code, body, err}).To(Equal([]any{200, want, nil}))
+			Expect(w.requestCounts[1].Load()).To(Equal(int64(1)))
 		},
-		Entry("in the middle of a stream", "POST", "/chat/1", pausedStream(3, 1, 1300*time.Millisecond), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"),
+		Entry("in the middle of a stream", "POST", "/chat/1", pausedStream(3, 1, 1750*time.Millisecond), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"),
 		Entry("before the first event of a stream", "POST", "/chat/1", pausedStream(2, 0, 1700*time.Millisecond), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"),
 		Entry("before a plain answer", "GET", "/read/1", delayedAnswer(1200*time.Millisecond, "late"), "late"),
 	)
@@ -327,25 +328,27 @@
 			<-q.Context().Done()
 			close(dropped)
 		}
-		w := startRelayer(pausedStream(3, 1, 1600*time.Millisecond), hang)
+		w := startRelayer(pausedStream(3, 1, 1750*time.Millisecond), hang)
 		code, body, err := w.send("POST", "/chat/1", "x")
 		Expect([]any{code, body, err}).To(Equal([]any{200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", nil}))
+		Expect(w.requestCounts[1].Load()).To(Equal(int64(1)))
 		Eventually(dropped).Should(BeClosed())
 	})
 
 	It("waits for the other server when the silent one breaks off", func() {
 		breakOff := func(rw http.ResponseWriter, q *http.Request) {
 			streamEvents(1, 0)(rw, q)
-			time.Sleep(1600 * time.Millisecond)
+			time.Sleep(1750 * time.Millisecond)
 			panic(http.ErrAbortHandler)
 		}
 		slow := func(rw http.ResponseWriter, q *http.Request) {
-			time.Sleep(400 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
 			streamEvents(3, 0)(rw, q)
 		}
 		w := startRelayer(breakOff, slow)
 		code, body, err := w.send("POST", "/chat/1", "x")
 		Expect([]any{code, body, err}).To(Equal([]any{200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", nil}))
+		Expect(w.requestCounts[1].Load()).To(Equal(int64(1)))
 	})
 
 	// Guards against repeating requests elsewhere when it is the instance that receives
