--- a/serviceplanner/serviceplanner_test.go
+++ b/serviceplanner/serviceplanner_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"primrosehook/matcher"
 	"primrosehook/serviceplanner"
@@ -190,6 +193,34 @@
 		Expect(serviceplanner.Plan(state)).NotTo(ContainElement(And(HaveField("Op", serviceplanner.Unload), HaveField("Model", "m0"))))
 	})
 
+	It("keeps the only replica of a model whose other one may still be unloaded by an order that was given up", func() {
+		state := serviceplanner.State{
+			Engine: engine(4, 0), Servers: []serviceplanner.Server{server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m2")},
+			Waiting: map[string]int{"m3": 1}, ColdLoads: 5,
+		}
+		state.Servers[0].Busy = true
+		state.Servers[0].Unsettled = []serviceplanner.Order{{Op: serviceplanner.Unload, Model: "m0"}}
+		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Server", "b"), HaveField("Model", "m1"))))
+		state.Servers[0].Busy, state.Servers[1].Busy = false, true
+		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Server", "a"), HaveField("Model", "m0"))), "the same unload again")
+	})
+
+	// Guards against a replica that is counted but not there, after an order for an
+	// adapter whose model the server has lost.
+	DescribeTable("does not count a model as loaded because of an order for its adapter",
+		func(op serviceplanner.Op) {
+			lost := pending(server("a", "m1"), &serviceplanner.Order{Op: op, Model: "m0", Adapter: "a1"})
+			state := serviceplanner.State{Engine: engine(2, 0), Servers: []serviceplanner.Server{lost, server("b")}, ColdLoads: 5}
+			Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Server", "b"), HaveField("Op", serviceplanner.Load), HaveField("Model", "m0"))))
+		},
+		Entry("a load", serviceplanner.Load),
+		Entry("an unload", serviceplanner.Unload),
+	)
+
+	It("keeps a replica of each model, whichever orders are executed", func() {
+		rapid.Check(GinkgoT(), checkKept)
+	})
+
 	// Guards against loads of the same model on one server after the other, because
 	// the load under way does not count.
 	It("adds no replica that a load under way already adds", func() {
@@ -244,6 +275,90 @@
 	})
 })
 
+// checkKept plans for random states. Whichever orders are executed, each model that
+// a server is sure to keep before the plan must have such a server after it, the
+// servers must have the memory for the plan, and get at most one order each.
+func checkKept(t *rapid.T) {
+	e := engine(6, 0)
+	names := slices.Sorted(maps.Keys(e.Models))
+	state := serviceplanner.State{Engine: e, Demand: map[string]float64{}, Waiting: map[string]int{}, ColdLoads: rapid.IntRange(0, 4).Draw(t, "cold loads")}
+	for _, m := range names {
+		state.Demand[m] = rapid.SampledFrom([]float64{0, 1, 5, 40}).Draw(t, "demand")
+		state.Waiting[m] = rapid.IntRange(0, 2).Draw(t, "waiting")
+	}
+	order := func(op serviceplanner.Op) serviceplanner.Order {
+		return serviceplanner.Order{Op: op, Model: rapid.SampledFrom(names).Draw(t, "model")}
+	}
+	for i := range rapid.IntRange(1, 6).Draw(t, "servers") {
+		s := server(fmt.Sprint(i), rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 3, rapid.ID[string]).Draw(t, "loaded")...)
+		s.Leaving = rapid.IntRange(0, 5).Draw(t, "leaving") == 0
+		if rapid.IntRange(0, 3).Draw(t, "unsettled") == 0 {
+			s.Unsettled = append(s.Unsettled, order(serviceplanner.Unload))
+		}
+		switch next := order(serviceplanner.Load); rapid.IntRange(0, 4).Draw(t, "pending") {
+		case 0:
+			s.Busy, s.Pending = true, &next
+		case 1:
+			first := order(serviceplanner.Unload)
+			first.Next = &next
+			s.Busy, s.Pending = true, &first
+		}
+		state.Servers = append(state.Servers, s)
+	}
+	orders := serviceplanner.Plan(state)
+	before, after := kept(state.Servers, nil), kept(state.Servers, orders)
+	for m := range before {
+		if after[m] == 0 {
+			t.Fatalf("%s may have no replica left after %v", m, orders)
+		}
+	}
+	byServer := map[string]bool{}
+	for _, o := range orders {
+		if byServer[o.Server] {
+			t.Fatalf("two orders to %s", o.Server)
+		}
+		byServer[o.Server] = true
+		i := slices.IndexFunc(state.Servers, func(s serviceplanner.Server) bool { return s.ID == o.Server })
+		loaded := maps.Clone(state.Servers[i].Loaded)
+		for step := &o; step != nil; step = step.Next {
+			if !serviceplanner.Fits(e, loaded, *step) {
+				t.Fatalf("%v does not fit", *step)
+			}
+			step.Apply(loaded)
+		}
+	}
+}
+
+// kept returns on how many servers each model stays loaded if all unloads are
+// executed and no load is.
+func kept(servers []serviceplanner.Server, planned []serviceplanner.Order) map[string]int {
+	count := map[string]int{}
+	for _, s := range servers {
+		if s.Leaving {
+			continue
+		}
+		loaded := maps.Clone(s.Loaded)
+		all := slices.Clone(s.Unsettled)
+		if s.Pending != nil {
+			all = append(all, *s.Pending)
+		}
+		for _, o := range planned {
+			if o.Server == s.ID {
+				all = append(all, o)
+			}
+		}
+		for _, o := range all {
+			if o.Op == serviceplanner.Unload {
+				o.Apply(loaded)
+			}
+		}
+		for m := range loaded {
+			count[m]++
+		}
+	}
+	return count
+}
+
 var _ = Describe("Plan for full adapter slots", func() {
 	full := func(id string, adapters ...string) serviceplanner.Server {
 		s := server(id, "m0")
@@ -267,6 +382,21 @@
 			"once it is loaded there")
 	})
 
+	// Guards against evicting an adapter for one that then does not fit.
+	It("evicts no adapter where the other one lacks the memory", func() {
+		s := server("a", "m0", "m1", "m2")
+		s.Loaded["m0"] = []string{"a1"}
+		state := serviceplanner.State{Engine: engine(3, 0), Servers: []serviceplanner.Server{s}, Demand: map[string]float64{"m1/a1": 9}}
+		state.Engine.AdapterSlots = 1
+		large := state.Engine.Models["m1"]
+		large.Adapters, large.AdapterSizeMB = 1, 20
+		state.Engine.Models["m1"] = large
+		Expect(serviceplanner.Plan(state)).To(BeEmpty())
+		large.AdapterSizeMB = 10
+		state.Engine.Models["m1"] = large
+		Expect(serviceplanner.Plan(state)).To(ConsistOf(And(HaveField("Op", serviceplanner.Unload), HaveField("Next.Model", "m1"))))
+	})
+
 	// Guards against evicting all copies of an adapter in demand in one plan, each
 	// because of the other.
 	It("counts an adapter that it evicts as no longer loaded", func() {
