Draw the loopback IP of the addresses in the test of package entryassembler

Callers saw nothing: the fault was in the test.

Cause: the test takes a free port of 127.0.0.1, closes its listener and starts an instance that listens there. Between the two, a socket of another process that runs beside it (a listener or an outgoing connection) may get the port.

Change: each address has a drawn IP in 127.0.0.0/8, where other sockets have no ports. No check or limit of the test is changed.

--- a/entryassembler/entryassembler_test.go
+++ b/entryassembler/entryassembler_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -22,9 +23,11 @@
 	"primrosehook/platform"
 )
 
-// port returns a free loopback address.
+// port returns a free loopback address. Its IP is drawn, because a socket of
+// another process may get a free port of 127.0.0.1 before the instance listens.
 func port() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := net.IPv4(127, byte(1+rand.N(254)), byte(rand.N(256)), byte(1+rand.N(254)))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
 	return l.Addr().String()
