--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -62,8 +62,9 @@
 	// replaced is set when the failover's server has accepted the request. What
 	// the silent server sends from then on is dropped.
 	replaced bool
-	// failed are the failovers that failed.
-	failed []*attempt
+	// rejected are the failovers whose server did not accept the request, or that
+	// were abandoned.
+	rejected []*attempt
 }
 
 // startWatchdog returns a watchdog for an attempt. It never fires if the request
@@ -108,15 +109,15 @@
 }
 
 // settle ends the watch after the attempt has failed. It waits for a failover in
-// progress and adds the failed ones to the exchange.
+// progress and adds the rejected ones to the exchange.
 func (w *watchdog) settle() {
 	w.end()
-	for _, t := range w.failed {
+	for _, t := range w.rejected {
 		w.exchange.merge(t)
 		w.exchange.attempts = append(w.exchange.attempts, t.record)
 		w.exchange.query.Exclude = append(w.exchange.query.Exclude, t.assignment.ID)
 	}
-	w.failed = nil
+	w.rejected = nil
 }
 
 // successor returns the attempt whose server has accepted the request, nil if
@@ -248,7 +249,7 @@
 		zap.String("outcome", t.record.outcome))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.failed = append(w.failed, t)
+	w.rejected = append(w.rejected, t)
 	w.excluded = append(w.excluded, t.assignment.ID)
 	if t.reached {
 		w.attemptsLeft--
