--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -48,8 +48,8 @@
 }
 
 // EngineLost records that an incarnation of an engine crashed, and marks the
-// requests whose connections broke shortly before.
-func (g *Guard) EngineLost(incarnation string) {
+// requests whose connections broke shortly before. It returns their digests.
+func (g *Guard) EngineLost(incarnation string) []uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -57,6 +57,7 @@
 	for _, digest := range digests {
 		g.quarantiner.Crash(now, digest, incarnation, len(digests))
 	}
+	return digests
 }
 
 // RequestCompleted clears a digest whose request completed normally.
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,11 +78,16 @@
 	}
 }
 
+// digestText returns a digest as it appears in the log and in the status for
+// operators.
+func digestText(digest uint64) string { return strconv.FormatUint(digest, 16) }
+
 // decisionFields returns log fields with the inputs of the decisions on a
 // request, and its attempts.
 func (x *exchange) decisionFields() []zap.Field {
 	return []zap.Field{
 		zap.String("route", x.route.Name), zap.String("kind", x.route.Kind.String()), zap.Int64("config", x.tableVersion),
+		zap.String("client", clientAddress(x.request)), zap.String("target", x.request.RequestURI), zap.String("digest", digestText(x.digest)),
 		zap.String("service", x.service), zap.String("key", x.query.Key()), zap.Int("prompt", x.query.PromptTokens),
 		zap.Duration("limit", x.deadline.Sub(x.started)), zap.Objects("tries", x.attempts),
 	}
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -169,7 +169,7 @@
 // run makes attempts until the request is answered or has to be given up.
 func (x *exchange) run() {
 	if remaining := x.suspects.Remaining(x.digest); remaining > 0 {
-		x.log.Info("relay: request is quarantined", zap.Duration("for", remaining))
+		x.log.Info("relay: request is quarantined", zap.Duration("for", remaining), zap.String("digest", digestText(x.digest)))
 		x.refuse(x.writer, max(remaining, minQuarantineRetryAfter), "quarantined")
 		return
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -94,9 +94,10 @@
 // Suspects identifies requests that crash servers, by their digests.
 type Suspects interface {
 	// ConnectionBroke records that a request's connection to an incarnation of
-	// a server broke, EngineLost that the incarnation has crashed.
+	// a server broke, EngineLost that the incarnation has crashed. EngineLost
+	// returns the digests of the requests that are suspected of it.
 	ConnectionBroke(digest uint64, incarnation string)
-	EngineLost(incarnation string)
+	EngineLost(incarnation string) []uint64
 	// RequestCompleted records that a request completed normally.
 	RequestCompleted(digest uint64)
 	// Remaining returns the time left of a digest's quarantine, zero if it is not
