Reproduce a crashing request that comes again with another query (red)

The digest covers the query, which clients change each time they send a request. Fails for reads, writes and both kinds of streams: the third server is reached (502) instead of a refusal (503).

--- /dev/null
+++ b/relayer/quarantine_test.go
@@ -0,0 +1,47 @@
+package relayer_test
+
+import (
+	"fmt"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// crashOn answers requests, but crashes its server at those with the path.
+func crashOn(path string, otherwise handler) handler {
+	return func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == path {
+			_ = q.Context().Value(http.ServerContextKey).(*http.Server).Close()
+			panic(http.ErrAbortHandler)
+		}
+		otherwise(w, q)
+	}
+}
+
+var _ = Describe("A request that crashes servers", func() {
+	// Guards against taking a request for another one because its client changes the
+	// query each time it sends it.
+	DescribeTable("is recognized when it comes again with another query",
+		func(method, path, other string) {
+			event := streamEvents(1, 0)
+			w := startRelayer(crashOn(path, event), crashOn(path, event), crashOn(path, event))
+			sent := 0
+			for ; w.attemptsAt(path) < 2; sent++ {
+				_, _, _ = w.send(method, fmt.Sprintf("%s?page=%d", path, sent), "x")
+				// Another request finds that the server takes no connections.
+				code, _, _ := w.send(method, other, "y")
+				Expect(code).To(Equal(200))
+			}
+			code, _, _ := w.send(method, fmt.Sprintf("%s?page=%d", path, sent), "x")
+			Expect(code).To(Equal(503))
+			Expect(w.attemptsAt(path)).To(Equal(2))
+			code, _, _ = w.send(method, other, "y")
+			Expect(code).To(Equal(200))
+		},
+		Entry("a read", "GET", "/read/1", "/read/2"),
+		Entry("a write", "POST", "/write/1", "/write/2"),
+		Entry("a stream", "POST", "/chat/1", "/chat/2"),
+		Entry("a stream that can't be resumed", "POST", "/once/1", "/once/2"),
+	)
+})
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -121,6 +122,8 @@
 	fleet         *balancer.Fleet
 	relay         *relayer.Relayer
 	requestCounts []*atomic.Int64
+	// pathCounts counts the requests at all servers by path.
+	pathCounts sync.Map
 	logs          *observer.ObservedLogs
 }
 
@@ -135,7 +138,11 @@
 	for i, h := range handlers {
 		n := &atomic.Int64{}
 		w.requestCounts = append(w.requestCounts, n)
-		s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, q *http.Request) { n.Add(1); h(rw, q) }))
+		s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, q *http.Request) {
+			n.Add(1)
+			w.countPath(q.URL.Path)
+			h(rw, q)
+		}))
 		DeferCleanup(s.Close)
 		id := fmt.Sprintf("s%d", i)
 		list = append(list, registrar.Server{ID: id, Incarnation: id, Service: "svc", Address: s.Listener.Addr().String(), Zone: fmt.Sprintf("z%d", i), Slots: 8})
@@ -181,6 +188,20 @@
 	return p.StatusCode, string(raw), err
 }
 
+func (w *fixture) countPath(path string) {
+	n, _ := w.pathCounts.LoadOrStore(path, &atomic.Int64{})
+	n.(*atomic.Int64).Add(1)
+}
+
+// attemptsAt returns how many requests with a path reached servers.
+func (w *fixture) attemptsAt(path string) int {
+	n, ok := w.pathCounts.Load(path)
+	if !ok {
+		return 0
+	}
+	return int(n.(*atomic.Int64).Load())
+}
+
 func (w *fixture) attemptCount() int {
 	n := 0
 	for _, c := range w.requestCounts {
