Probe a server whose connection broke under a request

Callers saw: nothing yet. Servers with failures are avoided, so with more than a few servers nothing may be sent there.

A broken connection is now followed by one probe of the server from the same instance. If the server takes connections, the new one is kept for later requests, in place of the broken one; if it refuses, the server is down at once for all requests.

"is quarantined although no other request is sent to its servers" failed before: no crash was found in a second, and the third server was reached.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -162,6 +162,22 @@
 		}
 		c.close()
 	}
+	return p.dial(ctx)
+}
+
+// Probe opens a connection and keeps it for a later request. An error means that
+// the upstream takes no connections.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.putIdle(c)
+	return nil
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context) (*connection, error) {
 	p.dials.add()
 	d := net.Dialer{
 		Timeout:         dialTimeout,
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -176,7 +176,7 @@
 		return false
 	}
 	if connector.ClosedByPeer(err) {
-		t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
+		t.closedByServer()
 	}
 	w.settle()
 	if t.route.Resumable && (w.isReplaced() || t.sends < t.route.Attempts) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
-	"go.uber.org/zap"
 
 	"primrosehook/balancer"
 	"primrosehook/connector"
@@ -218,25 +217,12 @@
 	}
 	switch {
 	case errors.Is(t.err, syscall.ECONNREFUSED):
-		t.serverLost()
+		t.serverCrashed()
 	case t.reached && connector.ClosedByPeer(errors.Unwrap(t.err)):
-		t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
+		t.closedByServer()
 	}
 }
 
-// serverLost records that the server has crashed.
-func (t *attempt) serverLost() {
-	suspects := t.suspects.EngineLost(t.assignment.Incarnation)
-	if len(suspects) == 0 {
-		return
-	}
-	digests := make([]string, len(suspects))
-	for i, d := range suspects {
-		digests[i] = digestText(d)
-	}
-	t.log.Info("relay: server crashed", zap.String("server", t.assignment.ID), zap.Strings("suspects", digests))
-}
-
 // recordRefused records that the server did not run the request.
 func (t *attempt) recordRefused() {
 	t.reached = true
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -45,4 +46,25 @@
 		Entry("a stream", "POST", "/chat/1", "/chat/2"),
 		Entry("a stream that can't be resumed", "POST", "/once/1", "/once/2"),
 	)
+
+	// Guards against missing a crash that no other request happens to find: servers with
+	// failures are avoided.
+	It("is quarantined although no other request is sent to its servers", func() {
+		crash := crashOn("/read/1", signedAnswer("whole"))
+		w := startRelayer(crash, crash, crash)
+		_, _, _ = w.send("GET", "/read/1", "")
+		Expect(w.attemptsAt("/read/1")).To(Equal(2))
+		Eventually(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }).Should(Equal(2))
+		code, _, _ := w.send("GET", "/read/1", "")
+		Expect(code).To(Equal(503))
+		Expect(w.attemptsAt("/read/1")).To(Equal(2))
+	})
+
+	It("is not suspected of a crash if its server only closed the connection", func() {
+		w := startRelayer(abortConnection, abortConnection, signedAnswer("whole"))
+		for range 3 {
+			_, _, _ = w.send("GET", "/read/1", "")
+		}
+		Consistently(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }, 200*time.Millisecond).Should(BeZero())
+	})
 })
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -151,8 +151,11 @@
 	tracer   trace.Tracer
 	inFlight chan struct{}
 
-	mu          sync.Mutex
-	budgets     map[string]*limiter.RetryWindow
+	mu      sync.Mutex
+	budgets map[string]*limiter.RetryWindow
+	// probes are the incarnations of servers that are being probed, and whether to
+	// probe them again after that.
+	probes      map[string]bool
 	retryRatio  float64
 	retrySlack  float64
 	retryWindow time.Duration
@@ -194,7 +197,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, options ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, meter: discardMeter{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
+		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
 	}
 	for _, o := range options {
 		o(r)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -125,18 +125,28 @@
 	requestCounts []*atomic.Int64
 	// pathCounts counts the requests at all servers by path.
 	pathCounts sync.Map
-	logs          *observer.ObservedLogs
+	logs       *observer.ObservedLogs
 }
 
 // startRelayer starts a relayer in front of upstreams. Routes: /read/ idempotent,
 // /write/ not idempotent, /chat/ resumable stream, /slow/ the same with a
 // long latency objective, /once/ stream.
 func startRelayer(handlers ...handler) *fixture {
+	return startRelayerWith(newGuard(), handlers...)
+}
+
+func newGuard() *quarantiner.Guard {
+	return quarantiner.NewGuard(clockwork.NewRealClock(), quarantiner.DefaultOptions())
+}
+
+// startRelayerWith is startRelayer with a search of its own for requests that crash
+// servers.
+func startRelayerWith(suspects relayer.Suspects, handlers ...handler) *fixture {
 	clock := clockwork.NewRealClock()
 	core, logs := observer.New(zap.InfoLevel)
 	w := &fixture{fleet: balancer.NewFleet("z", 1, clock), logs: logs}
 	w.addServers(handlers...)
-	w.relay = relayer.New(plainCodec{}, w.fleet, quarantiner.NewGuard(clock, quarantiner.DefaultOptions()), clock, zap.New(core), relayer.WithRetries(10*time.Second, 0.2, 10))
+	w.relay = relayer.New(plainCodec{}, w.fleet, suspects, clock, zap.New(core), relayer.WithRetries(10*time.Second, 0.2, 10))
 	route := func(prefix string, kind matcher.Kind, attempts int, resumable bool) matcher.Route {
 		return matcher.Route{
 			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Attempts: attempts, Resumable: resumable,
