Suspect a request whose plain answer breaks off in its body

A server that crashes after it has begun a plain answer was not counted as crashed under the request; only streams and connections without a head were. "is suspected if a plain answer breaks off in its body" failed before: no crash was found in a second.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -187,6 +187,9 @@
 		t.reached, t.ran = true, true
 		t.assignment.Done(!t.clientGone() && (!t.intact() || t.answer.StatusCode >= http.StatusInternalServerError))
 		t.record.outcome = describeBadAnswer(t.answer.StatusCode, t.info, t.bodyErr)
+		if t.bodyErr != nil && connector.ClosedByPeer(t.bodyErr) && !t.clientGone() {
+			t.closedByServer()
+		}
 	}
 }
 
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -67,4 +67,18 @@
 		}
 		Consistently(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }, 200*time.Millisecond).Should(BeZero())
 	})
+
+	// Guards against missing the crashes of a server that had begun its answer.
+	It("is suspected if a plain answer breaks off in its body", func() {
+		breakOff := func(rw http.ResponseWriter, q *http.Request) {
+			rw.Header().Set("Content-Length", "100")
+			signedAnswer("part")(rw, q)
+			_ = http.NewResponseController(rw).Flush()
+			_ = q.Context().Value(http.ServerContextKey).(*http.Server).Close()
+			panic(http.ErrAbortHandler)
+		}
+		w := startRelayer(breakOff, breakOff, signedAnswer("whole"))
+		_, _, _ = w.send("GET", "/read/1", "")
+		Eventually(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }).Should(Equal(2))
+	})
 })
