Ask the quarantine again before each server

A request was checked when it arrived only. One that waited, was being repeated or was sent on from a silent server reached further servers after its quarantine had begun. It is now refused, or answered 502 if it may have run.

The three specs of "whose quarantine begins while it is in progress" failed before: a second server, or the first one after the wait, got the request.

--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -197,6 +197,12 @@
 				x.giveUp("no server", append(x.refusalFields(), zap.Stringer("status", status), zap.Duration("backlog", x.backlog))...)
 				return
 			}
+			if remaining := x.suspects.Remaining(x.digest); remaining > 0 {
+				assignment.Cancel()
+				x.backlog = max(remaining, minQuarantineRetryAfter)
+				x.giveUp("quarantined meanwhile", zap.String("digest", digestText(x.digest)))
+				return
+			}
 			t = x.newAttempt(assignment, x.meta.LastEvent)
 		}
 		x.attempts = append(x.attempts, t.record)
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -3,10 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"primrosehook/quarantiner"
+	"primrosehook/registrar"
 )
 
 // crashOn answers requests, but crashes its server at those with the path.
@@ -81,4 +86,60 @@
 		_, _, _ = w.send("GET", "/read/1", "")
 		Eventually(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }).Should(Equal(2))
 	})
+
+	// Guards against sending a request on after its quarantine has begun, which may be
+	// while it waits or is being repeated.
+	Describe("whose quarantine begins while it is in progress", func() {
+		var (
+			guard      *switchedGuard
+			quarantine = func(h handler) handler {
+				return func(w http.ResponseWriter, q *http.Request) {
+					guard.quarantined.Store(true)
+					h(w, q)
+				}
+			}
+		)
+		BeforeEach(func() { guard = &switchedGuard{Guard: newGuard()} })
+
+		It("is not sent to a second server after the first one broke off", func() {
+			w := startRelayerWith(guard, quarantine(abortConnection), signedAnswer("whole"))
+			code, _, err := w.send("GET", "/read/1", "")
+			Expect([]any{code, err}).To(Equal([]any{502, nil}))
+			Expect(w.attemptsAt("/read/1")).To(Equal(1))
+		})
+
+		It("is not sent to a second server while the first one is silent", func() {
+			w := startRelayerWith(guard, quarantine(delayedAnswer(1200*time.Millisecond, "late")), signedAnswer("whole"))
+			code, body, err := w.send("GET", "/read/1", "")
+			Expect([]any{code, body, err}).To(Equal([]any{200, "late", nil}))
+			Expect(w.attemptsAt("/read/1")).To(Equal(1))
+		})
+
+		It("is refused when its turn comes", func() {
+			w := startRelayerWith(guard, signedAnswer("whole"))
+			var client sync.WaitGroup
+			var code int
+			client.Go(func() { code, _, _ = w.send("POST", "/slow/1", "", "Model", "m") })
+			Eventually(w.fleet.QueueLen).Should(Equal(1))
+			guard.quarantined.Store(true)
+			w.servers[0].Loaded = []registrar.LoadedModel{{Model: "m", Version: 1}}
+			w.fleet.Update(w.servers)
+			client.Wait()
+			Expect(code).To(Equal(503))
+			Expect(w.attemptsAt("/slow/1")).To(BeZero())
+		})
+	})
 })
+
+// switchedGuard is a guard that quarantines all requests once it is told to.
+type switchedGuard struct {
+	*quarantiner.Guard
+	quarantined atomic.Bool
+}
+
+func (s *switchedGuard) Remaining(uint64) time.Duration {
+	if s.quarantined.Load() {
+		return time.Minute
+	}
+	return 0
+}
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -260,8 +260,12 @@
 }
 
 // reserveOther takes a server that is not excluded, and a retry from the budget.
-// It returns nil, and takes neither, if either is unavailable.
+// It returns nil, and takes neither, if either is unavailable or the request is
+// quarantined.
 func (x *exchange) reserveOther(excluded []string) *balancer.Assignment {
+	if x.suspects.Remaining(x.digest) > 0 {
+		return nil
+	}
 	q := x.query
 	q.NeedsReservation = false
 	q.Exclude = excluded
