Mark a suspect at the time at which its connection broke

The mark had the time at which the crash was found. A request that had completed elsewhere in between kept it, and two such marks quarantined it.

--- a/quarantiner/connection_breaks.go
+++ b/quarantiner/connection_breaks.go
@@ -14,18 +14,19 @@
 // goes on, which is no evidence against the request. It is not safe for
 // concurrent use.
 type ConnectionBreaks struct {
-	breaks map[string][]connectionBreak
+	breaks map[string][]ConnectionBreak
 	count  int
 }
 
-type connectionBreak struct {
-	at     time.Time
-	digest uint64
+// ConnectionBreak is a connection that broke under a request.
+type ConnectionBreak struct {
+	At     time.Time
+	Digest uint64
 }
 
 // NewConnectionBreaks returns an empty ConnectionBreaks.
 func NewConnectionBreaks() *ConnectionBreaks {
-	return &ConnectionBreaks{breaks: map[string][]connectionBreak{}}
+	return &ConnectionBreaks{breaks: map[string][]ConnectionBreak{}}
 }
 
 // Record records that the connection of a request to an incarnation of an
@@ -35,23 +36,22 @@
 		clear(c.breaks)
 		c.count = 0
 	}
-	c.breaks[incarnation] = append(c.breaks[incarnation], connectionBreak{now, digest})
+	c.breaks[incarnation] = append(c.breaks[incarnation], ConnectionBreak{now, digest})
 	c.count++
 }
 
-// EngineLost returns the digests of the requests whose connections broke
-// because an incarnation of an engine was lost, each once, and drops their
-// records.
-func (c *ConnectionBreaks) EngineLost(now time.Time, incarnation string) []uint64 {
-	var digests []uint64
+// EngineLost returns the connections that broke because an incarnation of an
+// engine was lost, the first one of each request, and drops their records.
+func (c *ConnectionBreaks) EngineLost(now time.Time, incarnation string) []ConnectionBreak {
+	var lost []ConnectionBreak
 	seen := map[uint64]bool{}
 	for _, b := range c.breaks[incarnation] {
-		if now.Sub(b.at) <= breakWindow && !seen[b.digest] {
-			seen[b.digest] = true
-			digests = append(digests, b.digest)
+		if now.Sub(b.At) <= breakWindow && !seen[b.Digest] {
+			seen[b.Digest] = true
+			lost = append(lost, b)
 		}
 	}
 	c.count -= len(c.breaks[incarnation])
 	delete(c.breaks, incarnation)
-	return digests
+	return lost
 }
--- a/quarantiner/connection_breaks_test.go
+++ b/quarantiner/connection_breaks_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -15,10 +16,10 @@
 	It("returns each request whose connection broke shortly before the loss once", func() {
 		l := quarantiner.NewConnectionBreaks()
 		l.Record(now, 1, "a")
-		l.Record(now, 1, "a")
+		l.Record(now.Add(time.Millisecond), 1, "a")
 		l.Record(now, 2, "a")
 		l.Record(now, 3, "b")
-		Expect(l.EngineLost(now.Add(time.Second), "a")).To(ConsistOf(uint64(1), uint64(2)))
+		Expect(l.EngineLost(now.Add(time.Second), "a")).To(ConsistOf(quarantiner.ConnectionBreak{At: now, Digest: 1}, quarantiner.ConnectionBreak{At: now, Digest: 2}))
 		Expect(l.EngineLost(now.Add(time.Second), "a")).To(BeEmpty())
 	})
 
@@ -27,4 +28,25 @@
 		l.Record(now, 1, "a")
 		Expect(l.EngineLost(now.Add(10*time.Second), "a")).To(BeEmpty())
 	})
+
+	// Guards against a mark that is newer than the completion of its request, which
+	// would stay valid.
+	It("marks requests at the time at which their connection broke", func() {
+		clock := clockwork.NewFakeClock()
+		g := quarantiner.NewGuard(clock, quarantiner.DefaultOptions())
+		for _, engine := range []string{"a", "b"} {
+			g.ConnectionBroke(1, engine)
+			clock.Advance(100 * time.Millisecond)
+			g.RequestCompleted(1)
+			g.ConnectionBroke(2, engine)
+			clock.Advance(100 * time.Millisecond)
+			g.EngineLost(engine)
+			g.RequestCompleted(2)
+			clock.Advance(time.Second)
+		}
+		Expect(g.Remaining(1)).To(BeZero())
+		g.ConnectionBroke(1, "c")
+		g.EngineLost("c")
+		Expect(g.Remaining(1)).To(BeZero(), "both earlier marks are void")
+	})
 })
--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -48,14 +48,16 @@
 }
 
 // EngineLost records that an incarnation of an engine crashed, and marks the
-// requests whose connections broke shortly before. It returns their digests.
+// requests whose connections broke shortly before, at the time of the break: a
+// request may have completed elsewhere since then. It returns their digests.
 func (g *Guard) EngineLost(incarnation string) []uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
-	digests := g.breaks.EngineLost(now, incarnation)
-	for _, digest := range digests {
-		g.quarantiner.Crash(now, digest, incarnation, len(digests))
+	lost := g.breaks.EngineLost(g.clock.Now(), incarnation)
+	digests := make([]uint64, len(lost))
+	for i, b := range lost {
+		digests[i] = b.Digest
+		g.quarantiner.Crash(b.At, b.Digest, incarnation, len(lost))
 	}
 	return digests
 }
