Evict suspects with too few marks for a quarantine first

When many engines were lost for another reason, all that ran there became suspects, and the request that crashes engines was among the first of 1024 to be dropped. "keeps a quarantined suspect when many others are marked once" failed before: its quarantine was gone.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -167,6 +167,17 @@
 	return true
 }
 
+// validMarks returns how many marks are newer than the last completion.
+func (s Suspect) validMarks() int {
+	count := 0
+	for _, m := range s.Marks {
+		if m.At.After(s.Cleared) {
+			count++
+		}
+	}
+	return count
+}
+
 func (s Suspect) hasValidMark(engine string) bool {
 	for _, m := range s.Marks {
 		if m.Engine == engine && m.At.After(s.Cleared) {
@@ -231,9 +242,10 @@
 	}
 }
 
-// evict drops expired suspects, and then those changed longest ago until
-// maxSuspects are left. Every instance evicts in the same order, so a merge
-// does not restore an evicted suspect for long.
+// evict drops expired suspects, and then others until maxSuspects are left: first
+// those with too few marks for a quarantine, of these first those changed longest
+// ago. Every instance evicts in the same order, so a merge does not restore an
+// evicted suspect for long.
 func (q *Quarantiner) evict(now time.Time) {
 	for d, s := range q.suspects {
 		if now.Sub(q.lastChange(s)) >= q.options.MarkLifetime && !q.quarantineEnd(s).After(now) {
@@ -241,13 +253,13 @@
 		}
 	}
 	for len(q.suspects) > maxSuspects {
-		oldest, found := Suspect{}, false
+		first, found := Suspect{}, false
 		for _, s := range q.suspects {
-			if !found || q.changedBefore(s, oldest) {
-				oldest, found = s, true
+			if !found || q.evictedBefore(s, first) {
+				first, found = s, true
 			}
 		}
-		delete(q.suspects, oldest.Digest)
+		delete(q.suspects, first.Digest)
 	}
 }
 
@@ -260,7 +272,10 @@
 	return last
 }
 
-func (q *Quarantiner) changedBefore(a, b Suspect) bool {
+func (q *Quarantiner) evictedBefore(a, b Suspect) bool {
+	if x, y := a.validMarks() >= quarantineCrashes, b.validMarks() >= quarantineCrashes; x != y {
+		return y
+	}
 	if c := q.lastChange(a).Compare(q.lastChange(b)); c != 0 {
 		return c < 0
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -91,6 +91,18 @@
 		Expect(len(q.Export())).To(BeNumerically("<=", 1024))
 	})
 
+	// Guards against forgetting the request that crashes engines when many engines
+	// are lost for another reason, each with all that ran on it.
+	It("keeps a quarantined suspect when many others are marked once", func() {
+		q.Crash(atMinute(0), 1, "a", 1)
+		q.Crash(atMinute(0), 1, "b", 1)
+		for i := range 5000 {
+			q.Crash(atMinute(1), uint64(10+i), fmt.Sprint("c", i/50), 50)
+		}
+		Expect(q.Remaining(atMinute(1), 1)).To(Equal(9 * time.Minute))
+		Expect(q.Export()).To(HaveLen(1024))
+	})
+
 	It("ignores invalid marks from a peer", func() {
 		q.Merge([]quarantiner.Suspect{{Digest: 1, Marks: []quarantiner.Mark{
 			{Engine: "", At: atMinute(0), Concurrent: 1},
