Fetch a large configuration from a peer while the store can't be read

The registry still reached them through the lease holder, the configuration no longer did.

An instance that gets such an announcement and has not read the store for 1.5 s now fetches the record from one of its peers, in parts of 64 kB with a timeout each. "reaches an instance that can't read the store" failed before (three of three: no configuration after 3 s).

--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -89,13 +89,19 @@
 	deputyOrder  []string
 	backoffUntil map[string]time.Time
 	holderHint   string
+	// peerAddresses are the addresses of all instances, for loopConfig.
+	peerAddresses atomic.Pointer[[]string]
+	// configAnnounced receives a value when a reply announces a configuration that
+	// is too large for it.
+	configAnnounced chan struct{}
 	// holderLost is set while the lease holder does not reply.
 	holderLost bool
 }
 
 // New returns a coordinator.
 func New(d Dependencies) *Coordinator {
-	c := &Coordinator{Dependencies: d, cluster: newClusterState(d.Clock, d.LinkMbps), backoffUntil: map[string]time.Time{}}
+	c := &Coordinator{Dependencies: d, cluster: newClusterState(d.Clock, d.LinkMbps), backoffUntil: map[string]time.Time{}, configAnnounced: make(chan struct{}, 1)}
+	c.peerAddresses.Store(&[]string{})
 	self := Entry{Instance: d.Instance, Machine: d.Machine, Address: d.Address}
 	c.lease = NewLease(self, d.OrderGap, d.LeaseLog, d.Boot, d.Clock, d.Log, c.leaseAcquired, c.MaxRetryInterval)
 	if d.LinkMbps > 0 && d.LinkMbps < wideLinkMbps {
@@ -105,14 +111,18 @@
 	return c
 }
 
-// Serve registers the handler of other instances' reports.
-func (c *Coordinator) Serve(s *messenger.Server) { s.Handle(kindExchange, c.handleReport) }
+// Serve registers the handlers of other instances' messages.
+func (c *Coordinator) Serve(s *messenger.Server) {
+	s.Handle(kindExchange, c.handleReport)
+	s.Handle(kindConfig, c.handleConfig)
+}
 
 // Run runs the coordinator until the context ends.
 func (c *Coordinator) Run(ctx context.Context) {
 	var work sync.WaitGroup
 	work.Go(func() { c.lease.run(ctx) })
 	work.Go(func() { c.reconciler.run(ctx) })
+	work.Go(func() { c.loopConfig(ctx) })
 	c.runReports(ctx)
 	work.Wait()
 }
@@ -276,11 +286,15 @@
 	return reply
 }
 
-// feedConfig applies the configuration of a reply, or reads it from the store if
-// it is too large for one.
+// feedConfig applies the configuration of a reply. If it is too large for one, it
+// is read from the store, or fetched from a peer while the store can't be read.
 func (c *Coordinator) feedConfig(r Reply) {
 	if r.ConfigInStore {
 		c.Config.ReadNow()
+		select {
+		case c.configAnnounced <- struct{}{}:
+		default:
+		}
 		return
 	}
 	c.Config.Feed(r.Config, r.ConfigNext, r.ConfigFresh)
@@ -294,6 +308,7 @@
 	if len(r.Members) > 0 {
 		c.membersDigest = digestOf(r.Members)
 		c.deputyOrder = r.Members
+		c.peerAddresses.Store(&r.Members)
 		c.OnMembers(r.Members)
 	}
 	c.Fleet.UpdatePeers(r.InFlight)
