--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -1,7 +1,9 @@
 package relayer_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -52,6 +54,26 @@
 		Entry("a stream that can't be resumed", "POST", "/once/1", "/once/2"),
 	)
 
+	// Guards against taking a request for another one because it comes from another
+	// address: through another gateway, or from another client with the same fault.
+	It("is recognized when it comes from another address", func() {
+		crash := crashOn("/read/1", signedAnswer("whole"))
+		w := startRelayer(crash, crash)
+		_, _, _ = w.send("GET", "/read/1", "")
+		Eventually(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }).Should(Equal(2))
+		w.addServers(crash)
+		other := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}).DialContext}}
+		q, err := http.NewRequestWithContext(context.Background(), http.MethodGet, w.proxy.URL+"/read/1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		q.Host = "h"
+		q.Header.Set("Id", "q2")
+		p, err := other.Do(q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Body.Close()).To(Succeed())
+		Expect(p.StatusCode).To(Equal(503))
+		Expect(w.attemptsAt("/read/1")).To(Equal(2))
+	})
+
 	// Guards against missing a crash that no other request happens to find: servers with
 	// failures are avoided.
 	It("is quarantined although no other request is sent to its servers", func() {
