Recognize a crashing request whichever address it comes from

The digest covers method, path and body. "is recognized when it comes from another address" failed before (502 from a third server).

--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -157,11 +157,12 @@
 	return x.started.Add(wait)
 }
 
-// requestDigest returns the digest by which a request is recognized when its
-// client sends it again. The query is not part of it: clients that retry may
-// change it, and a request that crashes servers would get a new digest each time.
+// requestDigest returns the digest by which a request is recognized when it comes
+// again. It covers neither the query, which clients may change when they retry, nor
+// the client's address: the same request may come through another gateway. A request
+// that is wrongly taken for a suspect is cleared by its next completion.
 func requestDigest(r *http.Request, body []byte) uint64 {
-	return balancer.Hash(r.Method + " " + clientAddress(r) + " " + r.URL.EscapedPath() + " " + string(body))
+	return balancer.Hash(r.Method + " " + r.URL.EscapedPath() + " " + string(body))
 }
 
 // clientAddress returns the IP address that a request came from.
