Send a suspect that another request explains to one server at a time

A request with two or three crashes against it is free while another request was present at all of them. Each time it came it could crash two more servers. After an attempt that may have run it is now given up; the second attempt of a bystander in that state is lost.

--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -30,6 +30,13 @@
 	return g.quarantiner.Remaining(g.clock.Now(), digest)
 }
 
+// Crashes returns how many lost engines count against a digest.
+func (g *Guard) Crashes(digest uint64) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantiner.Crashes(digest)
+}
+
 // EngineCrashed records that a request with this digest was running on an engine
 // when it was lost. concurrent is the number of requests of this instance that
 // ran on the engine, this one included.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -117,6 +117,9 @@
 	return max(q.quarantineEnd(s).Sub(now), 0)
 }
 
+// Crashes returns how many lost engines count against a digest.
+func (q *Quarantiner) Crashes(digest uint64) int { return q.suspects[digest].validMarks() }
+
 // quarantineEnd returns when a suspect's quarantine ends. The zero time means
 // that its valid marks call for none.
 func (q *Quarantiner) quarantineEnd(s Suspect) time.Time {
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -41,6 +41,9 @@
 	// maxUnreachable is how many servers, beyond the route's attempts, a request
 	// is offered to if some take no connection.
 	maxUnreachable = 2
+	// maxSuspectCrashes is how many servers may have crashed under a request that is
+	// still repeated at another one after it may have run.
+	maxSuspectCrashes = 2
 	// defaultTimeout applies when the client sends no time limit; the route's
 	// timeout may shorten it.
 	defaultTimeout = 30 * time.Second
@@ -219,6 +222,10 @@
 			x.giveUp("attempts are used up", zap.Int("sends", x.sends))
 			return
 		}
+		if x.mayHaveRun && x.suspects.Crashes(x.digest) >= maxSuspectCrashes {
+			x.giveUp("suspected of crashes", zap.String("digest", digestText(x.digest)))
+			return
+		}
 		if x.sends > 0 && !x.allowRetry(x.service) {
 			x.meter.Add(MetricBudgetExhausted, 1)
 			x.giveUp("retry budget is used up")
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -109,6 +109,15 @@
 		Eventually(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }).Should(Equal(2))
 	})
 
+	// Guards against two servers for each further try of a suspect that can't be told
+	// from a bystander yet.
+	It("is sent to one server only while it is a suspect", func() {
+		w := startRelayerWith(suspectingGuard{newGuard()}, abortConnection, signedAnswer("whole"))
+		code, _, err := w.send("GET", "/read/1", "")
+		Expect([]any{code, err}).To(Equal([]any{502, nil}))
+		Expect(w.attemptsAt("/read/1")).To(Equal(1))
+	})
+
 	// Guards against sending a request on after its quarantine has begun, which may be
 	// while it waits or is being repeated.
 	Describe("whose quarantine begins while it is in progress", func() {
@@ -153,6 +162,12 @@
 	})
 })
 
+// suspectingGuard is a guard that counts crashes against all requests, which other
+// requests explain.
+type suspectingGuard struct{ *quarantiner.Guard }
+
+func (suspectingGuard) Crashes(uint64) int { return 2 }
+
 // switchedGuard is a guard that quarantines all requests once it is told to.
 type switchedGuard struct {
 	*quarantiner.Guard
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -101,8 +101,10 @@
 	// RequestCompleted records that a request completed normally.
 	RequestCompleted(digest uint64)
 	// Remaining returns the time left of a digest's quarantine, zero if it is not
-	// in one.
+	// in one. Crashes returns how many crashed servers count against it; it may be
+	// free all the same, since another request explains them.
 	Remaining(digest uint64) time.Duration
+	Crashes(digest uint64) int
 }
 
 // Pacer reserves slots for prompts in the schedules of servers.
