--- a/faker/model_server.go
+++ b/faker/model_server.go
@@ -34,6 +34,10 @@
 	// their senders, by the same index.
 	accepted     []string
 	leaseHolders []string
+	// limit is the rate limit that answers name, empty for none, and arrivals are
+	// when requests arrived.
+	limit    string
+	arrivals []time.Time
 }
 
 // NewModelServer returns a server that has some models loaded.
@@ -45,6 +49,21 @@
 	return p
 }
 
+// SetLimit sets the rate limit, in requests per second, that the server names in its
+// answers; an empty text stands for none.
+func (p *ModelServer) SetLimit(perSecond string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = perSecond
+}
+
+// Arrivals returns when requests arrived.
+func (p *ModelServer) Arrivals() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.arrivals)
+}
+
 // Accepted returns the accepted orders as "OPERATION KEY", and the lease
 // holders that sent them.
 func (p *ModelServer) Accepted() ([]string, []string) {
@@ -197,6 +216,10 @@
 	model, adapter, _ := strings.Cut(q.Header.Get("Primrosehook-Model"), "/")
 	p.mu.Lock()
 	adapters, ok := p.models[model]
+	p.arrivals = append(p.arrivals, time.Now())
+	if p.limit != "" {
+		h.Set("Server-Limit", p.limit)
+	}
 	p.mu.Unlock()
 	if model != "" && (!ok || adapter != "" && !slices.Contains(adapters, adapter)) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
