Reproduce a store that comes back from an older copy (red)

Readers of the configuration and the registry go on at their offset and miss what was written again below it; the lease holder keeps a lease whose claim is gone.

--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"primrosehook/coordinator"
+	"primrosehook/tailer"
 )
 
 // manualClock is a clock that the test sets.
@@ -29,6 +31,15 @@
 	unavailable bool
 	lossRate    float64
 	calls       int
+	// era counts how often the log has lost entries.
+	era int64
+}
+
+// restore makes the log lose all but its first entries. Their offsets are given out
+// again.
+func (l *memoryLog) restore(count int) {
+	l.records = l.records[:count]
+	l.era++
 }
 
 var errUnavailable = errors.New("log is unavailable")
@@ -38,7 +49,15 @@
 	if l.unavailable {
 		return nil, from, errUnavailable
 	}
-	return l.records[min(int(from), len(l.records)):], int64(len(l.records)), nil
+	era, offset := tailer.SplitPosition(from)
+	if era != l.era {
+		offset = 0
+	}
+	list := slices.Clone(l.records[min(int(offset), len(l.records)):])
+	for i := range list {
+		list[i].Offset = tailer.Position(l.era, list[i].Offset)
+	}
+	return list, tailer.Position(l.era, int64(len(l.records))), nil
 }
 
 func (l *memoryLog) Append(_ context.Context, value []byte, at int64) error {
@@ -58,10 +77,16 @@
 }
 
 func (l *memoryLog) appendAt(value []byte, at int64) error {
-	if at != int64(len(l.records)) {
+	// The log does not know the era that the writer has seen; the writer learns the
+	// log's from the reply.
+	era, offset := tailer.SplitPosition(at)
+	if offset != int64(len(l.records)) {
 		return coordinator.ErrOffsetMismatch
 	}
-	l.records = append(l.records, coordinator.LogRecord{Offset: at, Value: value})
+	l.records = append(l.records, coordinator.LogRecord{Offset: offset, Value: value})
+	if era != l.era {
+		return errUnavailable
+	}
 	return nil
 }
 
@@ -88,6 +113,62 @@
 		}
 	}
 
+	// Guards against two holders, or two terms with one fencing token, when the log has
+	// lost the last claims and gives their offsets out again.
+	It("ends when the log has lost entries, and is claimed again a term later with a higher fencing token", func() {
+		a, b := lease("a"), lease("b")
+		stepFor(time.Second, a)
+		Expect(a.MayOrder()).To(BeTrue())
+		fence := a.Fence()
+		stepFor(5*time.Second, a, b)
+		Expect(a.Valid()).To(BeTrue())
+		store.restore(0)
+		lost := clock.Now()
+		stepFor(time.Second, a, b)
+		Expect(a.Valid() || b.Valid()).To(BeFalse(), "the log may have had a claim of another instance")
+		stepFor(6*time.Second, a, b)
+		Expect(a.Valid() != b.Valid()).To(BeTrue())
+		Expect(a.Fence()).To(Equal(b.Fence()))
+		Expect(a.Fence()).To(BeNumerically(">", fence))
+		Expect(clock.Sub(lost)).To(BeNumerically(">", 2*time.Second))
+	})
+
+	DescribeTable("has one holder at a time while the log loses entries", func(keep int) {
+		for seed := range uint64(100) {
+			clock.Time = time.Unix(1000, 0)
+			store = &memoryLog{random: rand.New(rand.NewPCG(seed, 2)), lossRate: 0.1}
+			all := []*coordinator.Lease{lease("a"), lease("b"), lease("c")}
+			highest := int64(0)
+			for range 400 {
+				clock.Time = clock.Add(50 * time.Millisecond)
+				valid := 0
+				for _, l := range all {
+					if store.random.IntN(4) > 0 {
+						l.Step(context.Background())
+					}
+					if l.Valid() {
+						valid++
+					}
+					if l.MayOrder() {
+						Expect(l.Fence()).To(BeNumerically(">=", highest), "seed %d", seed)
+						highest = max(highest, l.Fence())
+					}
+				}
+				Expect(valid).To(BeNumerically("<=", 1), "seed %d", seed)
+				if store.random.IntN(60) == 0 {
+					store.restore(max(len(store.records)-1-store.random.IntN(keep), 0))
+				}
+				if store.random.IntN(20) == 0 && len(store.lateAppends) > 0 {
+					store.lateAppends[0]()
+					store.lateAppends = store.lateAppends[1:]
+				}
+			}
+		}
+	},
+		Entry("the newest ones", 4),
+		Entry("many", 40),
+	)
+
 	It("has one holder at a time, which may send orders at once if it is the first", func() {
 		a, b := lease("a"), lease("b")
 		stepFor(time.Second, a, b)
--- a/entryassembler/entryassembler_test.go
+++ b/entryassembler/entryassembler_test.go
@@ -39,11 +39,13 @@
 	metadata *faker.MetadataStore
 	store    string
 	engines  []*faker.ModelServer
-	stops    []context.CancelFunc
-	fronts   []string
-	readies  []string
-	metrics  []string
-	ended    []chan struct{}
+	// addresses are those of the engines.
+	addresses []string
+	stops     []context.CancelFunc
+	fronts    []string
+	readies   []string
+	metrics   []string
+	ended     []chan struct{}
 }
 
 const config = `{"version":%d,"routes":[
@@ -65,6 +67,7 @@
 		es := httptest.NewServer(e)
 		DeferCleanup(es.Close)
 		g.engines = append(g.engines, e)
+		g.addresses = append(g.addresses, es.Listener.Addr().String())
 		g.metadata.Put(platform.TopicServers, e.ID, e.Registration(service, es.Listener.Addr().String(), "z1", "ready", 1))
 	}
 	g.metadata.Put(platform.TopicServers, "ghost", []byte("\x00 no registration"))
--- a/faker/metadata_store.go
+++ b/faker/metadata_store.go
@@ -22,6 +22,8 @@
 	// an append has taken effect.
 	down, loseAppends bool
 	calls             map[string]int
+	// era is how often the store has started, the first time included.
+	era int64
 }
 
 type topic struct {
@@ -32,7 +34,7 @@
 
 // NewMetadataStore returns an empty store.
 func NewMetadataStore() *MetadataStore {
-	return &MetadataStore{topics: map[string]*topic{}, calls: map[string]int{}}
+	return &MetadataStore{topics: map[string]*topic{}, calls: map[string]int{}, era: 1}
 }
 
 // SetFaults sets the faults.
@@ -56,6 +58,28 @@
 	l.topic(name).first = before
 }
 
+// Snapshot returns the end of each topic, for Restore.
+func (l *MetadataStore) Snapshot() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := map[string]int64{}
+	for name, t := range l.topics {
+		ends[name] = t.end()
+	}
+	return ends
+}
+
+// Restore makes the store lose all records since a snapshot, as when it comes back
+// from an older copy. Their offsets are given out again.
+func (l *MetadataStore) Restore(snapshot map[string]int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era++
+	for name, t := range l.topics {
+		t.records = t.records[:snapshot[name]]
+	}
+}
+
 // Calls returns the number of calls to a path.
 func (l *MetadataStore) Calls(path string) int {
 	l.mu.Lock()
@@ -85,6 +109,7 @@
 	l.mu.Lock()
 	l.calls[q.URL.Path]++
 	down := l.down
+	w.Header().Set("Store-Era", strconv.FormatInt(l.era, 10))
 	l.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -144,7 +169,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if from < t.first {
+	w.Header().Set("Store-Era", strconv.FormatInt(l.era, 10))
+	if from < t.first || from > t.end() {
 		writeJSONStatus(w, http.StatusGone, map[string]int64{"first": t.first})
 		return
 	}
