Read again when the store comes back from an older copy

Callers would see CONFIG: a change that was acknowledged is not in force, a route that was added is answered 404. A reader whose offset had been passed again went on there, and never read what the operator and the servers had written again below it.

Change: the store's client returns positions with the era of the store (Store-Era) above the offset. The lease holder drops the records of earlier eras, and instances that it feeds take the first feed of a new era as complete. A configuration that a peer has is applied whatever its era, by its version.

"does not keep instances from a configuration or a server that is written again" failed before (0 of 3 instances after 3 s).

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -61,8 +61,10 @@
 	overlays        []balancer.Overlay
 	// droppedOverlays is how many overlays were added and then dropped.
 	droppedOverlays int
-	// records are the newest registry records by key.
+	// records are the newest registry records by key, all of them of the same era of
+	// the store.
 	records       map[string]tailer.Record
+	era           int64
 	servers       []registrar.Server
 	linkMbps      float64
 	configRecord  tailer.Record
@@ -250,6 +252,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range list {
+		c.startEra(x.Offset)
 		if old, ok := c.records[x.Key]; !ok || x.Offset > old.Offset {
 			c.records[x.Key] = x
 		}
@@ -263,6 +266,20 @@
 	}
 }
 
+// startEra drops the records of earlier eras when one of a new era arrives. c.mu must
+// be held.
+func (c *clusterState) startEra(position int64) {
+	era, _ := tailer.SplitPosition(position)
+	if era <= c.era {
+		return
+	}
+	c.era = era
+	maps.DeleteFunc(c.records, func(_ string, x tailer.Record) bool {
+		recordEra, _ := tailer.SplitPosition(x.Offset)
+		return recordEra < era
+	})
+}
+
 func (c *clusterState) updateConfig(x tailer.Record, version int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/config_fetch.go
+++ b/coordinator/config_fetch.go
@@ -80,7 +80,7 @@
 		}
 		if version > c.configVersion() {
 			c.Log.Info("coordinator: configuration fetched", zap.String("peer", address), zap.Int64("version", version), zap.Int("bytes", len(record.Value)))
-			c.Config.Feed([]tailer.Record{record}, record.Offset+1, false)
+			c.Config.Offer(record)
 			return
 		}
 	}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -314,7 +314,10 @@
 		}
 		return
 	}
-	c.Config.Feed(r.Config, r.ConfigNext, r.ConfigFresh)
+	for _, x := range r.Config {
+		c.Config.Offer(x)
+	}
+	c.Config.Feed(nil, r.ConfigNext, r.ConfigFresh)
 }
 
 // applyReply applies a reply of the coordinator.
--- a/faker/metadata_store.go
+++ b/faker/metadata_store.go
@@ -22,7 +22,7 @@
 	// an append has taken effect.
 	down, loseAppends bool
 	calls             map[string]int
-	// era is how often the store has started, the first time included.
+	// era is how often the store has come back from an older copy.
 	era int64
 }
 
@@ -34,7 +34,7 @@
 
 // NewMetadataStore returns an empty store.
 func NewMetadataStore() *MetadataStore {
-	return &MetadataStore{topics: map[string]*topic{}, calls: map[string]int{}, era: 1}
+	return &MetadataStore{topics: map[string]*topic{}, calls: map[string]int{}}
 }
 
 // SetFaults sets the faults.
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -217,6 +217,13 @@
 func (t *Tailer) Feed(list []Record, next int64, fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	oldEra, _ := SplitPosition(t.next)
+	if era, _ := SplitPosition(next); t.next != offsetUnread && era > oldEra {
+		// In a new era the peer passes on all records, since their positions are
+		// higher than all of the era before.
+		t.sink.Full(list, next)
+		t.next = next
+	}
 	// The sink is also called for a fresh feed without records, so that it does
 	// not mistake a quiet stream for an unavailable store.
 	if next > t.next || fresh && next == t.next {
@@ -228,6 +235,14 @@
 	}
 }
 
+// Offer applies a record that a peer has, without a change to where reading
+// continues: the record may be of an era that has ended.
+func (t *Tailer) Offer(x Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sink.Apply([]Record{x})
+}
+
 func (t *Tailer) fedRecently() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
