End the lease when its log has lost entries

After the store has lost its last seconds the log may lack claims that were valid: a holder went on with a lease that the log did not show, and its fencing token could be given out again. Now each instance that finds a new era waits for a term as if an unknown instance held the lease, the holder included, and fencing tokens are positions with the era. A renewal of an earlier era whose condition holds by chance counts for nothing.

--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -14,6 +14,7 @@
 	"primrosehook/clocker"
 	"primrosehook/leaser"
 	"primrosehook/replayer"
+	"primrosehook/tailer"
 )
 
 const (
@@ -278,13 +279,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.boot.Now()
+	oldEra, _ := tailer.SplitPosition(l.nextOffset)
+	era, offset := tailer.SplitPosition(next)
+	// Before its first read an instance can't tell a new era from an old one.
+	lostEntries := era != oldEra
 	l.nextOffset, l.readAt = next, now
 	l.unconfirmed = false
-	if len(list) == 0 {
-		if next == 0 {
-			l.elector.Observe(now, leaser.NewState())
-		}
-		return
+	if len(list) == 0 && offset == 0 && !lostEntries && l.lastEntry == (Entry{}) {
+		l.elector.Observe(now, leaser.NewState())
 	}
 	for _, r := range list {
 		var e Entry
@@ -294,9 +296,20 @@
 			l.logger.Warn("lease: entry can't be read", zap.Int64("offset", r.Offset), zap.Error(err))
 			e = Entry{Instance: "unknown"}
 		}
+		if fenceEra, _ := tailer.SplitPosition(e.Fence); e.Fence != 0 && fenceEra != era {
+			// A renewal from before the log lost entries, whose condition held by chance.
+			e = Entry{Instance: "unknown"}
+		}
 		l.delayOrders(now, e)
 		l.observe(now, r.Offset, e)
 	}
+	if lostEntries {
+		// The log may have had a claim of any instance, which is valid for a term.
+		l.logger.Info("lease: log has lost entries", zap.Int64("era", era))
+		lost := Entry{Instance: "unknown"}
+		l.delayOrders(now, lost)
+		l.observe(now, next-1, lost)
+	}
 }
 
 // delayOrders keeps this instance from sending orders too soon after another
