Count a load whose weights are no longer at hand against the weight store's rate

Loads that the registry calls warm were not counted, although the copy may be gone: a server's later loads evict it, and the registry is behind.

The server's own report, which is read before each load of weights, also names the copies. If the model is not among them the load counts, or is planned again if the weight store accepts no further load now.

"count a load from the weight store if the server no longer has the weights at hand" failed before (20 loads at once, 8 allowed).

--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,8 +27,11 @@
 	// or it was accepted. expected is the order count that it was last sent with.
 	unsettled bool
 	expected  int64
-	engine    *matcher.Engine
-	server    registrar.Server
+	// cached are the models that the server can load without the weight store,
+	// according to its last report while it was idle.
+	cached []string
+	engine *matcher.Engine
+	server registrar.Server
 }
 
 func (x *execution) run(ctx context.Context) {
@@ -115,7 +119,7 @@
 	// The registry may be out of date, and weights that do not fit crash the
 	// server. Its state is therefore requested from the server itself, once no
 	// order is under way there: what that order loads shows only afterwards.
-	if x.order.Op == serviceplanner.Load && x.order.Adapter == "" && !x.syncIdleState(ctx) {
+	if x.order.Op == serviceplanner.Load && x.order.Adapter == "" && (!x.syncIdleState(ctx) || !x.withinColdLoads()) {
 		return false
 	}
 	unsent := 0
@@ -196,6 +200,27 @@
 	return false
 }
 
+// withinColdLoads reports whether the load may be sent. The weights that the
+// registry named may be gone: the load then counts as one from the weight store, if
+// that accepts another one.
+func (x *execution) withinColdLoads() bool {
+	if x.order.Cold || slices.Contains(x.cached, x.order.Model) {
+		return true
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	counter := x.coldLoadCounter(x.server.Service)
+	if counter.Count(x.Clock.Now()) >= coldLoadLimit(x.engine, x.ColdLoadWindow, x.ColdLoadOverage) {
+		x.Log.Info("orders: server no longer has the weights at hand", zap.String("server", x.server.ID), zap.String("model", x.order.Model))
+		return false
+	}
+	x.order.Cold = true
+	if x.coldLoad == nil {
+		x.coldLoad = counter.Plan()
+	}
+	return true
+}
+
 // syncState updates the last known state from the server's own report.
 func (x *execution) syncState(ctx context.Context) bool {
 	s, ok := x.fetchReport(ctx)
@@ -215,6 +240,7 @@
 		}
 		if !s.Busy {
 			x.updateState(s)
+			x.cached = s.Cached
 			return true
 		}
 		if !x.sleep(ctx, checkInterval) {
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -54,4 +54,6 @@
 	Orders int64
 	Busy   bool
 	Loaded []registrar.LoadedModel
+	// Cached are the models that the server can load without the weight store.
+	Cached []string
 }
--- a/coordinator/reconciler_test.go
+++ b/coordinator/reconciler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -177,4 +178,33 @@
 		b.release()
 		Eventually(b.sentOrders, "10s").Should(Equal([]string{"unload a1", "load a2"}))
 	})
+
+	// Guards against more loads from the weight store than it accepts: the copies of
+	// weights that the registry names may be gone when the order is sent.
+	It("count a load from the weight store if the server no longer has the weights at hand", func() {
+		f := &fakeServers{loaded: map[string]map[string]bool{}, orders: map[string]int64{}, sent: map[string][]serviceplanner.Order{}}
+		var models []matcher.Model
+		var servers []registrar.Server
+		for i := range 20 {
+			model, id := fmt.Sprint("m", i), fmt.Sprint("s", i)
+			models = append(models, matcher.Model{Name: model})
+			f.loaded[id] = map[string]bool{}
+			servers = append(servers, registrar.Server{ID: id, InMemory: []string{model}})
+		}
+		e := engineOf(models...)
+		startReconciler(e, f, servers)
+		loads := func() int {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			n := 0
+			for _, list := range f.sent {
+				n += len(list)
+			}
+			return n
+		}
+		Eventually(loads, "10s", "5ms").Should(BeNumerically(">", 0))
+		// The rate of the weight store in a second, and three.
+		Consistently(loads, "900ms", "5ms").Should(BeNumerically("<=", 5+3))
+		Eventually(loads, "10s").Should(Equal(20))
+	})
 })
