Fetch a large configuration from a peer also while the store's answers are behind

An instance whose reads succeed but show nothing new went on reading. It now asks its peers 1.5 s after the first announcement. The entry "whose reads of the store are behind" failed before (no configuration after 3 s).

--- a/coordinator/config_fetch.go
+++ b/coordinator/config_fetch.go
@@ -16,10 +16,12 @@
 const (
 	// kindConfig is the kind of the message that carries a ConfigQuery.
 	kindConfig = "config"
-	// maxStoreAge is how old this instance's last read of the configuration may be
-	// before it asks its peers for one that they have: its longest read, and a
-	// margin for a large record.
-	maxStoreAge = 1500 * time.Millisecond
+	// maxStoreWait is how long an instance reads the store for a configuration that
+	// its peers have: its longest read, and a margin for a large record.
+	maxStoreWait = 1500 * time.Millisecond
+	// announcementGap is the longest time between two announcements of the same
+	// configuration.
+	announcementGap = 2 * time.Second
 	// configPartBytes is the size of a part of a configuration, some 50 ms on a
 	// narrow link; configPartTimeout is the timeout of each part.
 	configPartBytes   = 64 << 10
@@ -53,15 +55,23 @@
 }
 
 // loopConfig fetches configurations that are too large for a reply from peers
-// while this instance can't read the store.
+// if this instance does not get them from the store.
 func (c *Coordinator) loopConfig(ctx context.Context) {
+	// The instance has been without the announced configuration since behindSince.
+	var behindSince, announcedAt time.Time
+	version := int64(-1)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.configAnnounced:
 		}
-		if c.Config.Age() > maxStoreAge {
+		now := c.Clock.Now()
+		if own := c.configVersion(); own != version || now.Sub(announcedAt) > announcementGap {
+			behindSince, version = now, own
+		}
+		announcedAt = now
+		if c.Config.Age() > maxStoreWait || now.Sub(behindSince) > maxStoreWait {
 			c.fetchConfig(ctx)
 		}
 	}
--- a/coordinator/config_test.go
+++ b/coordinator/config_test.go
@@ -64,7 +64,7 @@
 var _ = Describe("A large configuration", func() {
 	// Guards against an instance that stays with an old configuration since the store
 	// rejects it, while its peers have the new one.
-	DescribeTable("reaches an instance that can't read the store", func(size, narrow int, started bool) {
+	DescribeTable("reaches an instance that can't read it from the store", func(source tailer.Source, size, narrow int, started bool) {
 		clock := clockwork.NewRealClock()
 		log := &sharedLog{}
 		var all []*coordinator.Coordinator
@@ -75,14 +75,14 @@
 			Expect(err).NotTo(HaveOccurred())
 			ctx, cancel := context.WithCancel(context.Background())
 			DeferCleanup(cancel)
-			var source tailer.Source = &countingSource{}
+			var configSource tailer.Source = &countingSource{}
 			link := 1000.0
 			if i < narrow {
-				source, link = unavailableSource{}, 10
+				configSource, link = source, 10
 			}
 			interval := func() time.Duration { return 100 * time.Millisecond }
 			registry := tailer.New("registry", &countingSource{}, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
-			config := tailer.New("config", source, sink, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
+			config := tailer.New("config", configSource, sink, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
 			name := string(rune('a' + i))
 			c := coordinator.New(coordinator.Dependencies{
 				Instance: name, Machine: name, Address: listener.Addr().String(), LinkMbps: link, OrderGap: 300 * time.Millisecond, ColdLoadWindow: time.Second, ColdLoadOverage: 1,
@@ -115,8 +115,9 @@
 			Eventually(sink.value, "3s").Should(Equal(record.Value))
 		}
 	},
-		Entry("with a configuration of its own before", 400<<10, 1, false),
-		Entry("that has just started", 400<<10, 1, true),
-		Entry("like another one", 1<<20, 2, false),
+		Entry("with a configuration of its own before", unavailableSource{}, 400<<10, 1, false),
+		Entry("that has just started", unavailableSource{}, 400<<10, 1, true),
+		Entry("like another one", unavailableSource{}, 1<<20, 2, false),
+		Entry("whose reads of the store are behind", &countingSource{}, 400<<10, 1, false),
 	)
 })
