Keep the shares of the retry budget while a lease holder starts

A new lease holder replies with those that have reported so far: the number dropped to 1 of 6, and each instance took the whole slack for up to a second.

The number is now the largest of the last ten seconds. "does not drop while a new lease holder gets the first reports" failed before (1, at least 5 expected).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -42,6 +42,9 @@
 	bytesPerSecondPerMbps = 1e6 / 8
 	// unreachableTTL is how long a report that a server is unreachable counts.
 	unreachableTTL = time.Second
+	// instancesWindow is how long an instance counts that is not reported any more:
+	// shares of what all instances may do together must not grow too early.
+	instancesWindow = 10 * time.Second
 	// overlayWait is the longest delay of the reply to an instance whose
 	// requests wait for an order; the reply is sent once there is an overlay.
 	overlayWait = 150 * time.Millisecond
--- a/coordinator/deputy_test.go
+++ b/coordinator/deputy_test.go
@@ -183,6 +183,40 @@
 	})
 })
 
+// Guards against a share of the retry budget that is too large while a new lease holder
+// has heard of a few instances only: the sum over all of them then exceeds the budget.
+var _ = Describe("The number of instances", func() {
+	It("does not drop while a new lease holder gets the first reports", func() {
+		l := &sharedLog{}
+		all := startInstances(6, 0, l)
+		holder := -1
+		Eventually(func() int {
+			holder = slices.IndexFunc(all, func(m *instance) bool { return m.coordinator.HoldsLease() })
+			return holder
+		}, "5s").Should(BeNumerically(">=", 0))
+		for _, m := range all {
+			Eventually(m.coordinator.Instances, "5s").Should(Equal(6))
+		}
+		all[holder].stop()
+		remaining := append(all[:holder:holder], all[holder+1:]...)
+		fewest := 6
+		Eventually(func() bool {
+			taken := false
+			for _, m := range remaining {
+				fewest = min(fewest, m.coordinator.Instances())
+				taken = taken || m.coordinator.HoldsLease()
+			}
+			return taken
+		}, "10s", "1ms").Should(BeTrue())
+		Consistently(func() int {
+			for _, m := range remaining {
+				fewest = min(fewest, m.coordinator.Instances())
+			}
+			return fewest
+		}, "1s", "1ms").Should(BeNumerically(">=", 5))
+	})
+})
+
 // Guards against replies that take longer than the timeout of an exchange on a
 // narrow link: the holder is then taken for dead, and the configuration is sent
 // again by a deputy and by the store.
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -13,6 +13,7 @@
 
 	"primrosehook/balancer"
 	"primrosehook/clocker"
+	"primrosehook/decayer"
 	"primrosehook/matcher"
 	"primrosehook/messenger"
 	"primrosehook/quarantiner"
@@ -77,8 +78,11 @@
 	cluster    *clusterState
 	lease      *Lease
 	reconciler *reconciler
-	// instances is how many instances the coordinator last counted.
-	instances atomic.Int64
+	// instances is how many instances the coordinator counted at most within
+	// instancesWindow, instancesPeak computes it. A new coordinator has heard of a few
+	// only.
+	instances     atomic.Int64
+	instancesPeak decayer.Peak
 
 	// overlaysSeen is how many overlays were received from the coordinator with
 	// the fencing token fence.
@@ -136,7 +140,7 @@
 // Release releases the lease before a planned stop.
 func (c *Coordinator) Release(ctx context.Context) { c.lease.Release(ctx) }
 
-// Instances returns the last known number of instances, 0 if unknown.
+// Instances returns the number of instances of late, 0 if unknown.
 func (c *Coordinator) Instances() int { return int(c.instances.Load()) }
 
 // MaxRetryInterval returns the longest pause of an instance after failed calls
@@ -324,7 +328,7 @@
 func (c *Coordinator) applyReply(r Reply) {
 	c.lease.HolderReplied()
 	c.fence, c.overlaysSeen = r.Fence, r.Overlay
-	c.instances.Store(int64(r.Instances))
+	c.instances.Store(int64(c.instancesPeak.Add(c.Clock.Now(), instancesWindow, r.Instances)))
 	if len(r.Members) > 0 {
 		c.membersDigest = digestOf(r.Members)
 		c.deputyOrder = r.Members
