Suspect no request that others like it complete

Since the digest covers neither client nor query, a path that many clients ask for has one digest. Several servers that are lost together, with such requests in progress on each, would put it in quarantine, where nothing can complete and clear it. A digest that has completed in the last ten seconds is not marked any more.

--- a/quarantiner/connection_breaks_test.go
+++ b/quarantiner/connection_breaks_test.go
@@ -49,4 +49,24 @@
 		g.EngineLost("c")
 		Expect(g.Remaining(1)).To(BeZero(), "both earlier marks are void")
 	})
+
+	// Guards against a quarantine of what many clients ask for, when several engines that
+	// have it in progress are lost at the same moment.
+	It("suspects no request that others like it complete", func() {
+		clock := clockwork.NewFakeClock()
+		g := quarantiner.NewGuard(clock, quarantiner.DefaultOptions())
+		lose := func(engines ...string) {
+			for _, engine := range engines {
+				g.ConnectionBroke(1, engine)
+				g.EngineLost(engine)
+			}
+		}
+		g.RequestCompleted(1)
+		clock.Advance(5 * time.Second)
+		lose("a", "b", "c", "d", "e")
+		Expect(g.Export()).To(BeEmpty())
+		clock.Advance(20 * time.Second)
+		lose("f", "g")
+		Expect(g.Remaining(1)).To(BeNumerically(">", 0), "none has completed for long")
+	})
 })
--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -15,11 +15,12 @@
 	mu          sync.Mutex
 	quarantiner *Quarantiner
 	breaks      *ConnectionBreaks
+	completions *Completions
 }
 
 // NewGuard returns a guard around a new Quarantiner.
 func NewGuard(clock clockwork.Clock, options Options) *Guard {
-	return &Guard{clock: clock, quarantiner: New(options), breaks: NewConnectionBreaks()}
+	return &Guard{clock: clock, quarantiner: New(options), breaks: NewConnectionBreaks(), completions: NewCompletions()}
 }
 
 // Remaining returns the time left of a digest's quarantine, zero if it is not
@@ -57,13 +58,19 @@
 // EngineLost records that an incarnation of an engine crashed, and marks the
 // requests whose connections broke shortly before, at the time of the break: a
 // request may have completed elsewhere since then. It returns their digests.
+// Requests that others like it complete are not marked: several engines that have
+// them in progress may be lost together.
 func (g *Guard) EngineLost(incarnation string) []uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	lost := g.breaks.EngineLost(g.clock.Now(), incarnation)
-	digests := make([]uint64, len(lost))
-	for i, b := range lost {
-		digests[i] = b.Digest
+	now := g.clock.Now()
+	lost := g.breaks.EngineLost(now, incarnation)
+	var digests []uint64
+	for _, b := range lost {
+		if g.completions.Recent(now, b.Digest) {
+			continue
+		}
+		digests = append(digests, b.Digest)
 		g.quarantiner.Crash(b.At, b.Digest, incarnation, len(lost))
 	}
 	return digests
@@ -73,7 +80,9 @@
 func (g *Guard) RequestCompleted(digest uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quarantiner.Finish(g.clock.Now(), digest)
+	now := g.clock.Now()
+	g.completions.Record(now, digest)
+	g.quarantiner.Finish(now, digest)
 }
 
 // Export returns all suspects, to be merged by other instances.
