Divide the reserve of a rate limit however low the limit is

Found by 150 seeds of the model of throttler with 80 instances (two failed: 11 requests in 4 s of 10 allowed, 21 of 20): the least rate of 0.1 a second, by which a server without requests is asked again, also held for each instance's part of the reserve, so that 79 instances without the owner could send 8 a second. It now holds for the limit as a whole.

--- a/throttler/bucket.go
+++ b/throttler/bucket.go
@@ -5,11 +5,7 @@
 // burst is how far requests may run ahead of their rate.
 const burst = 250 * time.Millisecond
 
-// minPerSecond is the rate at which requests are let through to a server that
-// takes fewer: without an answer it would never be known that it takes more.
-const minPerSecond = 0.1
-
-// Bucket lets requests through at a rate. It is not safe for concurrent use.
+// Bucket lets requests through at a rate, which is above zero. It is not safe for concurrent use.
 type Bucket struct {
 	// next is when the next request is due, interval the time between two.
 	next     time.Time
@@ -24,7 +20,7 @@
 }
 
 func intervalOf(perSecond float64) time.Duration {
-	return time.Duration(float64(time.Second) / max(perSecond, minPerSecond))
+	return time.Duration(float64(time.Second) / perSecond)
 }
 
 // Take lets a request through, or returns the time until the next one.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -40,6 +40,10 @@
 	// reserveShare is the part of a limit that the owner leaves to instances that
 	// can't reach it.
 	reserveShare = 0.2
+	// minPerSecond is the rate at which all instances together send requests to a
+	// server that takes fewer: without an answer it would never be known that it
+	// takes more.
+	minPerSecond = 0.1
 	// maxBuckets bounds the number of buckets; beyond it idle ones are dropped.
 	maxBuckets = 1024
 )
@@ -235,6 +239,7 @@
 	if slices.Contains(t.members, t.self) {
 		others--
 	}
+	perSecond = max(perSecond, minPerSecond)
 	buckets, rate := t.granted, perSecond
 	switch {
 	case !owned:
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -62,8 +62,8 @@
 		Entry("one instance", 1, 2.0, 5),
 	)
 
-	DescribeTable("keeps a limit while instances come, go, freeze and lose sight of each other", func(count, seeds int) {
-		for seed := range seeds {
+	DescribeTable("keeps a limit while instances come, go, freeze and lose sight of each other", func(count, first, seeds int) {
+		for seed := first; seed < first+seeds; seed++ {
 			w := newWorld(uint64(1000+seed), count, 1+3*float64(seed%4))
 			for range 12 {
 				w.advance(time.Duration(300+w.random.IntN(2500)) * time.Millisecond)
@@ -73,8 +73,11 @@
 			Expect(w.worst(excuse)).To(BeEmpty(), "seed %d", seed)
 		}
 	},
-		Entry("6 instances", 6, 50),
-		Entry("80 instances", 80, 8),
+		Entry("6 instances", 6, 0, 50),
+		Entry("80 instances", 80, 0, 8),
+		// Failed while the least rate of a server also held for each part of the reserve.
+		Entry("80 instances, many of which can't reach the owner", 80, 25, 1),
+		Entry("80 instances with a higher limit, likewise", 80, 129, 1),
 	)
 
 	DescribeTable("drops a limit when the server stops naming it", func(count int) {
