--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -58,6 +58,9 @@
 	// Machine shows whether a successor runs on the machine of the holder.
 	Machine string `msgpack:"m"`
 	Address string `msgpack:"a"`
+	// Era is the era of the log that the writer knew. In another one the entry's
+	// condition held by chance, and it counts for nothing.
+	Era int64 `msgpack:"e"`
 	// Fence is the fencing token; zero means the entry's own offset plus one.
 	Fence   int64 `msgpack:"f"`
 	Release bool  `msgpack:"r"`
@@ -296,8 +299,7 @@
 			l.logger.Warn("lease: entry can't be read", zap.Int64("offset", r.Offset), zap.Error(err))
 			e = Entry{Instance: "unknown"}
 		}
-		if fenceEra, _ := tailer.SplitPosition(e.Fence); e.Fence != 0 && fenceEra != era {
-			// A renewal from before the log lost entries, whose condition held by chance.
+		if e.Era != era {
 			e = Entry{Instance: "unknown"}
 		}
 		l.delayOrders(now, e)
@@ -362,6 +364,7 @@
 		e.Fence = previous.Fence
 	}
 	at := l.nextOffset
+	e.Era, _ = tailer.SplitPosition(at)
 	l.mu.Unlock()
 	err := l.append(ctx, e, at)
 	l.recordResult(err == nil || errors.Is(err, ErrOffsetMismatch))
@@ -421,6 +424,7 @@
 	now := l.boot.Now()
 	e.Clear = l.elector.Valid(now) && !now.Before(l.orderFrom)
 	at := l.nextOffset
+	e.Era, _ = tailer.SplitPosition(at)
 	if isHolder {
 		l.elector.Release()
 	}
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -133,8 +133,8 @@
 		Expect(clock.Sub(lost)).To(BeNumerically(">", 2*time.Second))
 	})
 
-	DescribeTable("has one holder at a time while the log loses entries", func(keep int) {
-		for seed := range uint64(100) {
+	DescribeTable("has one holder at a time while the log loses entries", func(keep int, first, seeds uint64) {
+		for seed := first; seed < first+seeds; seed++ {
 			clock.Time = time.Unix(1000, 0)
 			store = &memoryLog{random: rand.New(rand.NewPCG(seed, 2)), lossRate: 0.1}
 			all := []*coordinator.Lease{lease("a"), lease("b"), lease("c")}
@@ -165,8 +165,10 @@
 			}
 		}
 	},
-		Entry("the newest ones", 4),
-		Entry("many", 40),
+		Entry("the newest ones", 4, uint64(0), uint64(100)),
+		Entry("many", 40, uint64(0), uint64(100)),
+		// Failed while a claim from before the loss that arrived after it was valid.
+		Entry("and a claim arrives late", 4, uint64(225), uint64(1)),
 	)
 
 	It("has one holder at a time, which may send orders at once if it is the first", func() {
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -222,7 +222,7 @@
 		// In a new era the peer passes on all records, since their positions are
 		// higher than all of the era before.
 		t.sink.Full(list, next)
-		t.next = next
+		t.next, list = next, nil
 	}
 	// The sink is also called for a fresh feed without records, so that it does
 	// not mistake a quiet stream for an unavailable store.
