Send suspects to peers while they are new only

Cause: each broken connection is followed by a probe, so a crash of a quarter of the servers marks all that ran there: 312 requests within a second.

Suspects are now sent for five seconds after a change, and for as long as they have enough marks for a quarantine. A holder joins the marks of all instances, so a quarantine spreads as before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -45,6 +45,9 @@
 	// instancesWindow is how long an instance counts that is not reported any more:
 	// shares of what all instances may do together must not grow too early.
 	instancesWindow = 10 * time.Second
+	// suspectsResend is for how long a change of a suspect is sent with each report
+	// and reply: some exchanges, so that all instances get it.
+	suspectsResend = 5 * time.Second
 	// overlayWait is the longest delay of the reply to an instance whose
 	// requests wait for an order; the reply is sent once there is an overlay.
 	overlayWait = 150 * time.Millisecond
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -192,7 +192,7 @@
 		r := Report{
 			Instance: c.Instance, Address: c.Address, Link: c.LinkMbps, Members: c.membersDigest, Demand: demand, InFlight: c.Fleet.OwnInFlight(),
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
-			Suspects: c.Suspects.Export(), Limits: c.exportLimits(), Unreachable: c.Fleet.Unreachable(), Waiting: hasWaiting(demand), Deputy: deputy,
+			Suspects: c.Suspects.ExportRecent(suspectsResend), Limits: c.exportLimits(), Unreachable: c.Fleet.Unreachable(), Waiting: hasWaiting(demand), Deputy: deputy,
 		}
 		reply, err := c.sendReport(ctx, address, r)
 		if err != nil {
@@ -287,7 +287,7 @@
 	// An instance that does not know ConfigInStore reads the store when no fresh
 	// feed arrives.
 	reply.ConfigFresh = c.Config.Age() < maxReadAge && !reply.ConfigInStore
-	reply.Suspects, reply.Limits = c.Suspects.Export(), c.exportLimits()
+	reply.Suspects, reply.Limits = c.Suspects.ExportRecent(suspectsResend), c.exportLimits()
 	if !holds {
 		return c.deputyReply(reply)
 	}
--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -92,6 +92,14 @@
 	return g.quarantiner.Export()
 }
 
+// ExportRecent returns the suspects that have changed within a time, and those with
+// enough marks for a quarantine.
+func (g *Guard) ExportRecent(within time.Duration) []Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantiner.ExportSince(g.clock.Now().Add(-within))
+}
+
 // SuspectStatus is one suspect as shown to operators.
 type SuspectStatus struct {
 	Digest string `json:"digest"`
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -201,6 +201,15 @@
 	return list
 }
 
+// ExportSince returns the suspects that have changed since a time, and those with
+// enough marks for a quarantine, ordered by digest. The others have been exported
+// before.
+func (q *Quarantiner) ExportSince(since time.Time) []Suspect {
+	return slices.DeleteFunc(q.Export(), func(s Suspect) bool {
+		return q.lastChange(s).Before(since) && s.validMarks() < quarantineCrashes
+	})
+}
+
 // Merge adds the suspects that another instance exported, maxSuspects at most.
 func (q *Quarantiner) Merge(suspects []Suspect, now time.Time) {
 	for i, s := range suspects {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -103,6 +103,20 @@
 		Expect(q.Export()).To(HaveLen(1024))
 	})
 
+	// Guards against sending what all instances have with each message, after many
+	// engines were lost.
+	It("exports only new suspects and those with enough marks for a quarantine", func() {
+		q.Crash(atMinute(0), 1, "a", 1)
+		q.Crash(atMinute(0), 1, "b", 1)
+		for i := range 300 {
+			q.Crash(atMinute(0), uint64(10+i), "c", 300)
+		}
+		q.Crash(atMinute(1), 2, "d", 1)
+		Expect(q.ExportSince(atMinute(0))).To(HaveLen(302))
+		Expect(q.ExportSince(atMinute(0.5))).To(ConsistOf(HaveField("Digest", uint64(1)), HaveField("Digest", uint64(2))))
+		Expect(q.Export()).To(HaveLen(302))
+	})
+
 	It("ignores invalid marks from a peer", func() {
 		q.Merge([]quarantiner.Suspect{{Digest: 1, Marks: []quarantiner.Mark{
 			{Engine: "", At: atMinute(0), Concurrent: 1},
