Log the framing of answers and the parts of prompts

The log could not tell whether an answer that looks complete had been framed, nor which parts the requests have in common under which servers crash. Each attempt now names the framing of its answer (length, chunked, close), each decision the parts of the prompt.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -81,6 +81,7 @@
 	if t.err != nil {
 		return
 	}
+	t.record.framing = framingText(t.answer.Response)
 	t.info = t.codec.ParseAnswer(t.answer.StatusCode, t.answer.Header)
 	t.observeRateLimit()
 	if t.info.KeepAlive > 0 {
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -1,7 +1,9 @@
 package relayer
 
 import (
+	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +22,8 @@
 	at      time.Duration
 	outcome string
 	inputs  balancer.ChoiceInputs
+	// framing is how the end of the answer's body is marked, empty without an answer.
+	framing string
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -27,6 +31,9 @@
 	e.AddString("server", a.server)
 	e.AddInt64("at_ms", a.at.Milliseconds())
 	e.AddString("outcome", a.outcome)
+	if a.framing != "" {
+		e.AddString("framing", a.framing)
+	}
 	e.AddInt("holders", a.inputs.Replicas)
 	e.AddInt("in_flight", a.inputs.InFlight.Requests)
 	e.AddInt("reading_tokens", a.inputs.InFlight.PrefillTokens)
@@ -82,13 +89,36 @@
 // operators.
 func digestText(digest uint64) string { return strconv.FormatUint(digest, 16) }
 
+// framingText returns how the end of an answer's body is marked.
+func framingText(r *http.Response) string {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return "chunked"
+	case r.ContentLength >= 0:
+		return "length"
+	}
+	return "close"
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partsText returns the IDs of the parts of a prompt, the first maxLoggedParts of them.
+func partsText(parts []Part) string {
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // decisionFields returns log fields with the inputs of the decisions on a
 // request, and its attempts.
 func (x *exchange) decisionFields() []zap.Field {
 	return []zap.Field{
 		zap.String("route", x.route.Name), zap.String("kind", x.route.Kind.String()), zap.Int64("config", x.tableVersion),
 		zap.String("client", clientAddress(x.request)), zap.String("target", x.request.RequestURI), zap.String("digest", digestText(x.digest)),
-		zap.String("service", x.service), zap.String("key", x.query.Key()), zap.Int("prompt", x.query.PromptTokens),
+		zap.String("service", x.service), zap.String("key", x.query.Key()), zap.String("parts", partsText(x.meta.Parts)), zap.Int("prompt", x.query.PromptTokens),
 		zap.Duration("limit", x.deadline.Sub(x.started)), zap.Objects("tries", x.attempts),
 	}
 }
