Take the end of a connection for the end of an answer only from a server that goes on

Cause: an answer with neither a length nor chunks ends with its connection, and the read of its body ends without an error then, also when the server crashed and its connections were closed rather than reset. relayer took that for the end of the answer: it sent the rest of an event that had been cut, ended the framing towards the client, and counted the request as completed, which also clears it as a suspect.

Change: a stream that ends inside an event has been broken off, whatever its framing, and so has one without an event that ends with its connection. Any other answer that ends with its connection is complete only if its server takes a new connection, as the probe after a broken connection finds out; that connection is kept for the next request. Otherwise the attempt failed: a stream that may be resumed and a request that may be repeated go on at another server, others are aborted or answered 502, and nothing counts as completed.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sys/unix"
 
 	"primrosehook/judge"
+	"primrosehook/sender"
 )
 
 const (
@@ -357,6 +358,9 @@
 	a.pool.putIdle(c)
 }
 
+// EndsWithConnection reports whether the end of the body is that of the connection.
+func (a *Answer) EndsWithConnection() bool { return sender.EndsWithConnection(a.Response) }
+
 // ClosedByPeer reports whether an error means that the upstream closed the
 // connection, rather than that it timed out or that this side closed it.
 func ClosedByPeer(err error) bool {
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -144,6 +145,9 @@
 		}
 	}
 	if errors.Is(err, io.EOF) {
+		err = t.confirmStreamEnd(splitter.Partial(), gotFirst)
+	}
+	if err == nil && !w.isReplaced() {
 		t.answer.Close(true)
 		t.assignment.Done(false)
 		t.suspects.RequestCompleted(t.digest)
@@ -160,6 +164,16 @@
 	return t.streamBroke(w, err)
 }
 
+// confirmStreamEnd finds out whether a stream is complete that has ended without an
+// error. partial is what followed its last event.
+func (t *attempt) confirmStreamEnd(partial []byte, gotEvent bool) error {
+	empty := !gotEvent && t.resumeAfter == ""
+	if len(bytes.TrimSpace(partial)) > 0 || empty && t.answer.EndsWithConnection() {
+		return io.ErrUnexpectedEOF
+	}
+	return t.confirmEnd()
+}
+
 // streamBroke handles a stream that ended early. It reports whether the stream
 // may be resumed at another server.
 func (t *attempt) streamBroke(w *watchdog, err error) bool {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -81,7 +81,7 @@
 	if t.err != nil {
 		return
 	}
-	t.record.framing = framingText(t.answer.Response)
+	t.record.framing = framingText(t.answer)
 	t.info = t.codec.ParseAnswer(t.answer.StatusCode, t.answer.Header)
 	t.observeRateLimit()
 	if t.info.KeepAlive > 0 {
@@ -155,6 +155,9 @@
 	}
 	t.bodyRead = true
 	t.answerBody, t.bodyErr = io.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes))
+	if t.bodyErr == nil && !t.info.Refused {
+		t.bodyErr = t.confirmEnd()
+	}
 	t.answer.Close(t.bodyErr == nil && len(t.answerBody) < maxAnswerBytes)
 }
 
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -18,6 +18,28 @@
 	probeTimeout = time.Second
 )
 
+var (
+	errServerCrashed = errors.New("the server crashed before the answer was complete")
+	errNotConfirmed  = errors.New("the connection ended, and the server does not answer a probe")
+)
+
+// confirmEnd finds out whether an answer that has ended with its connection is
+// complete: a server that crashes ends its connections too, but takes no new one.
+func (t *attempt) confirmEnd() error {
+	if !t.answer.EndsWithConnection() {
+		return nil
+	}
+	t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
+	switch err := t.probe(t.attemptContext); {
+	case err == nil:
+		return nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return errServerCrashed
+	default:
+		return errNotConfirmed
+	}
+}
+
 // closedByServer records that the server closed the connection while it had the
 // request, and finds out whether it has crashed. Other requests may not show that
 // in time, since servers with failures are avoided.
@@ -32,21 +54,22 @@
 // meanwhile.
 func (t *attempt) runProbe() {
 	for {
-		t.probe()
+		_ = t.probe(context.Background()) // probe acts on the error
 		if !t.endProbe(t.assignment.Incarnation) {
 			return
 		}
 	}
 }
 
-// probe connects to the server of the attempt.
-func (t *attempt) probe() {
-	ctx, cancel := context.WithTimeout(context.Background(), probeDelay+probeTimeout)
+// probe connects to the server of the attempt. If it takes no connections, it has
+// crashed, which is recorded.
+func (t *attempt) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeDelay+probeTimeout)
 	defer cancel()
 	select {
 	case <-t.clock.After(probeDelay):
 	case <-ctx.Done():
-		return
+		return ctx.Err()
 	}
 	err := t.assignment.Pool.Probe(ctx)
 	switch {
@@ -57,6 +80,7 @@
 	default:
 		t.log.Info("relay: server does not answer a probe", zap.String("server", t.assignment.ID), zap.Error(err))
 	}
+	return err
 }
 
 // beginProbe reports whether to probe an incarnation of a server. While a probe is
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +9,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"primrosehook/balancer"
+	"primrosehook/connector"
 	"primrosehook/matcher"
 )
 
@@ -90,14 +90,14 @@
 func digestText(digest uint64) string { return strconv.FormatUint(digest, 16) }
 
 // framingText returns how the end of an answer's body is marked.
-func framingText(r *http.Response) string {
+func framingText(a *connector.Answer) string {
 	switch {
-	case len(r.TransferEncoding) > 0:
-		return "chunked"
-	case r.ContentLength >= 0:
+	case a.EndsWithConnection():
+		return "close"
+	case a.ContentLength >= 0:
 		return "length"
 	}
-	return "close"
+	return "chunked"
 }
 
 // maxLoggedParts bounds the parts of a prompt in a log line.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -170,6 +170,13 @@
 	return r
 }
 
+// EndsWithConnection reports whether the body of a response has neither a length nor
+// chunks, so that the end of its connection is the end of the body. That end looks the
+// same if the server has crashed.
+func EndsWithConnection(p *http.Response) bool {
+	return p.ContentLength < 0 && len(p.TransferEncoding) == 0
+}
+
 // retryAfter returns the time after which the upstream wants the request to be
 // retried.
 func retryAfter(p *http.Response) time.Duration {
