Take no part of a service's answer for the outcome of a call or write

An answer of a plain service with neither a length nor chunks whose service crashed was returned as the answer of a call or job, and recorded as the outcome of a write, which is then replayed for its key.

Cause: as in relayer, the end of the connection was taken for the end of the answer.

Change: such an answer counts only if the service takes a new connection; otherwise the call may have run.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,8 @@
 	"net/url"
 	"strings"
 
+	"github.com/jonboulle/clockwork"
+
 	"primrosehook/judge"
 	"primrosehook/sender"
 )
@@ -64,14 +66,25 @@
 
 // Client calls one plain service over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	addr, base string
+	http       *http.Client
+	clock      clockwork.Clock
 }
 
+// Option sets one option of a client.
+type Option func(*Client)
+
+// WithClock sets the clock; without it a client uses the real one.
+func WithClock(clock clockwork.Clock) Option { return func(c *Client) { c.clock = clock } }
+
 // NewClient returns a client of the service at an address of the form
 // "IP:port".
-func NewClient(addr string, client *http.Client) *Client {
-	return &Client{base: "http://" + addr, http: client}
+func NewClient(addr string, client *http.Client, set ...Option) *Client {
+	c := &Client{addr: addr, base: "http://" + addr, http: client, clock: clockwork.NewRealClock()}
+	for _, f := range set {
+		f(c)
+	}
+	return c
 }
 
 var _ Service = (*Client)(nil)
@@ -91,6 +104,10 @@
 		return Answer{}, refusal
 	}
 	body, err := io.ReadAll(io.LimitReader(p.Body, MaxBody+1))
+	if err == nil && sender.EndsWithConnection(p) {
+		// A service that crashes ends its connections too, but takes no new one.
+		err = sender.Probe(ctx, c.clock, c.addr)
+	}
 	if err != nil {
 		return Answer{}, judge.Unknown("service", "answer of the service was cut", err)
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -24,6 +24,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"primrosehook/judge"
 )
 
@@ -177,6 +179,26 @@
 	return p.ContentLength < 0 && len(p.TransferEncoding) == 0
 }
 
+// probeDelay is the time from the end of a connection to the probe of its server: a
+// process that ends closes its sockets one after the other.
+const probeDelay = 20 * time.Millisecond
+
+// Probe finds out whether a server whose connection has just ended still takes
+// connections.
+func Probe(ctx context.Context, clock clockwork.Clock, addr string) error {
+	select {
+	case <-clock.After(probeDelay):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // retryAfter returns the time after which the upstream wants the request to be
 // retried.
 func retryAfter(p *http.Response) time.Duration {
