Forward no answer that was read up to the limit only

The first 16 MB of a larger answer, or of one without end, were forwarded with a length of 16 MB, so that they looked complete, and counted as answered.

Cause: relayer took the end of what it reads for the end of the answer.

Change: one byte more than the limit is read; an answer that has it has failed, as one that broke off. A request that may be repeated goes on at another server.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -26,6 +26,9 @@
 	deadlineGrace = 100 * time.Millisecond
 )
 
+// errAnswerTooLarge ends the reading of a body that exceeds maxAnswerBytes.
+var errAnswerTooLarge = errors.New("the answer is too large")
+
 // attempt is one sending of the request to a server.
 type attempt struct {
 	*exchange
@@ -154,11 +157,14 @@
 		return
 	}
 	t.bodyRead = true
-	t.answerBody, t.bodyErr = io.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes))
-	if t.bodyErr == nil && !t.info.Refused {
+	t.answerBody, t.bodyErr = io.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes+1))
+	switch {
+	case len(t.answerBody) > maxAnswerBytes:
+		t.answerBody, t.bodyErr = nil, errAnswerTooLarge
+	case t.bodyErr == nil && !t.info.Refused:
 		t.bodyErr = t.confirmEnd()
 	}
-	t.answer.Close(t.bodyErr == nil && len(t.answerBody) < maxAnswerBytes)
+	t.answer.Close(t.bodyErr == nil)
 }
 
 // intact reports whether the answer is the server's whole answer.
--- a/relayer/cutoff_test.go
+++ b/relayer/cutoff_test.go
@@ -154,6 +154,34 @@
 		Entry("a write", "POST", "/write/1", false),
 	)
 
+	// Guards against an answer that is read up to a limit and forwarded as if that were
+	// all of it.
+	DescribeTable("is not complete at the limit of what is read",
+		func(framing string) {
+			endless := func(rw http.ResponseWriter, q *http.Request) {
+				_, _ = io.Copy(io.Discard, q.Body)
+				c, _, err := rw.(http.Hijacker).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer c.Close()
+				piece := framedPiece(framing, strings.Repeat("x", 1<<20))
+				_, err = io.WriteString(c, framedHead(q.Header.Get("Id"), framing, 1<<40))
+				for err == nil {
+					_, err = io.WriteString(c, piece)
+				}
+			}
+			w := startRelayer(endless, signedAnswer("whole"))
+			code, body, err := w.send("GET", "/read/1", "")
+			Expect([]any{code, body, err}).To(Equal([]any{200, "whole", nil}))
+			code, _, _ = startRelayer(endless).send("POST", "/write/1", "x")
+			Expect(code).To(Equal(502))
+		},
+		Entry("with a length", "length"),
+		Entry("in chunks", "chunks"),
+		Entry("until the connection ends", "neither"),
+	)
+
 	// Guards against taking the rest of a stream for complete that a second server cuts
 	// off after the first one.
 	It("is not completed by a second server that cuts it off too", func() {
