Find the parts of prompts that crash servers, with all instances together

Cause: the quarantine recognizes a request that comes again. These requests share one part of their prompts and differ otherwise, so that none ever had two marks. Class: the identity of what crashes a server was taken to be the whole request.

A part of which any request goes on for half a second is cleared; of the others, the one with the most precise marks explains those of the rest, and a part that follows it in the same prompts is blamed first. After three crashes it is quarantined, and requests with it are refused at once on all instances. A request that was cut off and holds a suspected part is not repeated. Evidence goes to the lease holder or the deputy with the reports, which a new crash triggers, and quarantines come back with the replies; an instance without replies decides from its own evidence. A wrong suspicion ends with any request that survives: the holder lets one instance send one, after two seconds, and five times later after each crash more.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -85,6 +85,8 @@
 	Overlay  int                   `msgpack:"o"`
 	Fence    int64                 `msgpack:"e"`
 	Suspects []quarantiner.Suspect `msgpack:"s"`
+	// Parts is what the instance knows of parts of prompts that crash servers.
+	Parts quarantiner.PartReport `msgpack:"pt"`
 	// Limits are the rate limits that servers name.
 	Limits []throttler.Statement `msgpack:"q"`
 	// Unreachable are the incarnations of servers that accept no connection.
@@ -124,6 +126,7 @@
 	Overlays      []balancer.Overlay    `msgpack:"o"`
 	Overlay       int                   `msgpack:"ov"`
 	Suspects      []quarantiner.Suspect `msgpack:"s"`
+	Parts         quarantiner.PartReply `msgpack:"pt"`
 	Limits        []throttler.Statement `msgpack:"q"`
 	// Holder is the lease holder as a deputy last read it. LeaseFresh is set if
 	// the deputy reads the lease at its usual pace and claims it when it
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -86,6 +86,7 @@
 	if float64(r.Instances) >= minReportedShare*float64(len(c.deputyOrder)) {
 		c.Fleet.UpdatePeers(r.InFlight)
 	}
+	c.Parts.ApplyReply(r.Parts)
 	if own {
 		return
 	}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -54,6 +54,9 @@
 	OrderSender     OrderSender
 	Fleet           *balancer.Fleet
 	Suspects        *quarantiner.Guard
+	// Parts finds the parts of prompts that crash servers; nil for one that is not shared
+	// with the requests of this instance.
+	Parts *quarantiner.PartGuard
 	// Limits are the rate limits that servers name; nil if they are not kept.
 	Limits   *throttler.Throttler
 	Registry *tailer.Tailer
@@ -101,12 +104,17 @@
 	// configAnnounced receives a value when a reply announces a configuration that
 	// is too large for it.
 	configAnnounced chan struct{}
+	// partsReceiver is the address of the last report. Only runReports uses it.
+	partsReceiver string
 	// holderLost is set while the lease holder does not reply.
 	holderLost bool
 }
 
 // New returns a coordinator.
 func New(d Dependencies) *Coordinator {
+	if d.Parts == nil {
+		d.Parts = quarantiner.NewPartGuard(d.Clock)
+	}
 	c := &Coordinator{Dependencies: d, cluster: newClusterState(d.Clock, d.LinkMbps), backoffUntil: map[string]time.Time{}, configAnnounced: make(chan struct{}, 1)}
 	c.peerAddresses.Store(&[]string{})
 	self := Entry{Instance: d.Instance, Machine: d.Machine, Address: d.Address}
@@ -175,6 +183,7 @@
 		case <-ctx.Done():
 			return
 		case <-c.Fleet.NoReplica():
+		case <-c.Parts.Changed():
 		case <-c.Clock.After(pause):
 		}
 	}
@@ -192,7 +201,7 @@
 		r := Report{
 			Instance: c.Instance, Address: c.Address, Link: c.LinkMbps, Members: c.membersDigest, Demand: demand, InFlight: c.Fleet.OwnInFlight(),
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
-			Suspects: c.Suspects.ExportRecent(suspectsResend), Limits: c.exportLimits(), Unreachable: c.Fleet.Unreachable(), Waiting: hasWaiting(demand), Deputy: deputy,
+			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unreachable: c.Fleet.Unreachable(), Waiting: hasWaiting(demand), Deputy: deputy,
 		}
 		reply, err := c.sendReport(ctx, address, r)
 		if err != nil {
@@ -241,6 +250,16 @@
 	return -1
 }
 
+// reportParts returns what to report about parts of prompts to an instance, all of it
+// if the last report went to another one.
+func (c *Coordinator) reportParts(address string) quarantiner.PartReport {
+	if address != c.partsReceiver {
+		c.partsReceiver = address
+		c.Parts.Resend()
+	}
+	return c.Parts.Report()
+}
+
 func (c *Coordinator) sendReport(ctx context.Context, address string, r Report) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -269,6 +288,7 @@
 	}
 	c.Suspects.Merge(r.Suspects)
 	c.mergeLimits(r.Limits)
+	parts := c.Parts.ServeReport(r.Parts)
 	c.cluster.addReport(r)
 	if r.Fence != c.lease.Fence() {
 		r.Overlay = 0
@@ -287,6 +307,7 @@
 	// An instance that does not know ConfigInStore reads the store when no fresh
 	// feed arrives.
 	reply.ConfigFresh = c.Config.Age() < maxReadAge && !reply.ConfigInStore
+	reply.Parts = parts
 	reply.Suspects, reply.Limits = c.Suspects.ExportRecent(suspectsResend), c.exportLimits()
 	if !holds {
 		return c.deputyReply(reply)
@@ -337,6 +358,7 @@
 	}
 	c.Fleet.UpdatePeers(r.InFlight)
 	c.Suspects.Merge(r.Suspects)
+	c.Parts.ApplyReply(r.Parts)
 	c.mergeLimits(r.Limits)
 	if !c.lease.Valid() {
 		c.Registry.Feed(r.Registry, r.Next, r.RegistryFresh)
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -138,12 +138,12 @@
 	// Until the number of instances is known, the slack is shared among
 	// assumedInstances.
 	slack := float64(s.RetrySlack) * retryBudgetShare / assumedInstances
-	suspects := quarantiner.NewGuard(clock, quarantiner.DefaultOptions())
+	suspects, parts := quarantiner.NewGuard(clock, quarantiner.DefaultOptions()), quarantiner.NewPartGuard(clock)
 	e.peers = messenger.NewClient(clock, messenger.WithMaxSilence(time.Second))
 	e.pacer = pacer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.throttler = throttler.New(s.Control, s.Seeds, e.peers, clock, clocker.SystemClock{}, log)
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler),
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(parts),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -155,7 +155,7 @@
 	e.coordinator = coordinator.New(coordinator.Dependencies{
 		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control, LinkMbps: s.Link,
 		OrderGap: s.Lease, ColdLoadWindow: s.CeilingWindow, ColdLoadOverage: s.CeilingOverage, LeaseLog: e.store.Leases(), OrderSender: platform.NewOrderClient(sender.NewClient()),
-		Fleet: e.fleet, Suspects: suspects, Limits: e.throttler, Registry: e.tails.registry, Config: e.tails.config,
+		Fleet: e.fleet, Suspects: suspects, Parts: parts, Limits: e.throttler, Registry: e.tails.registry, Config: e.tails.config,
 		Table: e.relayer.Table, Clock: clock, Boot: clocker.SystemClock{}, Log: log, Peers: e.peers, Meter: e.metrics, OnMembers: e.updateMembers,
 	})
 	e.exposeMetrics(o.values)
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -82,6 +82,7 @@
 		return false
 	}
 	t.suspects.RequestCompleted(t.digest)
+	t.recordSurvival()
 	if !t.failed() {
 		t.record.outcome = "answered with " + strconv.Itoa(t.answer.StatusCode)
 	}
@@ -111,7 +112,6 @@
 func (t *attempt) forwardStream(w *watchdog) bool {
 	splitter := streamer.NewSplitterAfter(t.meta.LastEvent)
 	buffer := make([]byte, streamReadBytes)
-	gotFirst := false
 	var err error
 	for {
 		var n int
@@ -127,10 +127,7 @@
 				break
 			}
 			if len(out) > 0 {
-				if !gotFirst {
-					gotFirst = true
-					t.assignment.RecordFirstEvent()
-				}
+				t.recordProgress()
 				t.meta.LastEvent = splitter.LastID()
 				if !t.writeEvents(t.answer, out) {
 					t.answer.Close(false)
@@ -145,12 +142,13 @@
 		}
 	}
 	if errors.Is(err, io.EOF) {
-		err = t.confirmStreamEnd(splitter.Partial(), gotFirst)
+		err = t.confirmStreamEnd(splitter.Partial())
 	}
 	if err == nil && !w.isReplaced() {
 		t.answer.Close(true)
 		t.assignment.Done(false)
 		t.suspects.RequestCompleted(t.digest)
+		t.recordSurvival()
 		if n, err := strconv.Atoi(splitter.LastID()); err == nil {
 			t.assignment.RecordStreamEnd(n)
 		}
@@ -166,8 +164,8 @@
 
 // confirmStreamEnd finds out whether a stream is complete that has ended without an
 // error. partial is what followed its last event.
-func (t *attempt) confirmStreamEnd(partial []byte, gotEvent bool) error {
-	empty := !gotEvent && t.resumeAfter == ""
+func (t *attempt) confirmStreamEnd(partial []byte) error {
+	empty := t.firstEvent.IsZero() && t.resumeAfter == ""
 	if len(bytes.TrimSpace(partial)) > 0 || empty && t.answer.EndsWithConnection() {
 		return io.ErrUnexpectedEOF
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -52,6 +52,10 @@
 	bodyErr    error
 	// abandoned is set if the answer is no longer needed.
 	abandoned bool
+	// firstEvent is when the first event of a stream arrived. survived is set once the
+	// request is known not to crash its server.
+	firstEvent time.Time
+	survived   bool
 	// reached is set if the attempt counts as one of the route's attempts, ran if
 	// the server may have run the request.
 	reached, ran bool
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"primrosehook/balancer"
+	"primrosehook/quarantiner"
 )
 
 const (
@@ -16,6 +19,9 @@
 	// probeTimeout limits a probe. A server that does not answer it may be
 	// unreachable rather than down.
 	probeTimeout = time.Second
+	// beginningTime is how long after its first event an answer may still be one that
+	// crashes its server by beginning.
+	beginningTime = 500 * time.Millisecond
 )
 
 var (
@@ -29,7 +35,7 @@
 	if !t.answer.EndsWithConnection() {
 		return nil
 	}
-	t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
+	t.recordBreak()
 	switch err := t.probe(t.attemptContext); {
 	case err == nil:
 		return nil
@@ -44,12 +50,43 @@
 // request, and finds out whether it has crashed. Other requests may not show that
 // in time, since servers with failures are avoided.
 func (t *attempt) closedByServer() {
-	t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
+	t.recordBreak()
 	if t.beginProbe(t.assignment.Incarnation) {
 		go t.runProbe()
 	}
 }
 
+// recordBreak records that the connection ended while the server had the request.
+func (t *attempt) recordBreak() {
+	t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
+	if t.justBegun() {
+		t.parts.ConnectionBroke(quarantiner.CutRequest{ID: balancer.Hash(t.meta.ID), Parts: t.prefix}, t.assignment.Incarnation)
+	}
+}
+
+// justBegun reports whether the answer has not begun, or so recently that its beginning
+// may have crashed the server.
+func (t *attempt) justBegun() bool {
+	return t.firstEvent.IsZero() || t.clock.Since(t.firstEvent) < beginningTime
+}
+
+// recordProgress records that an event of the stream has arrived.
+func (t *attempt) recordProgress() {
+	switch {
+	case t.firstEvent.IsZero():
+		t.firstEvent = t.clock.Now()
+		t.assignment.RecordFirstEvent()
+	case !t.survived && !t.justBegun():
+		t.recordSurvival()
+	}
+}
+
+// recordSurvival records that the request does not crash its server.
+func (t *attempt) recordSurvival() {
+	t.survived = true
+	t.parts.Survived(t.prefix)
+}
+
 // runProbe probes the server of the attempt, and again if its connections broke
 // meanwhile.
 func (t *attempt) runProbe() {
@@ -108,6 +145,7 @@
 
 // serverCrashed records that the server of the attempt has crashed.
 func (t *attempt) serverCrashed() {
+	t.parts.EngineLost(t.assignment.Incarnation)
 	suspects := t.suspects.EngineLost(t.assignment.Incarnation)
 	if len(suspects) == 0 {
 		return
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -135,6 +135,7 @@
 		for _, p := range x.meta.Parts[:n-1] {
 			session += "," + p.ID
 			x.query.SharedTokens += p.Tokens
+			x.prefix = append(x.prefix, balancer.Hash(x.service+" "+p.ID))
 		}
 		x.query.SessionHash = balancer.Hash(session)
 	}
@@ -179,8 +180,7 @@
 
 // run makes attempts until the request is answered or has to be given up.
 func (x *exchange) run() {
-	if remaining := x.suspects.Remaining(x.digest); remaining > 0 {
-		x.log.Info("relay: request is quarantined", zap.Duration("for", remaining), zap.String("digest", digestText(x.digest)))
+	if remaining := x.admit(); remaining > 0 {
 		x.refuse(x.writer, max(remaining, minQuarantineRetryAfter), "quarantined")
 		return
 	}
@@ -201,9 +201,9 @@
 				x.giveUp("no server", append(x.refusalFields(), zap.Stringer("status", status), zap.Duration("backlog", x.backlog))...)
 				return
 			}
-			if remaining := x.suspects.Remaining(x.digest); remaining > 0 {
+			if x.isQuarantined() {
 				assignment.Cancel()
-				x.backlog = max(remaining, minQuarantineRetryAfter)
+				x.backlog = max(x.suspects.Remaining(x.digest), minQuarantineRetryAfter)
 				x.giveUp("quarantined meanwhile", zap.String("digest", digestText(x.digest)))
 				return
 			}
@@ -222,7 +222,7 @@
 			x.giveUp("attempts are used up", zap.Int("sends", x.sends))
 			return
 		}
-		if x.mayHaveRun && x.suspects.Crashes(x.digest) >= maxSuspectCrashes {
+		if x.mayHaveRun && x.isSuspected(t) {
 			x.giveUp("suspected of crashes", zap.String("digest", digestText(x.digest)))
 			return
 		}
@@ -235,6 +235,33 @@
 	}
 }
 
+// admit returns for how long the request is refused since it, or a part of its prompt,
+// crashes servers; zero if it is not.
+func (x *exchange) admit() time.Duration {
+	if remaining := x.suspects.Remaining(x.digest); remaining > 0 {
+		x.log.Info("relay: request is quarantined", zap.Duration("for", remaining), zap.String("digest", digestText(x.digest)))
+		return remaining
+	}
+	remaining, trial := x.parts.Admit(x.prefix)
+	x.trial = trial
+	if remaining > 0 || trial {
+		x.log.Info("relay: a part of the prompt is quarantined", zap.Duration("for", remaining), zap.Bool("trial", trial), zap.String("parts", partsText(x.meta.Parts)))
+	}
+	return remaining
+}
+
+// isQuarantined reports whether the request, or a part of its prompt, has been
+// quarantined since it was admitted.
+func (x *exchange) isQuarantined() bool {
+	return x.suspects.Remaining(x.digest) > 0 || !x.trial && x.parts.Quarantined(x.prefix)
+}
+
+// isSuspected reports whether the request is not repeated after an attempt that failed,
+// since it may have crashed the server.
+func (x *exchange) isSuspected(t *attempt) bool {
+	return x.trial || x.suspects.Crashes(x.digest) >= maxSuspectCrashes || t.justBegun() && x.parts.Suspected(x.prefix)
+}
+
 // merge adds a failed attempt to the state of the request.
 func (x *exchange) merge(t *attempt) {
 	if t.reached {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"primrosehook/limiter"
 	"primrosehook/matcher"
 	"primrosehook/pacer"
+	"primrosehook/quarantiner"
 	"primrosehook/tracer"
 )
 
@@ -116,6 +117,25 @@
 	Crashes(digest uint64) int
 }
 
+// PartSuspects identifies parts of prompts that crash servers, whatever else a request
+// holds. Parts are hashes, in the order of the prompt.
+type PartSuspects interface {
+	// ConnectionBroke records that the connection to an incarnation of a server broke
+	// under a request whose answer had just begun, or had not. EngineLost records that
+	// the incarnation has crashed.
+	ConnectionBroke(q quarantiner.CutRequest, incarnation string)
+	EngineLost(incarnation string)
+	// Survived records that a request has gone on beyond the beginning of its answer.
+	Survived(parts []uint64)
+	// Admit returns for how long a request is refused, zero if it may be sent. A trial
+	// is sent to find out whether it survives, to one server only.
+	Admit(parts []uint64) (remaining time.Duration, trial bool)
+	// Quarantined reports whether requests with one of the parts are refused, Suspected
+	// whether they are not to be repeated.
+	Quarantined(parts []uint64) bool
+	Suspected(parts []uint64) bool
+}
+
 // Pacer reserves slots for prompts in the schedules of servers.
 type Pacer interface {
 	// Reserve reserves a slot for a prompt of so many tokens at an incarnation of
@@ -167,6 +187,7 @@
 	codec    Codec
 	fleet    *balancer.Fleet
 	suspects Suspects
+	parts    PartSuspects
 	pacer    Pacer
 	throttle Throttler
 	clock    clockwork.Clock
@@ -204,6 +225,16 @@
 	return 0, true
 }
 
+// noPartSuspects is a PartSuspects that suspects no part.
+type noPartSuspects struct{}
+
+func (noPartSuspects) ConnectionBroke(quarantiner.CutRequest, string) {}
+func (noPartSuspects) EngineLost(string)                              {}
+func (noPartSuspects) Survived([]uint64)                              {}
+func (noPartSuspects) Admit([]uint64) (time.Duration, bool)           { return 0, false }
+func (noPartSuspects) Quarantined([]uint64) bool                      { return false }
+func (noPartSuspects) Suspected([]uint64) bool                        { return false }
+
 // Option sets one option of a Relayer.
 type Option func(*Relayer)
 
@@ -226,6 +257,10 @@
 // kept.
 func WithThrottler(t Throttler) Option { return func(r *Relayer) { r.throttle = t } }
 
+// WithPartSuspects refuses requests with parts that crash servers; without it no part is
+// suspected.
+func WithPartSuspects(p PartSuspects) Option { return func(r *Relayer) { r.parts = p } }
+
 // WithTracer traces each request and each attempt in a span.
 func WithTracer(t trace.Tracer) Option { return func(r *Relayer) { r.tracer = t } }
 
@@ -238,7 +273,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, options ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
+		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
 	}
 	r.waits, r.endWaits = context.WithCancel(context.Background())
 	for _, o := range options {
@@ -315,16 +350,20 @@
 // exchange is the state of one client request.
 type exchange struct {
 	*Relayer
-	writer       http.ResponseWriter
-	request      *http.Request
-	meta         Meta
-	route        *matcher.Route
-	service      string
-	body         []byte
-	started      time.Time
-	deadline     time.Time
-	query        balancer.Request
-	digest       uint64
+	writer   http.ResponseWriter
+	request  *http.Request
+	meta     Meta
+	route    *matcher.Route
+	service  string
+	body     []byte
+	started  time.Time
+	deadline time.Time
+	query    balancer.Request
+	digest   uint64
+	// prefix are the hashes of the parts of the prompt that other requests may share.
+	// trial is set if the request is sent although one of them is quarantined.
+	prefix       []uint64
+	trial        bool
 	log          *zap.Logger
 	tableVersion int64
 
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -263,7 +263,7 @@
 // It returns nil, and takes neither, if either is unavailable, the request is
 // quarantined or the server names a rate limit.
 func (x *exchange) reserveOther(excluded []string) *balancer.Assignment {
-	if x.suspects.Remaining(x.digest) > 0 {
+	if x.trial || x.isQuarantined() {
 		return nil
 	}
 	q := x.query
