Send nothing more to a server whose answers say that it leaves

The choice of servers now remembers the incarnation, also while its registration expires and comes back; another incarnation is chosen again. It is reported with the servers that refuse connections, so that the lease holder loads its models elsewhere. Answers of status 421 are another server's.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -49,7 +49,7 @@
 		core.SetRateLimited("b", now.Add(300*time.Millisecond))
 		_, status := core.Choose(now, balancer.Request{Model: "m"})
 		Expect(status).To(Equal(balancer.RateLimited))
-		Expect(core.RateLimitEnd(now, "m")).To(Equal(now.Add(300 * time.Millisecond)))
+		Expect(core.PauseEnd(now, "m")).To(Equal(now.Add(300 * time.Millisecond)))
 		now = now.Add(300 * time.Millisecond)
 		id, status := core.Choose(now, balancer.Request{Model: "m"})
 		Expect([]any{id, status}).To(Equal([]any{"b", balancer.Found}))
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -116,6 +116,8 @@
 	servers  map[string]*server
 	sorted   []*server
 	overlays map[string][]pendingOverlay
+	// leaving are the incarnations that have said that they leave, and when.
+	leaving map[string]time.Time
 	// latency is the mean latency of all servers in milliseconds.
 	latency float64
 	// peersAt is when the peers' in-flight counts were last updated.
@@ -131,7 +133,7 @@
 func NewCore(zone string, seed uint64) *Core {
 	return &Core{
 		zone: zone, random: rand.New(rand.NewPCG(seed, 1)),
-		servers: map[string]*server{}, overlays: map[string][]pendingOverlay{}, latency: defaultLatency,
+		servers: map[string]*server{}, overlays: map[string][]pendingOverlay{}, leaving: map[string]time.Time{}, latency: defaultLatency,
 	}
 }
 
@@ -145,6 +147,7 @@
 			s = &server{latency: c.latency, lastByte: new(atomic.Int64)}
 		}
 		s.Server = r
+		s.Draining = r.Draining || c.isLeaving(r.Incarnation)
 		c.refreshLoaded(now, s)
 		kept[r.ID] = s
 		c.sorted = append(c.sorted, s)
@@ -214,39 +217,6 @@
 	}
 }
 
-// SetRateLimited records that a server may get the next request at a time.
-func (c *Core) SetRateLimited(id string, until time.Time) {
-	if s, ok := c.servers[id]; ok {
-		s.limitedUntil = until
-	}
-}
-
-// RateLimitEnd returns when the first of the replicas of a model that are rate
-// limited may get a request, the zero time if there is none.
-func (c *Core) RateLimitEnd(now time.Time, key string) time.Time {
-	var first time.Time
-	for _, s := range c.sorted {
-		if s.Draining || key != "" && !s.loaded[key] || !now.Before(s.limitedUntil) {
-			continue
-		}
-		if first.IsZero() || s.limitedUntil.Before(first) {
-			first = s.limitedUntil
-		}
-	}
-	return first
-}
-
-// Unreachable returns the incarnations of the servers that refuse connections.
-func (c *Core) Unreachable(now time.Time) []string {
-	var list []string
-	for _, s := range c.sorted {
-		if now.Before(s.unreachableUntil) {
-			list = append(list, s.Incarnation)
-		}
-	}
-	return list
-}
-
 // SetCacheTokens sets the capacity of each server's cache in tokens; 0 means
 // unknown.
 func (c *Core) SetCacheTokens(tokens int) { c.cacheTokens = tokens }
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -313,14 +313,15 @@
 	}
 }
 
-// Unreachable returns the incarnations of the servers that refuse connections.
-func (f *Fleet) Unreachable() []string {
+// Unavailable returns the incarnations of the servers that refuse connections or have
+// said that they leave.
+func (f *Fleet) Unavailable() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []string
 	now := f.clock.Now()
 	for _, c := range f.cores {
-		list = append(list, c.Unreachable(now)...)
+		list = append(list, c.Unavailable(now)...)
 	}
 	return list
 }
@@ -336,7 +337,7 @@
 	}
 	if status == RateLimited {
 		now := f.clock.Now()
-		return max(f.core(service).RateLimitEnd(now, q.Key()).Sub(now), 0)
+		return max(f.core(service).PauseEnd(now, q.Key()).Sub(now), 0)
 	}
 	return max(f.queue(service).Predict(f.clock.Now(), q)-q.MaxWait, 0)
 }
--- /dev/null
+++ b/balancer/pause.go
@@ -0,0 +1,70 @@
+package balancer
+
+import (
+	"maps"
+	"time"
+)
+
+// leavingLifetime is how long it is remembered that an incarnation of a server leaves:
+// its registration may expire and come back while the registry's store is away.
+const leavingLifetime = 10 * time.Minute
+
+// SetRateLimited records that a server may get the next request at a time.
+func (c *Core) SetRateLimited(id string, until time.Time) {
+	if s, ok := c.servers[id]; ok {
+		s.limitedUntil = until
+	}
+}
+
+// PauseEnd returns when the first of the replicas of a model that may get no request now
+// may get one, the zero time if there is none.
+func (c *Core) PauseEnd(now time.Time, key string) time.Time {
+	var first time.Time
+	for _, s := range c.sorted {
+		until := s.limitedUntil
+		if s.Draining || key != "" && !s.loaded[key] || !now.Before(until) {
+			continue
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
+
+// MarkLeaving records that an incarnation of a server has said that it leaves. It gets
+// no request any more, whatever its registration says.
+func (c *Core) MarkLeaving(now time.Time, id, incarnation string) {
+	maps.DeleteFunc(c.leaving, func(_ string, at time.Time) bool { return now.Sub(at) >= leavingLifetime })
+	c.leaving[incarnation] = now
+	if s, ok := c.servers[id]; ok && s.Incarnation == incarnation {
+		s.Draining = true
+	}
+}
+
+func (c *Core) isLeaving(incarnation string) bool {
+	_, ok := c.leaving[incarnation]
+	return ok
+}
+
+// Unavailable returns the incarnations of the servers that refuse connections or have
+// said that they leave.
+func (c *Core) Unavailable(now time.Time) []string {
+	var list []string
+	for _, s := range c.sorted {
+		if now.Before(s.unreachableUntil) || c.isLeaving(s.Incarnation) {
+			list = append(list, s.Incarnation)
+		}
+	}
+	return list
+}
+
+// MarkLeaving records that the server has said that it leaves.
+func (a *Assignment) MarkLeaving() {
+	f := a.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cores[a.service]; ok {
+		c.MarkLeaving(f.clock.Now(), a.ID, a.Incarnation)
+	}
+}
--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -34,7 +34,7 @@
 	reportedAt  time.Time
 	inFlight    map[string]balancer.InFlight
 	waiting     map[demandKey]int
-	unreachable []string
+	unavailable []string
 }
 
 type demandKey struct{ service, key string }
@@ -97,7 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	m := &member{address: r.Address, link: r.Link, reportedAt: now, inFlight: r.InFlight, waiting: map[demandKey]int{}, unreachable: r.Unreachable}
+	m := &member{address: r.Address, link: r.Link, reportedAt: now, inFlight: r.InFlight, waiting: map[demandKey]int{}, unavailable: r.Unavailable}
 	old, ok := c.members[r.Instance]
 	if ok {
 		c.subtractInFlight(old)
@@ -318,18 +318,18 @@
 	return demand, waiting
 }
 
-// unreachable returns the incarnations of servers that some instance cannot
-// connect to.
-func (c *clusterState) unreachable() map[string]bool {
+// unavailable returns the incarnations of servers that some instance cannot connect
+// to, or that say that they leave.
+func (c *clusterState) unavailable() map[string]bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	all := map[string]bool{}
 	for _, m := range c.members {
-		if now.Sub(m.reportedAt) > unreachableTTL {
+		if now.Sub(m.reportedAt) > unavailableTTL {
 			continue
 		}
-		for _, incarnation := range m.unreachable {
+		for _, incarnation := range m.unavailable {
 			all[incarnation] = true
 		}
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -40,8 +40,8 @@
 	maxConfigTime = exchangeTimeout / 2
 	// bytesPerSecondPerMbps converts Mbit/s to bytes per second.
 	bytesPerSecondPerMbps = 1e6 / 8
-	// unreachableTTL is how long a report that a server is unreachable counts.
-	unreachableTTL = time.Second
+	// unavailableTTL is how long a report that a server is unavailable counts.
+	unavailableTTL = time.Second
 	// instancesWindow is how long an instance counts that is not reported any more:
 	// shares of what all instances may do together must not grow too early.
 	instancesWindow = 10 * time.Second
@@ -89,8 +89,8 @@
 	Parts quarantiner.PartReport `msgpack:"pt"`
 	// Limits are the rate limits that servers name.
 	Limits []throttler.Statement `msgpack:"q"`
-	// Unreachable are the incarnations of servers that accept no connection.
-	Unreachable []string `msgpack:"d"`
+	// Unavailable are the incarnations of servers that accept no connection or leave.
+	Unavailable []string `msgpack:"d"`
 	// Waiting is set while requests wait for an order.
 	Waiting bool `msgpack:"a"`
 	// Deputy asks an instance that does not hold the lease to act as deputy.
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -134,7 +134,7 @@
 }
 
 func (r *reconciler) plan(ctx context.Context, table *matcher.Table) {
-	unreachable := r.cluster.unreachable()
+	unavailable := r.cluster.unavailable()
 	servers := r.cluster.registeredServers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -148,7 +148,7 @@
 		state := serviceplanner.State{Engine: service.Engine, Demand: demand, Waiting: waiting, ColdLoads: coldLoadLimit(service.Engine, r.ColdLoadWindow, r.ColdLoadOverage) - r.coldLoadCounter(name).Count(now)}
 		for _, known := range r.servers {
 			if known.registration.Service == name {
-				state.Servers = append(state.Servers, known.plannerInput(now, unreachable[known.registration.Incarnation]))
+				state.Servers = append(state.Servers, known.plannerInput(now, unavailable[known.registration.Incarnation]))
 			}
 		}
 		for _, o := range serviceplanner.Plan(state) {
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -201,7 +201,7 @@
 		r := Report{
 			Instance: c.Instance, Address: c.Address, Link: c.LinkMbps, Members: c.membersDigest, Demand: demand, InFlight: c.Fleet.OwnInFlight(),
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
-			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unreachable: c.Fleet.Unreachable(), Waiting: hasWaiting(demand), Deputy: deputy,
+			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy,
 		}
 		reply, err := c.sendReport(ctx, address, r)
 		if err != nil {
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -64,11 +64,11 @@
 	return loaded
 }
 
-// plannerInput returns the server as the planner gets it. An unreachable server
+// plannerInput returns the server as the planner gets it. An unavailable server
 // counts as leaving.
-func (s *serverState) plannerInput(now time.Time, unreachable bool) serviceplanner.Server {
+func (s *serverState) plannerInput(now time.Time, unavailable bool) serviceplanner.Server {
 	in := serviceplanner.Server{
-		ID: s.registration.ID, Zone: s.registration.Zone, Leaving: s.registration.Draining || unreachable,
+		ID: s.registration.ID, Zone: s.registration.Zone, Leaving: s.registration.Draining || unavailable,
 		Busy: s.pending != nil || now.Before(s.busyUntil), Loaded: s.loaded, Pending: s.pending, Warm: map[string]bool{},
 	}
 	for _, u := range s.unsettled {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -91,6 +91,7 @@
 	t.record.framing = framingText(t.answer)
 	t.info = t.codec.ParseAnswer(t.answer.StatusCode, t.answer.Header)
 	t.observeRateLimit()
+	t.observePause()
 	if t.info.KeepAlive > 0 {
 		t.assignment.Pool.KeepIdle(t.info.KeepAlive)
 	}
@@ -109,6 +110,17 @@
 	}
 }
 
+// observePause records whether the server wants no further requests, or none for a time.
+// An answer that may be another server's, or damaged, is passed over.
+func (t *attempt) observePause() {
+	if t.info.NotLoaded || !t.info.Signed && !t.info.Refused {
+		return
+	}
+	if t.info.Leaving {
+		t.assignment.MarkLeaving()
+	}
+}
+
 // perform makes the attempt and sends its answer to the client. It reports
 // whether the request may be sent to another server, and the attempt that has
 // already been made there, nil if there is none. If the request may not be sent
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -287,8 +287,8 @@
 	}
 }
 
-// withinRateLimit reports whether the request may be sent within the rate limit that
-// the server names. If not, the assignment is cancelled.
+// withinRateLimit reports whether the request may be sent now, by the rate limit that the
+// server names and by its refusals. If not, the assignment is cancelled.
 func (x *exchange) withinRateLimit(assignment *balancer.Assignment) bool {
 	wait, ok := x.throttle.Acquire(x.context, assignment.Incarnation)
 	if !ok {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -72,6 +72,8 @@
 	// Refused means that the request did not run and will not. NotLoaded
 	// means that it reached the wrong server, or one without the model loaded.
 	Refused, NotLoaded bool
+	// Leaving means that the server leaves, so that it wants no further requests.
+	Leaving bool
 	// Encoded means that the body has a content coding, and so is not as the
 	// server sent it.
 	Encoded   bool
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -40,7 +40,7 @@
 }
 
 func (plainCodec) ParseAnswer(status int, h http.Header) relayer.AnswerInfo {
-	return relayer.AnswerInfo{ID: h.Get("Id"), Signed: h.Get("Sign") != "", Refused: h.Get("Refused") != "" || status == 421, NotLoaded: status == 421, RateLimit: relayer.RateLimit{Named: h.Get("Limit") != "", PerSecond: 2}}
+	return relayer.AnswerInfo{Leaving: h.Get("Leave") != "", ID: h.Get("Id"), Signed: h.Get("Sign") != "", Refused: h.Get("Refused") != "" || status == 421, NotLoaded: status == 421, RateLimit: relayer.RateLimit{Named: h.Get("Limit") != "", PerSecond: 2}}
 }
 
 func (plainCodec) AnswerHeader(h http.Header) http.Header { return http.Header{"Sign": h["Sign"]} }
