Send nothing to a server for the time that its refusal names

The header was not read: the test, which failed before, saw a request at the server for each one of its clients.

The server is passed over until then, also by requests that were waiting for their slot there; a request that finds no other server is refused at once, with that time.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -99,6 +99,8 @@
 	// limitedUntil is when the server may get the next request within the rate limit
 	// that it names.
 	limitedUntil time.Time
+	// restsUntil is until when the server wants no request of this instance.
+	restsUntil time.Time
 	// repliedAt is when the owner of the server's schedule last replied, freeAt
 	// when according to it the next prompt may be sent. The server counts as full
 	// until closedUntil, so that no further reservation is requested before.
@@ -270,7 +272,7 @@
 			status = Full
 			continue
 		}
-		if now.Before(s.limitedUntil) {
+		if now.Before(s.pausedUntil()) {
 			if status != Full {
 				status = RateLimited
 			}
--- a/balancer/pause.go
+++ b/balancer/pause.go
@@ -16,12 +16,21 @@
 	}
 }
 
+// pausedUntil returns when the server may get the next request, by its rate limit and
+// its refusals.
+func (s *server) pausedUntil() time.Time {
+	if s.restsUntil.After(s.limitedUntil) {
+		return s.restsUntil
+	}
+	return s.limitedUntil
+}
+
 // PauseEnd returns when the first of the replicas of a model that may get no request now
 // may get one, the zero time if there is none.
 func (c *Core) PauseEnd(now time.Time, key string) time.Time {
 	var first time.Time
 	for _, s := range c.sorted {
-		until := s.limitedUntil
+		until := s.pausedUntil()
 		if s.Draining || key != "" && !s.loaded[key] || !now.Before(until) {
 			continue
 		}
@@ -32,6 +41,21 @@
 	return first
 }
 
+// SetResting records that a server wants no request of this instance until a time.
+func (c *Core) SetResting(id string, until time.Time) {
+	if s, ok := c.servers[id]; ok && until.After(s.restsUntil) {
+		s.restsUntil = until
+	}
+}
+
+// RestEnd returns until when a server wants no request of this instance.
+func (c *Core) RestEnd(id string) time.Time {
+	if s, ok := c.servers[id]; ok {
+		return s.restsUntil
+	}
+	return time.Time{}
+}
+
 // MarkLeaving records that an incarnation of a server has said that it leaves. It gets
 // no request any more, whatever its registration says.
 func (c *Core) MarkLeaving(now time.Time, id, incarnation string) {
@@ -68,3 +92,25 @@
 		c.MarkLeaving(f.clock.Now(), a.ID, a.Incarnation)
 	}
 }
+
+// MarkResting records that the server wants no request of this instance for a time.
+func (a *Assignment) MarkResting(d time.Duration) {
+	f := a.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cores[a.service]; ok {
+		c.SetResting(a.ID, f.clock.Now().Add(d))
+	}
+}
+
+// RestTime returns for how long the server wants no request of this instance.
+func (a *Assignment) RestTime() time.Duration {
+	f := a.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, ok := f.cores[a.service]
+	if !ok {
+		return 0
+	}
+	return max(c.RestEnd(a.ID).Sub(f.clock.Now()), 0)
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -119,6 +119,9 @@
 	if t.info.Leaving {
 		t.assignment.MarkLeaving()
 	}
+	if t.info.RetryAfter > 0 && t.answer.StatusCode == http.StatusServiceUnavailable {
+		t.assignment.MarkResting(t.info.RetryAfter)
+	}
 }
 
 // perform makes the attempt and sends its answer to the client. It reports
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -290,6 +290,11 @@
 // withinRateLimit reports whether the request may be sent now, by the rate limit that the
 // server names and by its refusals. If not, the assignment is cancelled.
 func (x *exchange) withinRateLimit(assignment *balancer.Assignment) bool {
+	// The server may have refused another request while this one waited for its slot.
+	if wait := assignment.RestTime(); wait > 0 {
+		assignment.RateLimit(wait)
+		return false
+	}
 	wait, ok := x.throttle.Acquire(x.context, assignment.Incarnation)
 	if !ok {
 		x.meter.Add(MetricRateLimited, 1)
--- a/relayer/leaving_test.go
+++ b/relayer/leaving_test.go
@@ -1,10 +1,19 @@
 package relayer_test
 
 import (
+	"context"
 	"net/http"
+	"strconv"
+	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"primrosehook/balancer"
+	"primrosehook/pacer"
+	"primrosehook/registrar"
+	"primrosehook/relayer"
 )
 
 // withHeader adds a header to the answers of a handler.
@@ -15,6 +24,22 @@
 	}
 }
 
+// queuedPacer lets the first request through at once and has the others wait.
+type queuedPacer struct {
+	mu    sync.Mutex
+	calls int
+}
+
+func (p *queuedPacer) Reserve(context.Context, string, int, time.Duration, balancer.EngineLoad) (pacer.Reservation, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	if p.calls == 1 {
+		return pacer.Reservation{Reserved: true}, nil
+	}
+	return pacer.Reservation{Reserved: true, Wait: 300 * time.Millisecond}, nil
+}
+
 var _ = Describe("A server that says that it leaves", func() {
 	// Guards against sending requests to a server whose answers say that it leaves, while
 	// its registration does not say so.
@@ -62,3 +87,56 @@
 		Expect(w.fleet.Unavailable()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("A server that refuses a request and says for how long", func() {
+	refuseFor := func(d time.Duration) handler {
+		return withHeader("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64), statusOnly(503, "Refused"))
+	}
+
+	// Guards against sending requests to a server that has said that it wants none.
+	It("gets no request until then", func() {
+		w := startRelayer(refuseFor(1200*time.Millisecond), signedAnswer("whole"))
+		start := time.Now()
+		for time.Since(start) < time.Second {
+			code, _, _ := w.send("GET", "/read/1", "")
+			Expect(code).To(Equal(200))
+			time.Sleep(20 * time.Millisecond)
+		}
+		Expect(w.requestCounts[0].Load()).To(Equal(int64(1)))
+		w.fleet.Update(w.servers[:1])
+		Eventually(func() int64 { _, _, _ = w.send("GET", "/read/1", ""); return w.requestCounts[0].Load() }, 2*time.Second).Should(BeNumerically(">", 1))
+	})
+
+	It("is what a client is told to wait for if no other server is left", func() {
+		w := startRelayer(refuseFor(5 * time.Second))
+		_, _, _ = w.send("GET", "/read/1", "")
+		q, err := http.NewRequestWithContext(context.Background(), http.MethodGet, w.proxy.URL+"/read/1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		q.Host = "h"
+		q.Header.Set("Id", "q2")
+		p, err := http.DefaultClient.Do(q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Body.Close()).To(Succeed())
+		Expect(p.StatusCode).To(Equal(503))
+		seconds, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds).To(BeNumerically(">", 3))
+		Expect(w.requestCounts[0].Load()).To(Equal(int64(1)))
+	})
+
+	It("gets none that waited for its turn when it refused", func() {
+		w := startRelayerWith(newGuard(), []handler{refuseFor(5 * time.Second)}, relayer.WithPacer(&queuedPacer{}))
+		w.servers[0].Loaded = []registrar.LoadedModel{{Model: "m", Version: 1}}
+		w.fleet.Update(w.servers)
+		var clients sync.WaitGroup
+		for range 4 {
+			clients.Go(func() {
+				defer GinkgoRecover()
+				code, _, _ := w.send("POST", "/chat/1", "x", "Model", "m")
+				Expect(code).To(Equal(503))
+			})
+		}
+		clients.Wait()
+		Expect(w.requestCounts[0].Load()).To(Equal(int64(1)))
+	})
+})
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -73,7 +73,10 @@
 	// means that it reached the wrong server, or one without the model loaded.
 	Refused, NotLoaded bool
 	// Leaving means that the server leaves, so that it wants no further requests.
-	Leaving bool
+	// RetryAfter is for how long a server that refuses a request wants none of this
+	// instance, zero if it does not say.
+	Leaving    bool
+	RetryAfter time.Duration
 	// Encoded means that the body has a content coding, and so is not as the
 	// server sent it.
 	Encoded   bool
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,7 +41,8 @@
 }
 
 func (plainCodec) ParseAnswer(status int, h http.Header) relayer.AnswerInfo {
-	return relayer.AnswerInfo{Leaving: h.Get("Leave") != "", ID: h.Get("Id"), Signed: h.Get("Sign") != "", Refused: h.Get("Refused") != "" || status == 421, NotLoaded: status == 421, RateLimit: relayer.RateLimit{Named: h.Get("Limit") != "", PerSecond: 2}}
+	seconds, _ := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	return relayer.AnswerInfo{Leaving: h.Get("Leave") != "", RetryAfter: time.Duration(seconds * float64(time.Second)), ID: h.Get("Id"), Signed: h.Get("Sign") != "", Refused: h.Get("Refused") != "" || status == 421, NotLoaded: status == 421, RateLimit: relayer.RateLimit{Named: h.Get("Limit") != "", PerSecond: 2}}
 }
 
 func (plainCodec) AnswerHeader(h http.Header) http.Header { return http.Header{"Sign": h["Sign"]} }
