Read the head of an answer up to a limit

A status line, a header, headers, and the body of an answer to another request were read until the deadline: 1.4 GB, 1.8 GB, 190 MB, 6.8 GB and 460 MB (its chunks) in the three seconds of the test, the first three into memory. The connection now reads 64 KB of a head and 1 MB of another request's body at the most, and is closed then.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -52,6 +52,10 @@
 	// requests included, are read for one request before the connection is
 	// closed.
 	maxAnswerHeads = 3
+	// maxHeadBytes bounds the head of an answer, maxOtherBody the body of an answer to
+	// another request, in bytes. Servers in trouble may send either without end.
+	maxHeadBytes = 64 << 10
+	maxOtherBody = 1 << 20
 )
 
 // Request is a request to an upstream.
@@ -189,7 +193,8 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
-	return &connection{conn: n, reader: bufio.NewReaderSize(n, readerBytes)}, nil
+	source := &headLimiter{source: n}
+	return &connection{conn: n, source: source, reader: bufio.NewReaderSize(source, readerBytes)}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, nil if
@@ -231,8 +236,35 @@
 	return errors.Join(err, set)
 }
 
+// headLimiter limits what is read of a connection while a head is awaited.
+type headLimiter struct {
+	source io.Reader
+	// limited is set while a head is awaited, left is how many bytes may be read.
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+var (
+	errHeadTooLarge  = errors.New("the head of the answer is too large")
+	errOtherTooLarge = errors.New("an answer to another request is too large")
+)
+
 type connection struct {
 	conn   net.Conn
+	source *headLimiter
 	reader *bufio.Reader
 	// idleSince is when the connection last became idle.
 	idleSince    time.Time
@@ -316,7 +348,9 @@
 // readHead reads answers until one matches the request.
 func (c *connection) readHead(method string, matches AnswerMatcher) (*Answer, error) {
 	for range maxAnswerHeads {
+		c.source.limited, c.source.left = true, maxHeadBytes
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.source.limited = false
 		if err != nil {
 			return nil, brokenError(err, false)
 		}
@@ -326,7 +360,11 @@
 			return &Answer{Response: r, conn: c}, nil
 		default:
 			// A late answer to an earlier request.
-			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxOtherBody))
+			if err == nil && n == maxOtherBody {
+				err = errOtherTooLarge
+			}
+			if err != nil {
 				return nil, brokenError(err, false)
 			}
 		}
--- /dev/null
+++ b/connector/endless_test.go
@@ -0,0 +1,56 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"primrosehook/connector"
+	"primrosehook/judge"
+)
+
+var _ = Describe("Bytes without end in place of an answer", func() {
+	// Guards against reading, and holding in memory, whatever a server in trouble sends
+	// until the request's deadline.
+	DescribeTable("are read up to a limit only",
+		func(begin, repeat string) {
+			var sent atomic.Int64
+			u := listen(func(_ int, c net.Conn, r *bufio.Reader) bool {
+				if !readRequest(r) {
+					return false
+				}
+				_, err := io.WriteString(c, begin)
+				piece := strings.Repeat(repeat, 1+(32<<10)/len(repeat))
+				for err == nil {
+					var n int
+					n, err = io.WriteString(c, piece)
+					sent.Add(int64(n))
+				}
+				return false
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			p := connector.NewPool(u.Addr().String(), clockwork.NewRealClock(), &connector.DialCounter{})
+			_, err := p.Do(ctx, connector.Request{Method: http.MethodGet, Target: "/", Host: "h"}, func(_ int, h http.Header) bool { return h.Get("Id") == "q" })
+			Expect(judge.Of(err)).To(Equal(judge.MayHaveRun))
+			// The sockets' buffers hold some of it.
+			Expect(sent.Load()).To(BeNumerically("<", 32<<20))
+		},
+		Entry("a status line", "", "x"),
+		Entry("lines that are no head", "", "x\n"),
+		Entry("a header", "HTTP/1.1 200 OK\r\nId: q\r\nX: ", "x"),
+		Entry("headers", "HTTP/1.1 200 OK\r\nId: q\r\n", "X: y\r\n"),
+		Entry("interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+		Entry("the body of an answer to another request", "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x"),
+		Entry("the chunks of an answer to another request", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+	)
+})
