Wait for the reply of the lease holder while it arrives

Cause: an exchange had one limit for the time until anything arrives and for all of the reply. messenger.CallWithin limits the silence of the peer instead: nothing for 0.5 s ends the exchange as before, a reply that arrives is waited for up to 2 s.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -33,8 +33,10 @@
 	retryLimitPerInstance = 25 * time.Millisecond
 	// memberTTL is how long an instance counts after its last report.
 	memberTTL = 3 * time.Second
-	// exchangeTimeout is the timeout of a report with its reply.
+	// exchangeTimeout is how long the receiver of a report may be silent. While its reply
+	// arrives, it is waited for up to maxExchangeTime.
 	exchangeTimeout = 500 * time.Millisecond
+	maxExchangeTime = 2 * time.Second
 	// maxConfigTime is the longest time that sending a configuration may take of
 	// exchangeTimeout; the rest is left for other traffic on the link.
 	maxConfigTime = exchangeTimeout / 2
--- a/coordinator/exchange_test.go
+++ b/coordinator/exchange_test.go
@@ -111,9 +111,15 @@
 			receiver = 1
 		}
 		before := sent.Load()
-		for i, c := range all {
+		for i := range all {
 			if i != receiver {
 				sinks[i].table.Store(matcher.NewTable(2, nil, nil, matcher.Limits{}))
+			}
+		}
+		// Their next reports say so before the holder has the new version to send.
+		time.Sleep(500 * time.Millisecond)
+		for i, c := range all {
+			if i != receiver {
 				c.UpdateConfig(tailer.Record{Offset: 1, Key: "config", Value: make([]byte, configBytes)}, 2)
 			}
 		}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -261,13 +261,13 @@
 }
 
 func (c *Coordinator) sendReport(ctx context.Context, address string, r Report) (Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxExchangeTime)
 	defer cancel()
 	if address == c.Address {
 		return c.serveReport(ctx, r), nil
 	}
 	var reply Reply
-	err := c.Peers.Call(ctx, address, kindExchange, r, &reply)
+	err := c.Peers.CallWithin(ctx, exchangeTimeout, address, kindExchange, r, &reply)
 	return reply, eris.Wrap(err, "send report")
 }
 
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -37,14 +37,26 @@
 // unless out is nil. The error's verdict is NotRun only if the message was
 // certainly not written completely, or if the peer reported it.
 func (c *Client) Call(ctx context.Context, addr, kind string, body, out any) error {
+	return c.CallWithin(ctx, 0, addr, kind, body, out)
+}
+
+// CallWithin is Call, but ends when nothing has arrived from the peer for a time, zero for
+// no such limit. A reply that takes longer is waited for while it arrives, until the
+// context ends.
+func (c *Client) CallWithin(ctx context.Context, silence time.Duration, addr, kind string, body, out any) error {
 	data, err := msgpack.Marshal(body)
 	if err != nil {
 		return judge.Invalid("encode", "message cannot be encoded")
 	}
-	l, err := c.connect(ctx, addr)
+	l, err := c.connectWithin(ctx, silence, addr)
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if silence > 0 {
+		defer l.watchSilence(silence, cancel).stop()
+	}
 	answer, err := l.send(framer.Message{Kind: kind, Trace: injectTrace(ctx), Body: data})
 	if err != nil {
 		return err
@@ -124,7 +136,7 @@
 		_ = conn.Close()
 		return l, nil
 	}
-	counted := &countingConn{Conn: conn, counters: &c.counters}
+	counted := &countingConn{Conn: conn, counters: &c.counters, clock: c.options.clock}
 	fresh := &clientConn{
 		options:  c.options,
 		counters: &c.counters,
@@ -145,7 +157,7 @@
 type clientConn struct {
 	options  options
 	counters *counters
-	conn     net.Conn
+	conn     *countingConn
 	out      *outbox
 	// closed is closed once the read loop has ended and no more replies can
 	// arrive.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -139,12 +139,22 @@
 type countingConn struct {
 	net.Conn
 	counters *counters
+	// clock tells when bytes are read, nil if nobody asks. readAt is when the last ones
+	// were, in nanoseconds since 1970.
+	clock  clockwork.Clock
+	readAt atomic.Int64
 }
 
+// lastRead returns when bytes were read last.
+func (m *countingConn) lastRead() time.Time { return time.Unix(0, m.readAt.Load()) }
+
 // Read implements net.Conn.
 func (m *countingConn) Read(p []byte) (int, error) {
 	n, err := m.Conn.Read(p)
 	m.counters.bytesReceived.Add(int64(n))
+	if m.clock != nil && n > 0 {
+		m.readAt.Store(m.clock.Now().UnixNano())
+	}
 	return n, err
 }
 
