Try a quarantined part again after ten seconds at first

A part that was quarantined from many crashes was tried again only after up to an hour: a sound one that was at them by chance, when hardly a server was up, would have been refused all that time. Only crashes after the quarantine make the time longer now. They are counted by the time of the last one, so that an instance that has just begun to decide counts them too.

Parts with five crashes are also blamed if a few servers were lost with two such requests.

--- a/quarantiner/part_finder.go
+++ b/quarantiner/part_finder.go
@@ -14,7 +14,7 @@
 	suspectCrashes     = 2
 	guiltyCrashes      = 3
 	certainPartCrashes = 5
-	certainPrecision   = 0.8
+	certainPrecision   = 0.5
 )
 
 // minRefineShare is the share of a part's score that one that follows it must have to be
@@ -34,8 +34,8 @@
 	settleTime      = 400 * time.Millisecond
 	settleTimeInner = time.Second
 	// firstTrial is the time from the last crash of a part with guiltyCrashes to the
-	// next request with it; each further crash makes it trialFactor times longer, up to
-	// maxTrialDelay. trialTimeout is how long a trial may remain without an outcome.
+	// next request with it. It is trialFactor times longer for a part with more, and for
+	// each crash after its quarantine, up to maxTrialDelay. trialTimeout is how long a trial may remain without an outcome.
 	firstTrial    = 2 * time.Second
 	trialFactor   = 5
 	maxTrialDelay = time.Hour
@@ -57,16 +57,17 @@
 // PartQuarantine is a part of a prompt that crashes engines.
 type PartQuarantine struct {
 	Part uint64
-	// Crashes is how many lost engines count against the part, LastCrash when the last
-	// of them was lost.
-	Crashes   int
-	LastCrash time.Time
+	// Crashes is how many lost engines count against the part, Initial how many did when
+	// it was quarantined, and LastCrash when the last of them was lost.
+	Crashes, Initial int
+	LastCrash        time.Time
 }
 
-// trialDelay returns the time from the last crash to the next trial.
+// trialDelay returns the time from the last crash to the next trial. Crashes before the
+// quarantine may have another cause, so that more of them do not make it much longer.
 func (q PartQuarantine) trialDelay() time.Duration {
 	delay := firstTrial
-	for range q.Crashes - guiltyCrashes {
+	for range min(q.Initial-guiltyCrashes, 1) + q.Crashes - q.Initial {
 		if delay *= trialFactor; delay >= maxTrialDelay {
 			return maxTrialDelay
 		}
@@ -200,14 +201,18 @@
 // Merge adds a quarantine that another instance has found. One that a later survival has
 // ended is ignored.
 func (f *PartFinder) Merge(now time.Time, q PartQuarantine) {
-	if q.Crashes < guiltyCrashes || !now.Before(q.expiresAt()) || !q.LastCrash.After(f.LastSurvival(q.Part)) {
+	if q.Initial < guiltyCrashes || q.Crashes < q.Initial || !now.Before(q.expiresAt()) || !q.LastCrash.After(f.LastSurvival(q.Part)) {
 		return
 	}
 	known, ok := f.quarantines[q.Part]
 	if !ok && len(f.quarantines) == maxQuarantines {
 		return
 	}
-	f.quarantines[q.Part] = PartQuarantine{Part: q.Part, Crashes: max(known.Crashes, q.Crashes), LastCrash: latest(known.LastCrash, q.LastCrash)}
+	if ok {
+		q.Initial = min(q.Initial, known.Initial)
+	}
+	q.Crashes, q.LastCrash = max(known.Crashes, q.Crashes), latest(known.LastCrash, q.LastCrash)
+	f.quarantines[q.Part] = q
 }
 
 // partMark is a lost engine that counts against a part: when it was lost, and how many
@@ -371,6 +376,7 @@
 func (f *PartFinder) Decide(now time.Time) (suspected, marked []uint64) {
 	total, all := f.collectMarks(now), f.collectMarks(now)
 	marked = total.most(maxWatched)
+	f.prolong(total)
 	explained := map[string]bool{}
 	blamed := map[uint64]bool{}
 	open := func(part uint64) bool { return !blamed[part] }
@@ -410,20 +416,37 @@
 	return suspected, marked
 }
 
-// quarantine quarantines a part, or prolongs its quarantine, if the marks suffice. It
-// reports whether the part is quarantined.
-func (f *PartFinder) quarantine(now time.Time, part uint64, m *partMarks) bool {
-	q, known := f.quarantines[part]
-	times := m.times()
-	if !known {
-		settle := settleTime
-		if len(m.followers) > 0 {
-			settle = settleTimeInner
+// prolong adds the crashes since the last one to the quarantines.
+func (f *PartFinder) prolong(all marks) {
+	for part, q := range f.quarantines {
+		m, ok := all[part]
+		if !ok {
+			continue
 		}
-		if len(times) < guiltyCrashes || now.Sub(times[guiltyCrashes-1]) < settle || len(f.quarantines) == maxQuarantines {
-			return false
+		last := q.LastCrash
+		for _, at := range m.times() {
+			if at.After(last) {
+				q.Crashes, q.LastCrash = q.Crashes+1, at
+			}
 		}
+		f.quarantines[part] = q
+	}
+}
+
+// quarantine quarantines a part if the marks suffice. It reports whether the part is
+// quarantined.
+func (f *PartFinder) quarantine(now time.Time, part uint64, m *partMarks) bool {
+	if _, known := f.quarantines[part]; known {
+		return true
+	}
+	times := m.times()
+	settle := settleTime
+	if len(m.followers) > 0 {
+		settle = settleTimeInner
+	}
+	if len(times) < guiltyCrashes || now.Sub(times[guiltyCrashes-1]) < settle || len(f.quarantines) == maxQuarantines {
+		return false
 	}
-	f.quarantines[part] = PartQuarantine{Part: part, Crashes: max(q.Crashes, len(times)), LastCrash: latest(q.LastCrash, times[len(times)-1])}
+	f.quarantines[part] = PartQuarantine{Part: part, Crashes: len(times), Initial: len(times), LastCrash: times[len(times)-1]}
 	return true
 }
--- a/quarantiner/part_guard.go
+++ b/quarantiner/part_guard.go
@@ -19,6 +19,9 @@
 	decideInterval = 100 * time.Millisecond
 	// aloneAfter is how long after the last reply an instance decides by itself.
 	aloneAfter = 1500 * time.Millisecond
+	// ownTrialsAfter is how long after the last reply an instance makes trials by itself:
+	// longer than all instances are without one at the same time.
+	ownTrialsAfter = 30 * time.Second
 	// maxPartBreaks bounds the broken connections that are remembered.
 	maxPartBreaks = 4096
 	// maxRefusedParts bounds the parts that are reported as refused.
@@ -43,6 +46,7 @@
 type PartVerdict struct {
 	Part    uint64        `msgpack:"p"`
 	Crashes int           `msgpack:"c"`
+	Initial int           `msgpack:"i"`
 	Age     time.Duration `msgpack:"a"`
 }
 
@@ -179,7 +183,7 @@
 		}
 		until, granted := g.trials[p]
 		delete(g.trials, p)
-		if granted && now.Before(until) || g.alone(now) && g.grantTrial(now, p) {
+		if granted && now.Before(until) || now.Sub(g.repliedAt) >= ownTrialsAfter && g.grantTrial(now, p) {
 			trial = true
 			continue
 		}
@@ -278,7 +282,7 @@
 	var list []PartVerdict
 	for _, part := range slices.Sorted(maps.Keys(g.finder.quarantines)) {
 		if q, ok := g.finder.Quarantine(now, part); ok {
-			list = append(list, PartVerdict{Part: part, Crashes: q.Crashes, Age: now.Sub(q.LastCrash)})
+			list = append(list, PartVerdict{Part: part, Crashes: q.Crashes, Initial: q.Initial, Age: now.Sub(q.LastCrash)})
 		}
 	}
 	return list
@@ -287,7 +291,7 @@
 // merge applies quarantines of another instance. g.mu must be held.
 func (g *PartGuard) merge(now time.Time, list []PartVerdict) {
 	for _, v := range list {
-		g.finder.Merge(now, PartQuarantine{Part: v.Part, Crashes: v.Crashes, LastCrash: now.Add(-max(v.Age, 0))})
+		g.finder.Merge(now, PartQuarantine{Part: v.Part, Crashes: v.Crashes, Initial: v.Initial, LastCrash: now.Add(-max(v.Age, 0))})
 	}
 }
 
--- a/quarantiner/part_guard_test.go
+++ b/quarantiner/part_guard_test.go
@@ -123,6 +123,26 @@
 		Expect(quarantined(suspect)).To(BeZero())
 	})
 
+	// Guards against refusing a sound part for long because it was at many crashes when
+	// hardly a server was up.
+	It("ends a wrong suspicion soon however many crashes it was made from", func() {
+		for range 8 {
+			crash(guards[1], []uint64{1, suspect})
+		}
+		run(time.Second)
+		Expect(quarantined(suspect)).To(Equal(len(guards)))
+		run(10 * time.Second)
+		for range 10 {
+			for _, g := range guards {
+				if _, trial := g.Admit([]uint64{1, suspect}); trial {
+					g.Survived([]uint64{1, suspect})
+				}
+			}
+			exchange()
+		}
+		Expect(quarantined(suspect)).To(BeZero())
+	})
+
 	It("tries a part that goes on crashing engines ever more rarely", func() {
 		for range 3 {
 			crash(guards[1], []uint64{1, suspect})
