Reserve slots for prompts also at a server without time for them

Cause: the budget of prompt tokens in a window is zero when the running streams of a server take up all of it (77 at the sites' pauses). pacer.Schedule.add then adds reservations of no tokens without end.

Change: the budget is a chunk of a prompt at the least.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -33,6 +33,8 @@
 	// slowestModelFactor is how much slower than the fastest models large ones
 	// run: weights are from 65 to 73 GB.
 	slowestModelFactor = 1.1
+	// minBudget is the least number of prompt tokens in a window: a chunk of a prompt.
+	minBudget = 256
 	// maxWaitWindows is how many windows ahead a slot may be reserved. A waiting
 	// request can still be cancelled before it is sent, but more urgent ones
 	// can't pass it.
@@ -172,11 +174,11 @@
 
 // prefillBudget returns how many prompt tokens an engine can prefill within the
 // longest inter-event gap, besides the steps that make an event of its running
-// streams.
+// streams. It is at least minBudget: a server without time for prompts gets them slowly.
 func prefillBudget(window time.Duration, running, steps int) int {
 	stepMillis := float64(steps) * (baseStepMillis + streamStepMillis*float64(running))
 	remaining := float64(window)/float64(time.Millisecond)/slowestModelFactor - stepMillis
-	return int(max(remaining, 0) * balancer.PrefillRate)
+	return max(int(remaining*balancer.PrefillRate), minBudget)
 }
 
 // dropIdle drops idle schedules if there are maxSchedules or more.
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -108,6 +108,21 @@
 		Expect(a.Reserved).To(BeTrue())
 	})
 
+	// Guards against reservations without end, and without bound in memory, for a server
+	// with so many running streams that no time is left for prompts.
+	It("lets prompts through one by one to a server that has no time for them", func() {
+		i := startInstances(1)[0]
+		i.pacer.Update([]string{i.address})
+		ctx, load := context.Background(), balancer.EngineLoad{RunningStreams: 500, EventTokens: 4}
+		first, err := i.pacer.Reserve(ctx, "s", 1460, 300*time.Millisecond, load)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first).To(Equal(pacer.Reservation{Reserved: true}))
+		second, err := i.pacer.Reserve(ctx, "s", 1460, 300*time.Millisecond, load)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Reserved).To(BeFalse())
+		Expect(second.Wait).To(BeNumerically("<", 5*time.Second))
+	})
+
 	It("sends a server fewer prompt tokens the more streams it runs", func() {
 		all := startInstances(1)
 		count := func(incarnation string, running int) (n int) {
--- a/pacer/schedule.go
+++ b/pacer/schedule.go
@@ -40,6 +40,7 @@
 // returns the time until then. If that is longer than MaxWait it reserves
 // nothing, and returns false and the time after which to ask again.
 func (s *Schedule) Reserve(now time.Time, tokens int, limits Limits) (time.Duration, bool) {
+	limits.Tokens = max(limits.Tokens, 1)
 	s.reservations = slices.DeleteFunc(s.reservations, func(r reservation) bool { return now.Sub(r.at) >= limits.Window })
 	sum := 0
 	for _, r := range s.reservations {
