Learn quarantined parts from any peer, and try them more rarely

An instance that had been restarted while the store was away served requests from 15 s on, but knew neither a lease holder nor a deputy until after 19 s, and sent four requests with a part that its peers had quarantined at 6 s. A trial after ten seconds cost a server with all its streams, of few that were up.

Change: an instance that gets no replies, or has had none yet, asks peers for their quarantines (those it knows, and the seeds of its settings). A part is tried after 10 s if it was quarantined from three crashes and after 50 s from more; a wrong suspicion mostly ends by a request that was in progress, or by another explanation.

--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -40,6 +40,8 @@
 	// Instance names this incarnation of the instance, Machine where it runs,
 	// and Address is where peers reach it.
 	Instance, Machine, Address string
+	// Seeds are addresses of peers that are known from the start.
+	Seeds []string
 	// LinkMbps is the speed of the machine's link, in Mbit/s; zero if unknown.
 	LinkMbps float64
 	// OrderGap is the least time between orders of two lease holders.
@@ -130,6 +132,7 @@
 func (c *Coordinator) Serve(s *messenger.Server) {
 	s.Handle(kindExchange, c.handleReport)
 	s.Handle(kindConfig, c.handleConfig)
+	s.Handle(kindQuarantines, c.handleQuarantines)
 }
 
 // Run runs the coordinator until the context ends.
@@ -138,6 +141,7 @@
 	work.Go(func() { c.lease.run(ctx) })
 	work.Go(func() { c.reconciler.run(ctx) })
 	work.Go(func() { c.loopConfig(ctx) })
+	work.Go(func() { c.loopQuarantines(ctx) })
 	c.runReports(ctx)
 	work.Wait()
 }
@@ -250,16 +254,6 @@
 	return -1
 }
 
-// reportParts returns what to report about parts of prompts to an instance, all of it
-// if the last report went to another one.
-func (c *Coordinator) reportParts(address string) quarantiner.PartReport {
-	if address != c.partsReceiver {
-		c.partsReceiver = address
-		c.Parts.Resend()
-	}
-	return c.Parts.Report()
-}
-
 func (c *Coordinator) sendReport(ctx context.Context, address string, r Report) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxExchangeTime)
 	defer cancel()
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -153,7 +153,7 @@
 	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
 		tailer.WithInterval(func() time.Duration { return e.currentSettings().Drain / registryReadsPerDrain }), tailer.WithFeedTTL(feedTTL), tailer.WithMaxRetryInterval(e.maxRetryInterval))
 	e.coordinator = coordinator.New(coordinator.Dependencies{
-		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control, LinkMbps: s.Link,
+		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control, Seeds: s.Seeds, LinkMbps: s.Link,
 		OrderGap: s.Lease, ColdLoadWindow: s.CeilingWindow, ColdLoadOverage: s.CeilingOverage, LeaseLog: e.store.Leases(), OrderSender: platform.NewOrderClient(sender.NewClient()),
 		Fleet: e.fleet, Suspects: suspects, Parts: parts, Limits: e.throttler, Registry: e.tails.registry, Config: e.tails.config,
 		Table: e.relayer.Table, Clock: clock, Boot: clocker.SystemClock{}, Log: log, Peers: e.peers, Meter: e.metrics, OnMembers: e.updateMembers,
--- a/quarantiner/part_finder.go
+++ b/quarantiner/part_finder.go
@@ -36,7 +36,7 @@
 	// firstTrial is the time from the last crash of a part with guiltyCrashes to the
 	// next request with it. It is trialFactor times longer for a part with more, and for
 	// each crash after its quarantine, up to maxTrialDelay. trialTimeout is how long a trial may remain without an outcome.
-	firstTrial    = 2 * time.Second
+	firstTrial    = 10 * time.Second
 	trialFactor   = 5
 	maxTrialDelay = time.Hour
 	trialTimeout  = 5 * time.Second
--- a/quarantiner/part_guard.go
+++ b/quarantiner/part_guard.go
@@ -104,7 +104,9 @@
 	// granted are the trials that this instance has granted, and when.
 	granted map[uint64]time.Time
 	// repliedAt is when a reply arrived last, servedAt when a report was served last.
+	// replied is set once there was a reply.
 	repliedAt, servedAt time.Time
+	replied             bool
 	// resendUntil is until when reports have all evidence rather than news.
 	resendUntil time.Time
 }
@@ -219,9 +221,53 @@
 	})
 }
 
+// Alone reports whether this instance gets no replies, or has got none yet.
+func (g *PartGuard) Alone() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.replied || g.alone(g.clock.Now())
+}
+
 // alone reports whether this instance gets no replies. g.mu must be held.
 func (g *PartGuard) alone(now time.Time) bool { return now.Sub(g.repliedAt) >= aloneAfter }
 
+// Quarantines returns the quarantines, and which have ended of late.
+func (g *PartGuard) Quarantines() PartReply {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	return PartReply{Quarantines: g.verdicts(now), Cleared: g.clearedParts(now)}
+}
+
+// MergeQuarantines applies the quarantines of another instance, which has not decided on
+// the evidence of this one.
+func (g *PartGuard) MergeQuarantines(r PartReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mergeReply(g.clock.Now(), r)
+}
+
+// mergeReply applies the quarantines of a reply. g.mu must be held.
+func (g *PartGuard) mergeReply(now time.Time, r PartReply) {
+	for _, c := range r.Cleared {
+		g.finder.Survived(now, now.Add(-max(c.Age, 0)), c.Part)
+	}
+	g.merge(now, r.Quarantines)
+}
+
+// clearedParts returns the parts whose quarantine has ended of late. g.mu must be held.
+func (g *PartGuard) clearedParts(now time.Time) []PartAge {
+	var list []PartAge
+	for part, at := range g.finder.cleared {
+		if now.Sub(at) >= clearedResend {
+			delete(g.finder.cleared, part)
+			continue
+		}
+		list = append(list, PartAge{part, now.Sub(at)})
+	}
+	return list
+}
+
 // decide decides from the evidence at hand if this instance serves reports or gets no
 // replies. g.mu must be held.
 func (g *PartGuard) decide(now time.Time) {
@@ -309,14 +355,7 @@
 	}
 	g.merge(now, r.Quarantines)
 	g.decide(now)
-	reply := PartReply{Quarantines: g.verdicts(now), Suspected: slices.Clone(g.suspected), Watched: slices.Clone(g.marked)}
-	for part, at := range g.finder.cleared {
-		if now.Sub(at) >= clearedResend {
-			delete(g.finder.cleared, part)
-			continue
-		}
-		reply.Cleared = append(reply.Cleared, PartAge{part, now.Sub(at)})
-	}
+	reply := PartReply{Quarantines: g.verdicts(now), Cleared: g.clearedParts(now), Suspected: slices.Clone(g.suspected), Watched: slices.Clone(g.marked)}
 	for _, part := range r.Refused {
 		if g.grantTrial(now, part) {
 			reply.Trials = append(reply.Trials, part)
@@ -341,11 +380,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.repliedAt = now
-	for _, c := range r.Cleared {
-		g.finder.Survived(now, now.Add(-max(c.Age, 0)), c.Part)
-	}
-	g.merge(now, r.Quarantines)
+	g.repliedAt, g.replied = now, true
+	g.mergeReply(now, r)
 	g.suspected = r.Suspected
 	watched := map[uint64]time.Time{}
 	for _, part := range r.Watched {
