Split the decision on parts, and name the framing of streams in the seeded test

No change of behavior but one: the survival of a quarantined part ends its quarantine also when no more survivals are remembered.

--- a/messenger/silence.go
+++ b/messenger/silence.go
@@ -20,7 +20,7 @@
 
 // silenceWatch ends a call when nothing has arrived from the peer for a time.
 type silenceWatch struct {
-	conn    *clientConn
+	peer    *clientConn
 	limit   time.Duration
 	started time.Time
 	end     func()
@@ -32,7 +32,7 @@
 
 // watchSilence begins to watch a call.
 func (l *clientConn) watchSilence(limit time.Duration, end func()) *silenceWatch {
-	w := &silenceWatch{conn: l, limit: limit, started: l.options.clock.Now(), end: end}
+	w := &silenceWatch{peer: l, limit: limit, started: l.options.clock.Now(), end: end}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = l.options.clock.AfterFunc(limit, w.check)
@@ -41,8 +41,8 @@
 
 // check ends the call if the peer is silent, or sets the timer for the next check.
 func (w *silenceWatch) check() {
-	clock := w.conn.options.clock
-	silent := min(clock.Since(w.conn.conn.lastRead()), clock.Since(w.started))
+	clock := w.peer.options.clock
+	silent := min(clock.Since(w.peer.conn.lastRead()), clock.Since(w.started))
 	if silent >= w.limit {
 		w.end()
 		return
--- a/quarantiner/part_finder.go
+++ b/quarantiner/part_finder.go
@@ -35,7 +35,8 @@
 	settleTimeInner = time.Second
 	// firstTrial is the time from the last crash of a part with guiltyCrashes to the
 	// next request with it. It is trialFactor times longer for a part with more, and for
-	// each crash after its quarantine, up to maxTrialDelay. trialTimeout is how long a trial may remain without an outcome.
+	// each crash after its quarantine, up to maxTrialDelay. trialTimeout is how long a
+	// trial may remain without an outcome.
 	firstTrial    = 10 * time.Second
 	trialFactor   = 5
 	maxTrialDelay = time.Hour
@@ -49,6 +50,7 @@
 	// parts of a request.
 	maxCutRequests = 256
 	maxParts       = 8
+	// maxSurvivals is how many parts are kept in each window of survivals.
 	maxSurvivals   = 8192
 	maxQuarantines = 256
 	maxWatched     = 96
@@ -115,7 +117,8 @@
 	survivals, oldSurvivals map[uint64]time.Time
 	windowStart             time.Time
 	quarantines             map[uint64]PartQuarantine
-	// cleared are parts that were quarantined, and when they survived.
+	// cleared are parts whose quarantine has ended by a survival or another explanation,
+	// and when.
 	cleared map[uint64]time.Time
 }
 
@@ -172,10 +175,9 @@
 	if now.Sub(f.windowStart) >= crashLifetime {
 		f.oldSurvivals, f.survivals, f.windowStart = f.survivals, map[uint64]time.Time{}, now
 	}
-	if _, ok := f.survivals[part]; !ok && len(f.survivals) == maxSurvivals {
-		return
+	if known, ok := f.survivals[part]; ok || len(f.survivals) < maxSurvivals {
+		f.survivals[part] = latest(known, at)
 	}
-	f.survivals[part] = latest(f.survivals[part], at)
 	if q, ok := f.quarantines[part]; ok && !at.Before(q.LastCrash) {
 		delete(f.quarantines, part)
 		f.cleared[part] = at
@@ -374,46 +376,56 @@
 // Decide updates the quarantines from all marks. It returns the parts that are suspected,
 // which more evidence may still quarantine or clear, and those with marks.
 func (f *PartFinder) Decide(now time.Time) (suspected, marked []uint64) {
-	total, all := f.collectMarks(now), f.collectMarks(now)
-	marked = total.most(maxWatched)
-	f.prolong(total)
-	explained := map[string]bool{}
+	all := f.collectMarks(now)
+	marked = all.most(maxWatched)
+	f.prolong(all)
 	blamed := map[uint64]bool{}
+	suspected, explained := f.blameWorst(now, f.collectMarks(now), blamed)
+	for part, m := range all {
+		if !blamed[part] && all.isCertain(part, blamed) {
+			blamed[part] = f.quarantine(now, part, m)
+		}
+	}
+	f.releaseExplained(now, all, blamed, explained)
+	return suspected, marked
+}
+
+// blameWorst blames one part after the other for the engines that no part blamed before
+// explains; it uses up the marks. It returns the parts that are not quarantined, and the
+// engines that quarantined ones explain.
+func (f *PartFinder) blameWorst(now time.Time, left marks, blamed map[uint64]bool) (suspected []uint64, explained map[string]bool) {
+	explained = map[string]bool{}
 	open := func(part uint64) bool { return !blamed[part] }
 	for {
-		worst, ok := all.worst(suspectCrashes, open)
+		worst, ok := left.worst(suspectCrashes, open)
 		if !ok {
-			break
+			return suspected, explained
 		}
-		least := min(len(all[worst].engines), guiltyCrashes)
-		worst = all.refine(worst, least, open)
+		worst = left.refine(worst, min(len(left[worst].engines), guiltyCrashes), open)
 		blamed[worst] = true
-		if f.quarantine(now, worst, all[worst]) {
-			for engine := range all[worst].engines {
+		if f.quarantine(now, worst, left[worst]) {
+			for engine := range left[worst].engines {
 				explained[engine] = true
 			}
 		} else {
 			suspected = append(suspected, worst)
 		}
-		all.explain(worst)
-	}
-	for part, m := range total {
-		if !blamed[part] && total.isCertain(part, blamed) {
-			blamed[part] = f.quarantine(now, part, m)
-		}
+		left.explain(worst)
 	}
+}
+
+// releaseExplained ends the quarantines of parts that are not to blame: other quarantined
+// parts explain all their crashes by now.
+func (f *PartFinder) releaseExplained(now time.Time, all marks, blamed map[uint64]bool, explained map[string]bool) {
+	unexplained := func(engine string) bool { return !explained[engine] }
 	for part, q := range f.quarantines {
-		m, ok := total[part]
-		if blamed[part] || !ok || len(m.engines) < q.Crashes {
+		m, ok := all[part]
+		if blamed[part] || !ok || len(m.engines) < q.Crashes || slices.ContainsFunc(slices.Collect(maps.Keys(m.engines)), unexplained) {
 			continue
 		}
-		if unexplained := func(engine string) bool { return !explained[engine] }; !slices.ContainsFunc(slices.Collect(maps.Keys(m.engines)), unexplained) {
-			// Other quarantined parts explain all its crashes by now.
-			delete(f.quarantines, part)
-			f.cleared[part] = now
-		}
+		delete(f.quarantines, part)
+		f.cleared[part] = now
 	}
-	return suspected, marked
 }
 
 // prolong adds the crashes since the last one to the quarantines.
--- a/relayer/seeds_test.go
+++ b/relayer/seeds_test.go
@@ -74,6 +74,8 @@
 			abortConnection(w, q)
 		case !strings.HasPrefix(q.URL.Path, "/chat/"):
 			signedAnswer("whole")(w, q)
+		case fate == 4:
+			unframedStream(random.IntN(3*lastTestEvent))(w, q)
 		default:
 			from, breakAfter := 0, random.IntN(3*lastTestEvent)
 			_, _ = fmt.Sscan(q.Header.Get("Last"), &from)
@@ -94,6 +96,29 @@
 	}
 }
 
+// unframedStream streams events after the request's Last header up to lastTestEvent, with
+// neither a length nor chunks. It closes the connection in the event after breakAfter, if
+// there is one.
+func unframedStream(breakAfter int) handler {
+	return func(w http.ResponseWriter, q *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		from := 0
+		_, _ = fmt.Sscan(q.Header.Get("Last"), &from)
+		_, _ = io.WriteString(c, framedHead(q.Header.Get("Id"), "neither", 0))
+		for i := from + 1; i <= lastTestEvent; i++ {
+			_, _ = fmt.Fprintf(c, "id: %d\ndata: %d\n\n", i, i)
+			if i == breakAfter && i < lastTestEvent {
+				_, _ = io.WriteString(c, "id: 9\nda")
+				return
+			}
+		}
+	}
+}
+
 // sendRandom sends a request of a random kind, which its client may give up, and
 // returns what is wrong with its answer, empty for nothing.
 func (w *fixture) sendRandom(random *rand.Rand, id string, log *runLog) string {
