Log the builds of servers and what a request takes up

The log named neither the build of a server nor the request whose stream a client takes up again, so that tries of clients, attempts inside one answer and registrations that are out of date could not be told apart.

Registrations and attempts carry the build, attempts the event they go on after, requests the ID in Resumes and their first event. streams_taken_up counts the requests that take a stream up. Requests that do are always logged.

--- a/entryassembler/sinks.go
+++ b/entryassembler/sinks.go
@@ -142,7 +142,7 @@
 	if !r.core.Put(now, x.Offset, s) {
 		return false
 	}
-	r.log.Info("registry: server registered", zap.String("server", s.ID), zap.String("service", s.Service), zap.String("address", s.Address),
+	r.log.Info("registry: server registered", zap.String("server", s.ID), zap.String("service", s.Service), zap.String("address", s.Address), zap.String("build", s.Build),
 		zap.Bool("draining", s.Draining), zap.Int64("beat", s.Heartbeat), zap.Int64("offset", x.Offset), zap.Int("models", len(s.Loaded)))
 	return true
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -25,7 +25,10 @@
 	// Address is IP:PORT.
 	Address string
 	Zone    string
-	Slots   int
+	// Build identifies the software that the server runs. Servers of one service may
+	// run several builds, whose answers to the same request differ.
+	Build string
+	Slots int
 	// Draining servers take no new requests.
 	Draining bool
 	// Remaining is the time until a server that is reclaimed at short notice is
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -64,7 +64,7 @@
 // newAttempt returns an attempt that is not sent yet. end must be called in the
 // end.
 func (x *exchange) newAttempt(assignment *balancer.Assignment, lastEvent string) *attempt {
-	t := &attempt{exchange: x, assignment: assignment, resumeAfter: lastEvent, record: x.newRecord(assignment)}
+	t := &attempt{exchange: x, assignment: assignment, resumeAfter: lastEvent, record: x.newRecord(assignment, lastEvent)}
 	t.attemptContext, t.cancel = context.WithCancel(x.context)
 	t.attemptContext, t.span = x.tracer.Start(t.attemptContext, "attempt")
 	return t
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -18,7 +18,11 @@
 
 // attemptRecord describes one attempt in the log.
 type attemptRecord struct {
-	server  string
+	server string
+	// build is the server's build, after the last event that the client had when the
+	// request was sent, empty for none.
+	build   string
+	after   string
 	at      time.Duration
 	outcome string
 	inputs  balancer.ChoiceInputs
@@ -29,6 +33,10 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (a *attemptRecord) MarshalLogObject(e zapcore.ObjectEncoder) error {
 	e.AddString("server", a.server)
+	e.AddString("build", a.build)
+	if a.after != "" {
+		e.AddString("after", a.after)
+	}
 	e.AddInt64("at_ms", a.at.Milliseconds())
 	e.AddString("outcome", a.outcome)
 	if a.framing != "" {
@@ -43,14 +51,14 @@
 }
 
 // newRecord returns the log record of an attempt that begins now.
-func (x *exchange) newRecord(assignment *balancer.Assignment) *attemptRecord {
+func (x *exchange) newRecord(assignment *balancer.Assignment, lastEvent string) *attemptRecord {
 	at := x.clock.Since(x.started)
 	x.meter.Observe(MetricWait+x.route.Kind.String(), at)
-	return &attemptRecord{server: assignment.ID, at: at, inputs: assignment.Inputs, outcome: "under way"}
+	return &attemptRecord{server: assignment.ID, build: assignment.Build, after: lastEvent, at: at, inputs: assignment.Inputs, outcome: "under way"}
 }
 
 // finishAnswered measures an answered request and logs it if it was late, took
-// more than one attempt or has an error status. The others are sampled by the
+// more than one attempt, took a stream up again or has an error status. The others are sampled by the
 // hash of the request ID.
 func (x *exchange) finishAnswered(status int) {
 	x.meter.Add(MetricAnswered, 1)
@@ -64,7 +72,7 @@
 		first = x.firstByte.Sub(x.started)
 	}
 	late := x.route.LatencyTarget > 0 && first > x.route.LatencyTarget || x.route.MaxEventGap > 0 && x.longestPause > x.route.MaxEventGap
-	if !late && len(x.attempts) == 1 && status < 400 && balancer.Hash(x.meta.ID)%sampleEvery != 0 {
+	if !late && len(x.attempts) == 1 && x.startEvent == "" && status < 400 && balancer.Hash(x.meta.ID)%sampleEvery != 0 {
 		return
 	}
 	fields := append(x.decisionFields(), zap.Int("status", status), zap.Bool("late", late),
@@ -120,5 +128,6 @@
 		zap.String("client", clientAddress(x.request)), zap.String("target", x.request.RequestURI), zap.String("digest", digestText(x.digest)),
 		zap.String("service", x.service), zap.String("key", x.query.Key()), zap.String("parts", partsText(x.meta.Parts)), zap.Int("prompt", x.query.PromptTokens),
 		zap.Duration("limit", x.deadline.Sub(x.started)), zap.Objects("tries", x.attempts),
+		zap.String("resumes", x.meta.Resumes), zap.String("start_event", x.startEvent),
 	}
 }
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -81,7 +81,10 @@
 	}
 	x := &exchange{
 		Relayer: r, writer: w, request: q, meta: meta, route: route,
-		started: r.clock.Now(), log: log, tableVersion: table.Version,
+		started: r.clock.Now(), log: log, tableVersion: table.Version, startEvent: meta.LastEvent,
+	}
+	if x.startEvent != "" {
+		r.meter.Add(MetricTakenUp, 1)
 	}
 	if !x.readBody(table.Limits) {
 		return
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -42,8 +42,9 @@
 	PromptTokens, MaxOutputTokens, ExpectedOutputTokens int
 	Parts                                               []Part
 	// LastEvent is the ID of the last event that the client has received, empty
-	// for none.
+	// for none. Resumes is the ID of the request whose answer brought the first one.
 	LastEvent string
+	Resumes   string
 }
 
 // ForwardInfo is what is sent to a server in headers, besides the client's own.
@@ -180,6 +181,7 @@
 	MetricRetried         = "attempts_repeated"
 	MetricBudgetExhausted = "retry_budget_used_up"
 	MetricResumed         = "streams_resumed"
+	MetricTakenUp         = "streams_taken_up"
 	MetricRateLimited     = "sends_held_by_rate_limit"
 	MetricWait            = "wait_for_server_ms_"
 	MetricFirst           = "first_byte_ms_"
@@ -371,6 +373,9 @@
 	trial        bool
 	log          *zap.Logger
 	tableVersion int64
+	// startEvent is the last event that the client had when the request arrived, empty
+	// for none.
+	startEvent string
 
 	// sends counts the attempts that may have reached a server; mayHaveRun is
 	// set once one of them may have run the request.
