Reproduce streams with events of two builds (red)

A stream that a client takes up again at another instance, or that goes on inside one answer after a break or a silence, is sent to any server of its service.

--- a/faker/model_server.go
+++ b/faker/model_server.go
@@ -21,6 +21,9 @@
 	LoadTime  time.Duration
 	ReportLag time.Duration
 	MaxModels int
+	// Build is the version of the software in the registration, empty for none. Events
+	// of streams name it.
+	Build string
 
 	mu         sync.Mutex
 	models     map[string][]string
@@ -77,8 +80,12 @@
 func (p *ModelServer) Registration(service, address, zone, state string, sequence int) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"sequence":%d,"born":1700000000000,"models":%s}`,
-		service, address, zone, state, sequence, p.modelsJSON()))
+	version := ""
+	if p.Build != "" {
+		version = fmt.Sprintf(`"version":%q,`, p.Build)
+	}
+	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,%s"slots":8,"state":%q,"sequence":%d,"born":1700000000000,"models":%s}`,
+		service, address, zone, version, state, sequence, p.modelsJSON()))
 }
 
 func (p *ModelServer) modelsJSON() []byte {
@@ -231,8 +238,10 @@
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
-	for i := range 3 {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, p.ID)
+	from := 0
+	_, _ = fmt.Sscan(q.Header.Get("Last-Event-Id"), &from)
+	for i := from; i < 3; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, strings.TrimSpace(p.ID+" "+p.Build))
 		_ = http.NewResponseController(w).Flush()
 	}
 }
