--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -39,6 +39,7 @@
 	// started.
 	lastByte, receivingSince atomic.Int64
 	Dials                    connector.DialCounter
+	dialer                   connector.Dialer
 
 	mu sync.Mutex
 	// registryRead is when the registry was last read, zero if that is not recorded.
@@ -53,14 +54,26 @@
 	noReplica       chan struct{}
 }
 
+// FleetOption sets an option of a Fleet.
+type FleetOption func(*Fleet)
+
+// WithDialer sets how connections to servers are opened; the default is
+// connector.DirectDialer.
+func WithDialer(d connector.Dialer) FleetOption { return func(f *Fleet) { f.dialer = d } }
+
 // NewFleet returns a fleet without servers.
-func NewFleet(zone string, seed uint64, clock clockwork.Clock) *Fleet {
-	return &Fleet{
+func NewFleet(zone string, seed uint64, clock clockwork.Clock, options ...FleetOption) *Fleet {
+	f := &Fleet{
 		zone: zone, seed: seed, clock: clock, started: clock.Now(),
 		cores: map[string]*Core{}, pools: map[string]*connector.Pool{},
 		arrived: map[demandKey]int{}, awaitingReplica: map[demandKey]int{},
 		queues: map[string]*WaitQueue{}, registryWasRead: make(chan struct{}), noReplica: make(chan struct{}, 1),
+		dialer: connector.DirectDialer{},
+	}
+	for _, o := range options {
+		o(f)
 	}
+	return f
 }
 
 // NoReplica returns a channel that gets a value when a request has found no
@@ -79,7 +92,7 @@
 		key := s.Incarnation + s.Address
 		p, ok := f.pools[key]
 		if !ok {
-			p = connector.NewPool(s.Address, f.clock, &f.Dials)
+			p = connector.NewPool(s.Address, f.clock, &f.Dials, connector.WithDialer(f.dialer))
 		}
 		pools[key] = p
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -89,6 +89,7 @@
 	address string
 	clock   clockwork.Clock
 	dials   *DialCounter
+	dialer  Dialer
 
 	mu       sync.Mutex
 	idle     []*connection
@@ -115,9 +116,24 @@
 	d.mu.Unlock()
 }
 
+// Dialer opens connections to upstreams.
+type Dialer interface {
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// PoolOption sets an option of a Pool.
+type PoolOption func(*Pool)
+
+// WithDialer sets how connections are opened; the default is DirectDialer.
+func WithDialer(d Dialer) PoolOption { return func(p *Pool) { p.dialer = d } }
+
 // NewPool returns a pool without connections.
-func NewPool(address string, clock clockwork.Clock, dials *DialCounter) *Pool {
-	return &Pool{address: address, clock: clock, dials: dials, keepIdle: defaultKeepIdle}
+func NewPool(address string, clock clockwork.Clock, dials *DialCounter, options ...PoolOption) *Pool {
+	p := &Pool{address: address, clock: clock, dials: dials, dialer: DirectDialer{}, keepIdle: defaultKeepIdle}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
 // Close closes the idle connections. Those in use are closed when their answer
@@ -195,12 +211,7 @@
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context) (*connection, error) {
 	p.dials.add()
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
-		Control:         setUserTimeout,
-	}
-	n, err := d.DialContext(ctx, "tcp", p.address)
+	n, err := p.dialer.Dial(ctx, p.address)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
@@ -208,6 +219,19 @@
 	return &connection{conn: n, source: source, reader: bufio.NewReaderSize(source, readerBytes), openedAt: p.clock.Now()}, nil
 }
 
+// DirectDialer opens TCP connections.
+type DirectDialer struct{}
+
+// Dial implements Dialer.
+func (DirectDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
+		Control:         setUserTimeout,
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // popIdle removes and returns the most recently used idle connection, nil if there is
 // none; if a time is given, of those that were opened before it. It closes those that have
 // been idle for too long.
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -21,6 +21,7 @@
 
 	"primrosehook/balancer"
 	"primrosehook/clocker"
+	"primrosehook/connector"
 	"primrosehook/coordinator"
 	"primrosehook/exporter"
 	"primrosehook/messenger"
@@ -107,6 +108,7 @@
 
 type options struct {
 	tracer         trace.Tracer
+	dialer         connector.Dialer
 	values         map[string]func() int64
 	settingsSource SettingsSource
 }
@@ -114,6 +116,10 @@
 // WithTracer sets the tracer for spans of requests and attempts.
 func WithTracer(t trace.Tracer) Option { return func(o *options) { o.tracer = t } }
 
+// WithDialer sets how connections to servers are opened; the default is
+// connector.DirectDialer.
+func WithDialer(d connector.Dialer) Option { return func(o *options) { o.dialer = d } }
+
 // WithMetric adds a value to the metrics.
 func WithMetric(name string, read func() int64) Option {
 	return func(o *options) { o.values[name] = read }
@@ -122,7 +128,7 @@
 // Run runs an instance until the context ends and its requests are finished or
 // the grace period is over.
 func Run(ctx context.Context, s platform.Settings, clock clockwork.Clock, log *zap.Logger, set ...Option) error {
-	o := options{tracer: tracer.NewNoop(), values: map[string]func() int64{}}
+	o := options{tracer: tracer.NewNoop(), dialer: connector.DirectDialer{}, values: map[string]func() int64{}}
 	for _, f := range set {
 		f(&o)
 	}
@@ -136,7 +142,7 @@
 	e := &Entry{initial: s, source: o.settingsSource, clock: clock, log: log, metrics: exporter.New()}
 	e.current.Store(&s)
 	e.store = platform.NewStore(s.Store, sender.NewClient())
-	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock)
+	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock, balancer.WithDialer(o.dialer))
 	// Until the number of instances is known, the slack is shared among
 	// assumedInstances.
 	slack := float64(s.RetrySlack) * retryBudgetShare / assumedInstances
--- a/entryassembler/entryassembler_test.go
+++ b/entryassembler/entryassembler_test.go
@@ -46,6 +46,8 @@
 	readies   []string
 	metrics   []string
 	ended     []chan struct{}
+	// links are the instances' links to servers.
+	links []*serverLinks
 }
 
 const config = `{"version":%d,"routes":[
@@ -83,12 +85,14 @@
 		Memory: 284, Descriptors: 4100, Grace: 3 * time.Second, Drain: 2 * time.Second, Lease: 300 * time.Millisecond,
 		RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, CeilingWindow: 5 * time.Second, CeilingOverage: 1.1,
 	}
+	links := &serverLinks{}
+	g.links = append(g.links, links)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer GinkgoRecover()
 		defer close(done)
-		Expect(entryassembler.Run(ctx, s, clockwork.NewRealClock(), zap.NewNop())).To(Succeed())
+		Expect(entryassembler.Run(ctx, s, clockwork.NewRealClock(), zap.NewNop(), entryassembler.WithDialer(links))).To(Succeed())
 	}()
 	g.metrics = append(g.metrics, s.Metrics)
 	g.stops, g.fronts, g.readies, g.ended = append(g.stops, stop), append(g.fronts, s.Front), append(g.readies, s.Ready), append(g.ended, done)
