Reproduce a brittle server that instances together have refuse too much (red)

Servers that say Server-Brittle fall over when they have to refuse more than so many requests in a second.

--- a/faker/model_server.go
+++ b/faker/model_server.go
@@ -24,6 +24,12 @@
 	// Build is the version of the software in the registration, empty for none. Events
 	// of streams name it.
 	Build string
+	// Capacity is how many requests are taken at a time, zero for any number, and WorkTime how
+	// long each takes. Brittle is how many refusals a second the server says that it bears,
+	// empty if it is not brittle.
+	Capacity int
+	WorkTime time.Duration
+	Brittle  string
 
 	mu         sync.Mutex
 	models     map[string][]string
@@ -41,6 +47,11 @@
 	// when requests arrived.
 	limit    string
 	arrivals []time.Time
+	// working counts the requests that are worked on, refusals are when others were refused
+	// for want of room, and answered counts those that were not.
+	working  int
+	refusals []time.Time
+	answered int
 }
 
 // NewModelServer returns a server that has some models loaded.
@@ -67,6 +78,33 @@
 	return slices.Clone(p.arrivals)
 }
 
+// Refusals returns when requests were refused for want of room, and how many others were
+// answered.
+func (p *ModelServer) Refusals() ([]time.Time, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.refusals), p.answered
+}
+
+// begin reports whether there is room for a request.
+func (p *ModelServer) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.Capacity > 0 && p.working >= p.Capacity {
+		p.refusals = append(p.refusals, time.Now())
+		return false
+	}
+	p.working++
+	return true
+}
+
+func (p *ModelServer) finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.working--
+	p.answered++
+}
+
 // Accepted returns the accepted orders as "OPERATION KEY", and the lease
 // holders that sent them.
 func (p *ModelServer) Accepted() ([]string, []string) {
@@ -232,6 +270,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if p.Brittle != "" {
+		h.Set("Server-Brittle", p.Brittle)
+	}
+	if !p.begin() {
+		h.Set("Primrosehook-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer p.finish()
+	time.Sleep(p.WorkTime)
 	h.Set("Primrosehook-Server-Signature", p.ID)
 	if model == "" {
 		_, _ = fmt.Fprintf(w, "%s ran %s", p.ID, body)
