Let one instance admit the requests to each brittle server

Servers that say Server-Brittle: N fall over when they refuse more than N requests in a second for want of room. In the test a server that bears 8 got 178 refusals in a second from four instances: each one sent what it held for right.

While a service's servers are brittle, one instance, chosen by rendezvous, admits the requests to a server and hears of their ends and refusals. A request that is not admitted goes to another server or is refused at once; no failover goes to a brittle server.

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -33,6 +33,7 @@
 	"primrosehook/registrar"
 	"primrosehook/relayer"
 	"primrosehook/sender"
+	"primrosehook/sparer"
 	"primrosehook/tailer"
 	"primrosehook/throttler"
 	"primrosehook/tracer"
@@ -103,6 +104,7 @@
 	throttler       *throttler.Throttler
 	pinner          *pinner.Pinner
 	detourer        *detourer.Detourer
+	sparer          *sparer.Sparer
 	metrics         *exporter.Registry
 	stopping        atomic.Bool
 	work            sync.WaitGroup
@@ -158,8 +160,9 @@
 	e.pacer = pacer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.throttler = throttler.New(s.Control, s.Seeds, e.peers, clock, clocker.SystemClock{}, log)
 	e.pinner = pinner.New(s.Control, s.Seeds, e.peers, clock, log)
+	e.sparer = sparer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(parts), relayer.WithOrigins(e.pinner),
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -186,6 +189,7 @@
 	e.throttler.Update(addresses)
 	e.pinner.Update(addresses)
 	e.detourer.Update(addresses)
+	e.sparer.Update(addresses)
 }
 
 // updateRegistry passes on new records of the registry and the servers that result.
@@ -228,6 +232,7 @@
 	e.throttler.Serve(messages)
 	e.pinner.Serve(messages)
 	e.detourer.Serve(messages)
+	e.sparer.Serve(messages)
 	failed := make(chan error, 2)
 	e.start(func() { e.listen(clientServer, clientListener{front}, failed) })
 	e.start(func() { e.listen(checks, ready, failed) })
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -16,6 +16,7 @@
 	"primrosehook/connector"
 	"primrosehook/judge"
 	"primrosehook/matcher"
+	"primrosehook/sparer"
 )
 
 const (
@@ -56,6 +57,8 @@
 	// request is known not to crash its server.
 	firstEvent time.Time
 	survived   bool
+	// pass is the admission to a brittle server, nil if none was needed.
+	pass *sparer.Pass
 	// reached is set if the attempt counts as one of the route's attempts, ran if
 	// the server may have run the request.
 	reached, ran bool
@@ -65,6 +68,7 @@
 // end.
 func (x *exchange) newAttempt(assignment *balancer.Assignment, lastEvent string) *attempt {
 	t := &attempt{exchange: x, assignment: assignment, resumeAfter: lastEvent, record: x.newRecord(assignment, lastEvent)}
+	t.pass, x.pass = x.pass, nil
 	t.attemptContext, t.cancel = context.WithCancel(x.context)
 	t.attemptContext, t.span = x.tracer.Start(t.attemptContext, "attempt")
 	return t
@@ -73,6 +77,7 @@
 // end releases what the attempt uses. Its answer can't be read any more.
 func (t *attempt) end() {
 	t.cancel()
+	t.pass.End(false)
 	t.span.End()
 }
 
@@ -96,6 +101,7 @@
 	t.record.framing = framingText(t.answer)
 	t.info = t.codec.ParseAnswer(t.answer.StatusCode, t.answer.Header)
 	t.observeRateLimit()
+	t.observeBrittle()
 	t.observePause()
 	if t.info.KeepAlive > 0 {
 		t.assignment.Pool.KeepIdle(t.info.KeepAlive)
@@ -115,6 +121,18 @@
 	}
 }
 
+// observeBrittle records whether the servers are brittle, and a refusal for want of room at
+// once. An answer that may be another server's, or damaged, is passed over.
+func (t *attempt) observeBrittle() {
+	if t.info.NotLoaded || !t.info.Signed && !t.info.Refused {
+		return
+	}
+	t.sparer.Observe(t.service, t.info.Bears, t.info.Brittle)
+	if t.info.Refused && t.answer.StatusCode == http.StatusServiceUnavailable {
+		t.pass.End(true)
+	}
+}
+
 // observePause records whether the server wants no further requests, or none for a time.
 // An answer that may be another server's, or damaged, is passed over.
 func (t *attempt) observePause() {
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -18,6 +18,10 @@
 )
 
 const (
+	// maxAdmissions is how often a request asks to be admitted to a brittle server, as long as
+	// the pauses between are no longer than maxAdmissionWait, before it goes elsewhere.
+	maxAdmissions    = 4
+	maxAdmissionWait = 20 * time.Millisecond
 	// noTableRetryAfter is the Retry-After while there is no configuration: about
 	// the time of one read of the configuration.
 	noTableRetryAfter = 500 * time.Millisecond
@@ -210,6 +214,7 @@
 			}
 			if x.isQuarantined() {
 				assignment.Cancel()
+				x.pass.End(false)
 				x.backlog = max(x.suspects.Remaining(x.digest), minQuarantineRetryAfter)
 				x.giveUp("quarantined meanwhile", zap.String("digest", digestText(x.digest)))
 				return
@@ -292,7 +297,7 @@
 	defer context.AfterFunc(x.waits, cancel)()
 	for {
 		assignment, status := x.fleet.Await(ctx, x.service, x.query)
-		if assignment == nil || x.waitForSlot(assignment) && x.withinRateLimit(assignment) {
+		if assignment == nil || x.waitForSlot(assignment) && x.withinRateLimit(assignment) && x.admitted(assignment) {
 			return assignment, status
 		}
 	}
@@ -314,6 +319,30 @@
 	return ok
 }
 
+// admitted reports whether the request may be sent to its server, if that is brittle. If it is
+// not, the assignment is cancelled.
+func (x *exchange) admitted(assignment *balancer.Assignment) bool {
+	for range maxAdmissions {
+		pass, wait, ok := x.sparer.Admit(x.context, x.service, assignment.Incarnation)
+		if ok {
+			x.pass = pass
+			return true
+		}
+		if wait > maxAdmissionWait || x.context.Err() != nil {
+			x.meter.Add(MetricSpared, 1)
+			assignment.RateLimit(wait)
+			return false
+		}
+		select {
+		case <-x.clock.After(wait):
+		case <-x.context.Done():
+		}
+	}
+	x.meter.Add(MetricSpared, 1)
+	assignment.RateLimit(maxAdmissionWait)
+	return false
+}
+
 // waitForSlot reserves a slot in the server's schedule for the prompt and waits
 // for it. It reports false if there is no slot soon enough; the assignment is
 // postponed then.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -19,6 +19,7 @@
 	"primrosehook/pacer"
 	"primrosehook/pinner"
 	"primrosehook/quarantiner"
+	"primrosehook/sparer"
 	"primrosehook/tracer"
 )
 
@@ -84,6 +85,10 @@
 	Encoded   bool
 	Load      Load
 	RateLimit RateLimit
+	// Brittle means that the servers of the service are brittle: one that refuses more than
+	// Bears requests in a second for want of room falls over.
+	Brittle   bool
+	Bears     int
 	KeepAlive time.Duration
 }
 
@@ -171,6 +176,17 @@
 	Find(ctx context.Context, id string) (o pinner.Origin, begun time.Time, ok bool)
 }
 
+// Sparer admits requests to brittle servers, together with the other instances.
+type Sparer interface {
+	// Observe records whether an answer says that the servers of a service are brittle, and
+	// how many refusals each bears in a second. Brittle reports whether they are.
+	Observe(service string, bears int, brittle bool)
+	Brittle(service string) bool
+	// Admit reports whether a request may be sent to an incarnation of a server of a service
+	// now. If not, it returns the time until one may be.
+	Admit(ctx context.Context, service, incarnation string) (pass *sparer.Pass, wait time.Duration, ok bool)
+}
+
 // Meter receives counts and durations.
 type Meter interface {
 	Add(name string, n int64)
@@ -192,6 +208,7 @@
 	MetricResumed         = "streams_resumed"
 	MetricTakenUp         = "streams_taken_up"
 	MetricRateLimited     = "sends_held_by_rate_limit"
+	MetricSpared          = "sends_held_for_brittle_servers"
 	MetricWait            = "wait_for_server_ms_"
 	MetricFirst           = "first_byte_ms_"
 	MetricTotal           = "whole_answer_ms_"
@@ -207,6 +224,7 @@
 	pacer    Pacer
 	throttle Throttler
 	origins  Origins
+	sparer   Sparer
 	clock    clockwork.Clock
 	log      *zap.Logger
 	table    atomic.Pointer[matcher.Table]
@@ -242,6 +260,15 @@
 	return 0, true
 }
 
+// noneBrittle is a Sparer for servers that are not brittle.
+type noneBrittle struct{}
+
+func (noneBrittle) Observe(string, int, bool) {}
+func (noneBrittle) Brittle(string) bool       { return false }
+func (noneBrittle) Admit(context.Context, string, string) (*sparer.Pass, time.Duration, bool) {
+	return nil, 0, true
+}
+
 // noOrigins is an Origins that knows none.
 type noOrigins struct{}
 
@@ -282,6 +309,9 @@
 // kept.
 func WithThrottler(t Throttler) Option { return func(r *Relayer) { r.throttle = t } }
 
+// WithSparer spares brittle servers; without it they get requests as others do.
+func WithSparer(s Sparer) Option { return func(r *Relayer) { r.sparer = s } }
+
 // WithOrigins continues streams that clients take up again at the build that began them;
 // without it only those of services that run one build are continued.
 func WithOrigins(o Origins) Option { return func(r *Relayer) { r.origins = o } }
@@ -302,7 +332,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, options ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
+		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
 	}
 	r.waits, r.endWaits = context.WithCancel(context.Background())
 	for _, o := range options {
@@ -419,6 +449,9 @@
 	lastWrite                    time.Time
 	longestPause, longestPauseAt time.Duration
 
+	// pass is the admission of the next attempt to a brittle server, nil if it needs none.
+	pass *sparer.Pass
+
 	// backlog is the estimated time until a server is free, for a request that
 	// got none.
 	backlog time.Duration
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -267,7 +267,7 @@
 
 // reserveOther takes a server of a build that is not excluded, and a retry from the budget.
 // It returns nil, and takes neither, if either is unavailable, the request is
-// quarantined or the server names a rate limit.
+// quarantined, the server names a rate limit or is brittle.
 func (x *exchange) reserveOther(excluded []string, build string) *balancer.Assignment {
 	if x.trial || x.isQuarantined() {
 		return nil
@@ -279,7 +279,7 @@
 	if status != balancer.Found {
 		return nil
 	}
-	if x.throttle.Limited(next.Incarnation) || !x.allowRetry(x.service) {
+	if x.throttle.Limited(next.Incarnation) || x.sparer.Brittle(x.service) || !x.allowRetry(x.service) {
 		next.Cancel()
 		return nil
 	}
--- /dev/null
+++ b/sparer/sparer.go
@@ -0,0 +1,341 @@
+// Package sparer spares brittle servers, which fall over when they have to refuse too many
+// requests in a second for want of room.
+//
+// What one instance alone sends is harmless, the sum is not. So while the servers of a service
+// say that they are brittle, one instance, the owner, lets the requests to a server through,
+// and hears of their ends and refusals; the others ask it before each one. The owner is chosen
+// by rendezvous. While it does not reply, the next one in that order is asked; two owners
+// together stay within what a server bears. An instance that reaches no other uses a gate of
+// its own, for its share of the refusals.
+package sparer
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"primrosehook/judge"
+	"primrosehook/messenger"
+)
+
+const (
+	// kindAdmit and kindEnded are the kinds of the messages with an AdmitRequest and an
+	// EndedRequest.
+	kindAdmit = "admit"
+	kindEnded = "ended"
+	// askTimeout bounds a call to an owner: some ten crossings between availability zones.
+	// endedTimeout bounds the report of an end.
+	askTimeout   = 60 * time.Millisecond
+	endedTimeout = 250 * time.Millisecond
+	// ownerBackoff is how long an owner that did not reply is not asked, maxOwners how many are
+	// asked for one request.
+	ownerBackoff = time.Second
+	maxOwners    = 2
+	// maxGates bounds the gates; beyond it idle ones are dropped.
+	maxGates = 1024
+	// statementTTL is how long servers count as brittle without an answer of theirs.
+	statementTTL = time.Minute
+)
+
+// AdmitRequest asks the owner of a server's gate to let one request through. Bears is how many
+// refusals the server bears in a second.
+type AdmitRequest struct {
+	Incarnation string `msgpack:"s"`
+	Bears       int    `msgpack:"b"`
+}
+
+// AdmitReply answers an AdmitRequest. Without Admitted, Wait is the time until the request may
+// be admitted.
+type AdmitReply struct {
+	Admitted bool          `msgpack:"a"`
+	Wait     time.Duration `msgpack:"w"`
+}
+
+// EndedRequest reports the end of an admitted request, or that the server refused it.
+type EndedRequest struct {
+	Incarnation string `msgpack:"s"`
+	Bears       int    `msgpack:"b"`
+	Refused     bool   `msgpack:"r"`
+}
+
+// Peers calls other instances.
+type Peers interface {
+	Call(ctx context.Context, address, kind string, request, reply any) error
+}
+
+// Sparer admits requests to the brittle servers whose gates it owns, and asks peers for those
+// to others. It is safe for concurrent use.
+type Sparer struct {
+	self  string
+	peers Peers
+	clock clockwork.Clock
+	log   *zap.Logger
+	// anyBrittle is set while the servers of a service are brittle, so that other requests take
+	// no lock.
+	anyBrittle atomic.Bool
+
+	mu           sync.Mutex
+	members      []string
+	brittle      map[string]statement
+	gates        map[string]*Gate
+	backoffUntil map[string]time.Time
+}
+
+// statement is how many refusals a second the servers of a service say that they bear.
+type statement struct {
+	bears int
+	at    time.Time
+}
+
+// New returns the sparer of the instance that peers reach at the address self. members are the
+// addresses of the instances known at first.
+func New(self string, members []string, peers Peers, clock clockwork.Clock, log *zap.Logger) *Sparer {
+	return &Sparer{
+		self: self, members: members, peers: peers, clock: clock, log: log,
+		brittle: map[string]statement{}, gates: map[string]*Gate{}, backoffUntil: map[string]time.Time{},
+	}
+}
+
+// Serve registers the handlers for the messages of peers.
+func (s *Sparer) Serve(m *messenger.Server) {
+	m.Handle(kindAdmit, s.handleAdmit)
+	m.Handle(kindEnded, s.handleEnded)
+}
+
+// Update replaces the addresses of the instances.
+func (s *Sparer) Update(members []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = slices.Clone(members)
+}
+
+// Observe records what an answer of a server says: that those of its service are brittle, and
+// how many refusals each bears in a second, or that they are not.
+func (s *Sparer) Observe(service string, bears int, brittle bool) {
+	if !brittle && !s.anyBrittle.Load() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.brittle[service]
+	if !brittle {
+		if known {
+			delete(s.brittle, service)
+			s.anyBrittle.Store(len(s.brittle) > 0)
+			s.log.Info("spare: servers are not brittle any more", zap.String("service", service))
+		}
+		return
+	}
+	if !known || old.bears != bears {
+		s.log.Info("spare: servers are brittle", zap.String("service", service), zap.Int("bears", bears))
+	}
+	s.brittle[service] = statement{bears: bears, at: s.clock.Now()}
+	s.anyBrittle.Store(true)
+}
+
+// Brittle reports whether the servers of a service are brittle.
+func (s *Sparer) Brittle(service string) bool {
+	_, brittle := s.bears(service)
+	return brittle
+}
+
+// bears returns how many refusals a second each server of a service bears, and whether it is
+// brittle.
+func (s *Sparer) bears(service string) (int, bool) {
+	if !s.anyBrittle.Load() {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.brittle[service]
+	if ok && s.clock.Since(x.at) > statementTTL {
+		delete(s.brittle, service)
+		s.anyBrittle.Store(len(s.brittle) > 0)
+		return 0, false
+	}
+	return x.bears, ok
+}
+
+// Admit reports whether a request may be sent to a server now. If not, it returns the time
+// until one may be. End must be called on the pass once, which may be nil.
+func (s *Sparer) Admit(ctx context.Context, service, incarnation string) (pass *Pass, wait time.Duration, ok bool) {
+	bears, brittle := s.bears(service)
+	if !brittle {
+		return nil, 0, true
+	}
+	q := AdmitRequest{Incarnation: incarnation, Bears: bears}
+	for _, owner := range s.owners(incarnation) {
+		if owner == s.self {
+			return s.admitHere(q)
+		}
+		var r AdmitReply
+		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		err := s.peers.Call(callCtx, owner, kindAdmit, q, &r)
+		cancel()
+		if err == nil {
+			return s.newPass(owner, q), r.Wait, r.Admitted
+		}
+		if judge.Of(err) != judge.NotRun {
+			// The owner may have admitted the request.
+			s.newPass(owner, q).End(false)
+		}
+		if ctx.Err() != nil {
+			return nil, 0, false
+		}
+		s.backOff(owner, err)
+	}
+	q.Bears = s.ownShare(bears)
+	return s.admitHere(q)
+}
+
+// admitHere decides with this instance's own gate.
+func (s *Sparer) admitHere(q AdmitRequest) (pass *Pass, wait time.Duration, ok bool) {
+	r := s.Decide(q)
+	return s.newPass(s.self, q), r.Wait, r.Admitted
+}
+
+// ownShare returns this instance's share of the refusals that a server bears.
+func (s *Sparer) ownShare(bears int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bears / max(len(s.members), 1)
+}
+
+// owners returns the instances to ask about a server: those that come first in an order that
+// all instances share, without those that did not reply of late. It returns none if no other
+// instance replies.
+func (s *Sparer) owners(incarnation string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	type ranked struct {
+		address string
+		weight  uint64
+	}
+	list := []ranked{{s.self, xxhash.Sum64String(s.self + " " + incarnation)}}
+	for _, m := range s.members {
+		if m != s.self && !now.Before(s.backoffUntil[m]) {
+			list = append(list, ranked{m, xxhash.Sum64String(m + " " + incarnation)})
+		}
+	}
+	if len(list) == 1 && len(s.members) > 1 {
+		return nil
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	var owners []string
+	for _, r := range list[:min(len(list), maxOwners)] {
+		owners = append(owners, r.address)
+	}
+	return owners
+}
+
+// backOff records that an owner did not reply, so that it is not asked for a time.
+func (s *Sparer) backOff(owner string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backoffUntil[owner] = s.clock.Now().Add(ownerBackoff)
+	s.log.Info("spare: instance does not answer", zap.String("member", owner), zap.Duration("not_asked_for", ownerBackoff), zap.Error(err))
+}
+
+// Decide answers the request of an instance.
+func (s *Sparer) Decide(q AdmitRequest) AdmitReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait, ok := s.gate(q.Incarnation).Take(s.clock.Now(), q.Bears)
+	return AdmitReply{Admitted: ok, Wait: wait}
+}
+
+// Record records the end of a request of an instance.
+func (s *Sparer) Record(q EndedRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.gate(q.Incarnation)
+	if q.Refused {
+		g.Refuse(s.clock.Now(), q.Bears)
+		return
+	}
+	g.Release()
+}
+
+// gate returns the gate of a server. s.mu must be held.
+func (s *Sparer) gate(incarnation string) *Gate {
+	g, ok := s.gates[incarnation]
+	if ok {
+		return g
+	}
+	if len(s.gates) >= maxGates {
+		now := s.clock.Now()
+		for i, g := range s.gates {
+			if g.Idle(now) {
+				delete(s.gates, i)
+			}
+		}
+	}
+	g = &Gate{}
+	s.gates[incarnation] = g
+	return g
+}
+
+func (s *Sparer) handleAdmit(_ context.Context, body msgpack.RawMessage) (any, error) {
+	var q AdmitRequest
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, eris.Wrap(err, "decode request to admit")
+	}
+	return s.Decide(q), nil
+}
+
+func (s *Sparer) handleEnded(_ context.Context, body msgpack.RawMessage) (any, error) {
+	var q EndedRequest
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, eris.Wrap(err, "decode end of a request")
+	}
+	s.Record(q)
+	return true, nil
+}
+
+// Pass is the admission of one request. A nil pass needs no End.
+type Pass struct {
+	sparer *Sparer
+	owner  string
+	report EndedRequest
+	once   sync.Once
+}
+
+func (s *Sparer) newPass(owner string, q AdmitRequest) *Pass {
+	return &Pass{sparer: s, owner: owner, report: EndedRequest{Incarnation: q.Incarnation, Bears: q.Bears}}
+}
+
+// End reports the end of the request, or that the server refused it for want of room. Further
+// calls have no effect.
+func (p *Pass) End(refused bool) {
+	if p == nil {
+		return
+	}
+	p.once.Do(func() {
+		p.report.Refused = refused
+		if p.owner == p.sparer.self {
+			p.sparer.Record(p.report)
+			return
+		}
+		go p.runReport()
+	})
+}
+
+// runReport reports the end to the owner. If that fails, the request counts as in flight there
+// for a time.
+func (p *Pass) runReport() {
+	ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+	defer cancel()
+	if err := p.sparer.peers.Call(ctx, p.owner, kindEnded, p.report, nil); err != nil {
+		p.sparer.log.Info("spare: end of a request is not reported", zap.String("member", p.owner), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/sparer/sparer_test.go
@@ -0,0 +1,118 @@
+package sparer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"primrosehook/sparer"
+)
+
+// network carries messages between sparers.
+type network struct {
+	mu      sync.Mutex
+	sparers map[string]*sparer.Sparer
+	down    map[string]bool
+	// decided counts the decisions of each instance.
+	decided map[string]int
+}
+
+// Call implements sparer.Peers.
+func (n *network) Call(_ context.Context, address, _ string, request, reply any) error {
+	n.mu.Lock()
+	to, down := n.sparers[address], n.down[address]
+	if _, ok := request.(sparer.AdmitRequest); ok && !down {
+		n.decided[address]++
+	}
+	n.mu.Unlock()
+	if down {
+		return errors.New("connection refused")
+	}
+	switch q := request.(type) {
+	case sparer.AdmitRequest:
+		*reply.(*sparer.AdmitReply) = to.Decide(q)
+	case sparer.EndedRequest:
+		to.Record(q)
+	}
+	return nil
+}
+
+func newNetwork(members int) (*network, []*sparer.Sparer) {
+	n := &network{sparers: map[string]*sparer.Sparer{}, down: map[string]bool{}, decided: map[string]int{}}
+	var names []string
+	var list []*sparer.Sparer
+	for i := range members {
+		names = append(names, fmt.Sprintf("m%d", i))
+	}
+	for _, name := range names {
+		s := sparer.New(name, names, n, clockwork.NewRealClock(), zap.NewNop())
+		n.sparers[name] = s
+		list = append(list, s)
+	}
+	return n, list
+}
+
+var _ = Describe("Sparers of several instances", func() {
+	ctx := context.Background()
+
+	It("admit everything to servers that are not brittle, and again once they are not", func() {
+		_, list := newNetwork(3)
+		for range 100 {
+			pass, _, ok := list[0].Admit(ctx, "api", "s1")
+			Expect(ok).To(BeTrue())
+			pass.End(true)
+		}
+		list[0].Observe("api", 5, true)
+		Expect(list[0].Brittle("api")).To(BeTrue())
+		Expect(list[0].Brittle("llm")).To(BeFalse())
+		list[0].Observe("api", 0, false)
+		Expect(list[0].Brittle("api")).To(BeFalse())
+	})
+
+	// Guards against each instance letting its own requests through.
+	It("have one gate for each server, also when its owner is lost", func() {
+		n, list := newNetwork(6)
+		admitted := func() int {
+			count := 0
+			for _, s := range list {
+				s.Observe("api", 5, true)
+				if _, _, ok := s.Admit(ctx, "api", "s1"); ok {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(admitted()).To(Equal(1))
+		Expect(n.decided).To(HaveLen(1))
+		time.Sleep(20 * time.Millisecond)
+		for owner := range n.decided {
+			n.down[owner] = true
+		}
+		Expect(admitted()).To(BeNumerically("<=", 2))
+	})
+
+	It("keep a server's refusals to their share when they reach no other instance", func() {
+		n, list := newNetwork(10)
+		for name := range n.sparers {
+			n.down[name] = true
+		}
+		refused := 0
+		for begin := time.Now(); time.Since(begin) < time.Second; time.Sleep(10 * time.Millisecond) {
+			for _, s := range list {
+				s.Observe("api", 20, true)
+				if pass, _, ok := s.Admit(ctx, "api", "s1"); ok {
+					refused++
+					pass.End(true)
+				}
+			}
+		}
+		Expect(refused).To(BeNumerically("<=", 20))
+	})
+})
