Use a server's whole allowance of refusals only while in contact with peers

An instance that reached no other one still took itself for the owner of gates, so that ten isolated instances together made a server refuse 36 requests in a second, where it bears 20. Without a message of another instance for two seconds it now uses its share.

--- a/sparer/sparer.go
+++ b/sparer/sparer.go
@@ -40,6 +40,8 @@
 	// asked for one request.
 	ownerBackoff = time.Second
 	maxOwners    = 2
+	// contactTTL is how long an instance counts as in contact with others after a message.
+	contactTTL = 2 * time.Second
 	// maxGates bounds the gates; beyond it idle ones are dropped.
 	maxGates = 1024
 	// statementTTL is how long servers count as brittle without an answer of theirs.
@@ -83,8 +85,10 @@
 	// no lock.
 	anyBrittle atomic.Bool
 
-	mu           sync.Mutex
-	members      []string
+	mu      sync.Mutex
+	members []string
+	// contactAt is when another instance last replied to this one, or asked it.
+	contactAt    time.Time
 	brittle      map[string]statement
 	gates        map[string]*Gate
 	backoffUntil map[string]time.Time
@@ -174,14 +178,18 @@
 	}
 	q := AdmitRequest{Incarnation: incarnation, Bears: bears}
 	for _, owner := range s.owners(incarnation) {
-		if owner == s.self {
+		if owner == s.self && s.inContact() {
 			return s.admitHere(q)
 		}
+		if owner == s.self {
+			break
+		}
 		var r AdmitReply
 		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 		err := s.peers.Call(callCtx, owner, kindAdmit, q, &r)
 		cancel()
 		if err == nil {
+			s.recordContact()
 			return s.newPass(owner, q), r.Wait, r.Admitted
 		}
 		if judge.Of(err) != judge.NotRun {
@@ -203,6 +211,21 @@
 	return s.newPass(s.self, q), r.Wait, r.Admitted
 }
 
+// recordContact records that another instance has replied, or asked this one.
+func (s *Sparer) recordContact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contactAt = s.clock.Now()
+}
+
+// inContact reports whether this instance has other ones, if there are any, that replied or
+// asked it of late. Otherwise they may not see it either, and have other owners.
+func (s *Sparer) inContact() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members) <= 1 || s.clock.Since(s.contactAt) < contactTTL
+}
+
 // ownShare returns this instance's share of the refusals that a server bears.
 func (s *Sparer) ownShare(bears int) int {
 	s.mu.Lock()
@@ -211,8 +234,7 @@
 }
 
 // owners returns the instances to ask about a server: those that come first in an order that
-// all instances share, without those that did not reply of late. It returns none if no other
-// instance replies.
+// all instances share, without those that did not reply of late.
 func (s *Sparer) owners(incarnation string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -227,9 +249,6 @@
 			list = append(list, ranked{m, xxhash.Sum64String(m + " " + incarnation)})
 		}
 	}
-	if len(list) == 1 && len(s.members) > 1 {
-		return nil
-	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
 	var owners []string
 	for _, r := range list[:min(len(list), maxOwners)] {
@@ -290,6 +309,7 @@
 	if err := msgpack.Unmarshal(body, &q); err != nil {
 		return nil, eris.Wrap(err, "decode request to admit")
 	}
+	s.recordContact()
 	return s.Decide(q), nil
 }
 
