Leave servers 2.5 s to answer keep-alive probes

TCP_USER_TIMEOUT also decides when keep-alive gives up, whatever the count of probes. The three probes at intervals of 500 ms were never all sent.

The new test reads the options of a connection: 500 ms before, 1500 ms now. A partition is still noticed within 2.5 s, before it counts.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -32,10 +32,15 @@
 	// dialTimeout bounds the time to connect: two round trips across regions
 	// and one lost packet.
 	dialTimeout = 700 * time.Millisecond
-	// ackTimeout is how long sent bytes may stay unacknowledged before the
-	// kernel closes the connection. Keep-alive probes close an idle connection
-	// whose peer does not answer after about as long.
-	ackTimeout = 1500 * time.Millisecond
+	// ackTimeout is how long sent bytes may stay unacknowledged before the kernel closes
+	// the connection. It also ends keep-alive, whatever the number of probes: the first
+	// one is sent after keepAliveIdle without bytes, and the connection is closed when its
+	// peer has been silent for ackTimeout in all. A sound server may be silent for more than
+	// a second.
+	ackTimeout        = 2500 * time.Millisecond
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 3
 	// defaultKeepIdle is how long an idle connection is kept when the upstream
 	// does not announce its own idle timeout.
 	defaultKeepIdle = 4 * time.Second
@@ -238,7 +243,7 @@
 func (DirectDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         setUserTimeout,
 	}
 	return d.DialContext(ctx, "tcp", address)
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"primrosehook/connector"
 	"primrosehook/judge"
@@ -217,3 +218,25 @@
 		Expect(connector.ClosedByPeer(err)).To(BeTrue())
 	})
 })
+
+var _ = Describe("A connection to a server", func() {
+	// Guards against closing connections to a sound server that is silent for a second or so:
+	// TCP_USER_TIMEOUT, and not the number of probes, decides when keep-alive gives up.
+	It("leaves a silent server time, and is closed before a partition counts", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		c, err := connector.DirectDialer{}.Dial(context.Background(), l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		raw, err := c.(*net.TCPConn).SyscallConn()
+		Expect(err).NotTo(HaveOccurred())
+		var userTimeout, idle int
+		Expect(raw.Control(func(fd uintptr) {
+			userTimeout, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+			idle, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPIDLE)
+		})).To(Succeed())
+		Expect(userTimeout-1000*idle).To(BeNumerically(">=", 1500), "ms for the answer to a probe")
+		Expect(userTimeout).To(BeNumerically("<", 3000), "ms")
+	})
+})
