State the time left when there is a connection to the server

Opening a connection may take a second and a half through peers, and the header with the time left was computed before. It is now computed when the request is written.

A detour's connection at the server is tested to end with the client's request.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -71,7 +71,10 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// LateHeader, if set, returns further fields once there is a connection: opening one takes
+	// time that the fields may state.
+	LateHeader func() http.Header
+	Body       []byte
 	// OpenedBefore allows only connections that were opened before a time, zero for any:
 	// their peer is the process that took connections then.
 	OpenedBefore time.Time
@@ -374,6 +377,9 @@
 	b.Grow(1<<10 + min(len(q.Body), maxInlineBody))
 	b.WriteString(q.Method + " " + q.Target + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
 	_ = q.Header.Write(&b) // writes to a bytes.Buffer do not fail
+	if q.LateHeader != nil {
+		_ = q.LateHeader().Write(&b)
+	}
 	if len(q.Body) > 0 || q.Method == http.MethodPost || q.Method == http.MethodPut {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
 	}
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -240,3 +240,36 @@
 		Expect(userTimeout).To(BeNumerically("<", 3000), "ms")
 	})
 })
+
+// slowDialer takes a time to open connections.
+type slowDialer struct{ delay time.Duration }
+
+func (d slowDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	time.Sleep(d.delay)
+	return connector.DirectDialer{}.Dial(ctx, address)
+}
+
+var _ = Describe("A late header", func() {
+	// Guards against telling servers of time that has passed while a connection was opened.
+	It("is asked for when there is a connection", func() {
+		heads := make(chan http.Header, 1)
+		s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) { heads <- q.Header })}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = s.Serve(l) }()
+		defer s.Close()
+		begin := time.Now()
+		p := connector.NewPool(l.Addr().String(), clockwork.NewRealClock(), &connector.DialCounter{}, connector.WithDialer(slowDialer{300 * time.Millisecond}))
+		a, err := p.Do(context.Background(), connector.Request{
+			Method: "GET", Target: "/", Host: "h", Header: http.Header{"A": {"1"}},
+			LateHeader: func() http.Header { return http.Header{"Passed": {time.Since(begin).String()}} },
+		}, func(int, http.Header) bool { return true })
+		Expect(err).NotTo(HaveOccurred())
+		a.Close(false)
+		h := <-heads
+		Expect(h.Get("A")).To(Equal("1"))
+		passed, err := time.ParseDuration(h.Get("Passed"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(passed).To(BeNumerically(">=", 300*time.Millisecond))
+	})
+})
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -177,6 +177,24 @@
 		Expect(connector.ClosedByPeer(err)).To(BeFalse())
 	})
 
+	// Guards against servers at work for clients that have left.
+	It("is closed at the server when the instance closes it", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		list := newInstances(2)
+		list[0].links.refuse.Store(true)
+		c, err := list[0].Dial(ctx, l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		at, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		defer at.Close()
+		Expect(c.Close()).To(Succeed())
+		Expect(at.SetReadDeadline(time.Now().Add(200 * time.Millisecond))).To(Succeed())
+		_, err = at.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	// Guards against circles, and against taking a partition of all instances for crashes of
 	// all servers.
 	It("is opened by no peer that can't reach the server itself", func() {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -51,10 +51,8 @@
 
 // ForwardInfo is what is sent to a server in headers, besides the client's own.
 type ForwardInfo struct {
-	// Server is the ID of the server that must answer, TimeLeft the time left
-	// until the request's deadline.
+	// Server is the ID of the server that must answer.
 	Server   string
-	TimeLeft time.Duration
 	Priority int
 	// LastEvent is the ID of the last event that the client has received, empty
 	// for none.
@@ -105,8 +103,10 @@
 	// Request parses a client's headers. It reports whether they include a
 	// request ID.
 	Request(h http.Header) (Meta, bool)
-	// RequestHeader returns the headers for a server.
+	// RequestHeader returns the headers for a server, but for that of the time left, which
+	// TimeLeftHeader returns.
 	RequestHeader(h http.Header, s ForwardInfo) http.Header
+	TimeLeftHeader(left time.Duration) http.Header
 	// ParseAnswer parses the headers of a server's answer.
 	ParseAnswer(status int, h http.Header) AnswerInfo
 	// AnswerHeader returns the headers of the answer for the client.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -33,13 +33,17 @@
 }
 
 func (plainCodec) RequestHeader(h http.Header, s relayer.ForwardInfo) http.Header {
-	out := http.Header{"Id": h["Id"], "Left": {s.TimeLeft.String()}, "Server": {s.Server}}
+	out := http.Header{"Id": h["Id"], "Server": {s.Server}}
 	if s.LastEvent != "" {
 		out.Set("Last", s.LastEvent)
 	}
 	return out
 }
 
+func (plainCodec) TimeLeftHeader(left time.Duration) http.Header {
+	return http.Header{"Left": {left.String()}}
+}
+
 func (plainCodec) ParseAnswer(status int, h http.Header) relayer.AnswerInfo {
 	seconds, _ := strconv.ParseFloat(h.Get("Retry-After"), 64)
 	return relayer.AnswerInfo{Leaving: h.Get("Leave") != "", RetryAfter: time.Duration(seconds * float64(time.Second)), ID: h.Get("Id"), Signed: h.Get("Sign") != "", Refused: h.Get("Refused") != "" || status == 421, NotLoaded: status == 421, RateLimit: relayer.RateLimit{Named: h.Get("Limit") != "", PerSecond: 2}}
