Load a second replica at the build for which streams wait

A stream that its server broke off excludes that server. If it was the only one of its build with the model, the request waited for a replica that was not ordered, since there was one already. Found by reading; the planner's spec failed before.

--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -279,8 +279,9 @@
 	}
 }
 
-// loadMissingAtBuilds loads what requests wait for at one build, if no server of that build
-// has it loaded.
+// loadMissingAtBuilds loads what requests wait for at one build, if fewer than two servers of
+// that build have it loaded: a single one is excluded, since it broke the stream, or it is
+// down.
 func (p *planner) loadMissingAtBuilds() {
 	needs := slices.SortedFunc(maps.Keys(p.WaitingBuilds), func(a, b BuildKey) int {
 		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Build, b.Build))
@@ -303,9 +304,8 @@
 			}
 		}
 		switch {
-		case replicas == 0:
-			p.addReplica(model, n.Build, "no server of the build has the model loaded", true)
-		case adapter != "" && adapters == 0:
+		case replicas < 2 && p.addReplica(model, n.Build, "requests wait for the model at a build", true):
+		case adapter != "" && adapters < min(replicas, 2):
 			p.loadAdapter(model, adapter, n.Build, true)
 		}
 	}
@@ -473,7 +473,8 @@
 	var best *server
 	room := 0
 	for _, s := range p.servers {
-		if _, ok := s.planned[m]; !ok || s.Busy || !s.runs(build) || p.usedMemory(s)+spec.AdapterSizeMB > p.Engine.MemoryMB {
+		list, ok := s.planned[m]
+		if !ok || slices.Contains(list, a) || s.Busy || !s.runs(build) || p.usedMemory(s)+spec.AdapterSizeMB > p.Engine.MemoryMB {
 			continue
 		}
 		if n := p.freeSlots(s); n > room {
--- a/serviceplanner/serviceplanner_test.go
+++ b/serviceplanner/serviceplanner_test.go
@@ -125,6 +125,11 @@
 			WaitingBuilds: map[serviceplanner.BuildKey]int{{Key: "m3", Build: "v2"}: 1}, ColdLoads: 5,
 		}
 		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Server", "b"), HaveField("Next", HaveField("Model", "m3")))))
+		second := server("d", "m4")
+		second.Build = "v2"
+		state.Servers, state.WaitingBuilds = append(state.Servers, second), map[serviceplanner.BuildKey]int{{Key: "m0", Build: "v2"}: 1}
+		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Server", "d"), HaveField("Model", "m0"))), "the only replica may be the one that broke the stream")
+		state.Servers = state.Servers[:3]
 		state.WaitingBuilds = map[serviceplanner.BuildKey]int{{Key: "m0/a1", Build: "v2"}: 1}
 		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Server", "b"), HaveField("Model", "m0"), HaveField("Adapter", "a1"))))
 	})
