Detour test: read the loss of the peer from the connection itself

Cause: the test wrote a line before it ended the peer.

Now the peer is ended while nothing is under way, and the read that follows on the same connection has to fail.

--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -157,23 +158,27 @@
 	It("ends as the server's connection does, and not as that of a lost peer", func() {
 		s, list := startServer(), newInstances(2)
 		list[0].links.refuse.Store(true)
-		read := func(line string, disturb func()) error {
+		open := func() net.Conn {
 			c, err := list[0].Dial(ctx, s.Addr().String())
 			Expect(err).NotTo(HaveOccurred())
-			defer c.Close()
+			DeferCleanup(c.Close)
 			Expect(echo(c, "hello")).To(Equal("hello\n"))
-			_, _ = io.WriteString(c, line+"\n")
-			disturb()
+			return c
+		}
+		read := func(line string) error {
+			c := open()
+			_, err := io.WriteString(c, line+"\n")
+			Expect(err).NotTo(HaveOccurred())
 			_, err = c.Read(make([]byte, 10))
 			return err
 		}
-		nothing := func() {}
-		Expect(read("eof", nothing)).To(MatchError(io.EOF))
-		Expect(read("reset", nothing)).To(MatchError(syscall.ECONNRESET))
-		err := read("", func() { list[1].kill() })
-		for err == nil {
-			err = read("", nothing)
-		}
+		Expect(read("eof")).To(MatchError(io.EOF))
+		Expect(read("reset")).To(MatchError(syscall.ECONNRESET))
+		c := open()
+		list[1].kill()
+		_, err := c.Read(make([]byte, 10))
+		Expect(err).To(MatchError(messenger.ErrStreamBroken))
+		Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded))
 		Expect(connector.ClosedByPeer(err)).To(BeFalse())
 	})
 
