Partition test: let hanging connections end as the kernel ends them

- The first request to the service without models was written to a connection that was idle at the cut, and waited 4.6 s for its answer: a read that hung before the timeout of the test's kernel began ignored it.
A connection with the socket options of connector.DirectDialer is closed 2.5 s after the cut, or after the first byte that isn't acknowledged.
- A stream that had moved from a silent server to another one after 1.8 s waited 2.5 s more until its first event: closing the connection to the silent server didn't end a read of it.
Closing ends reads at once.

Now the connections break when the kernel would break them, reads end when the connection is closed, and what is written while the links hang is sent once they work, as TCP sends it again; it was lost before.

--- a/entryassembler/partition_test.go
+++ b/entryassembler/partition_test.go
@@ -50,12 +50,15 @@
 	if kind == hangs {
 		l.healed = make(chan struct{})
 	}
-	if kind == resets {
-		for c := range l.conns {
-			c.broken = true
-			_ = c.TCPConn.Close()
+	for c := range l.conns {
+		switch kind {
+		case resets:
+			c.breakOff(syscall.ECONNRESET)
+		case hangs:
+			c.expire()
+		default:
+			c.flush()
 		}
-		clear(l.conns)
 	}
 }
 
@@ -82,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cutConn{TCPConn: n.(*net.TCPConn), links: l}
+	c := &cutConn{TCPConn: n.(*net.TCPConn), links: l, ended: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conns == nil {
@@ -92,58 +95,107 @@
 	return c, nil
 }
 
-// cutConn is a connection over the links. While they hang, it transfers nothing, and breaks
-// after as long as the kernel waits for an acknowledgement.
+// hangTimeout is how long the kernel waits for an acknowledgement, of bytes or of keep-alive
+// probes.
+const hangTimeout = 2500 * time.Millisecond
+
+// cutConn is a connection over the links. While they hang it transfers nothing, and breaks
+// when the kernel has waited for hangTimeout.
 type cutConn struct {
 	*net.TCPConn
-	links  *serverLinks
-	broken bool
+	links *serverLinks
+	// ended is closed when the connection is closed or has broken, because of err.
+	ended chan struct{}
+	err   error
+	// unsent is what was written while the links hang, timer breaks the connection.
+	unsent []byte
+	timer  *time.Timer
 }
 
-const hangTimeout = 2500 * time.Millisecond
+// breakOff ends the connection with an error. The lock of the links must be held.
+func (c *cutConn) breakOff(err error) {
+	if c.err != nil {
+		return
+	}
+	c.err = err
+	close(c.ended)
+	_ = c.TCPConn.Close()
+	delete(c.links.conns, c)
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
 
-func (c *cutConn) wait() error {
-	kind, healed := c.links.state()
-	if kind != hangs {
-		return nil
+// expire breaks the connection after hangTimeout. The lock of the links must be held.
+func (c *cutConn) expire() {
+	if c.timer != nil {
+		c.timer.Stop()
 	}
-	select {
-	case <-healed:
-		return nil
-	case <-time.After(hangTimeout):
-		_ = c.Close()
-		return syscall.ETIMEDOUT
+	c.timer = time.AfterFunc(hangTimeout, func() {
+		c.links.mu.Lock()
+		defer c.links.mu.Unlock()
+		if c.links.kind == hangs {
+			c.breakOff(syscall.ETIMEDOUT)
+		}
+	})
+}
+
+// flush sends what was written while the links hung. The lock of the links must be held.
+func (c *cutConn) flush() {
+	if c.timer != nil {
+		c.timer.Stop()
 	}
+	if len(c.unsent) > 0 {
+		_, _ = c.TCPConn.Write(c.unsent)
+		c.unsent = nil
+	}
+}
+
+func (c *cutConn) endError() error {
+	c.links.mu.Lock()
+	defer c.links.mu.Unlock()
+	return c.err
 }
 
 // Read implements net.Conn.
 func (c *cutConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	if waited := c.wait(); waited != nil {
-		return 0, waited
+	if kind, healed := c.links.state(); kind == hangs {
+		select {
+		case <-healed:
+		case <-c.ended:
+		}
 	}
-	c.links.mu.Lock()
-	defer c.links.mu.Unlock()
-	if c.broken {
-		return 0, syscall.ECONNRESET
+	if ended := c.endError(); ended != nil {
+		return 0, ended
 	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *cutConn) Write(b []byte) (int, error) {
-	if kind, _ := c.links.state(); kind == hangs {
-		return len(b), nil
+	c.links.mu.Lock()
+	defer c.links.mu.Unlock()
+	if c.err != nil {
+		return 0, c.err
+	}
+	if c.links.kind != hangs {
+		return c.TCPConn.Write(b)
 	}
-	return c.TCPConn.Write(b)
+	if c.unsent == nil {
+		// Probes are sent only while nothing is unacknowledged.
+		c.expire()
+	}
+	c.unsent = append(c.unsent, b...)
+	return len(b), nil
 }
 
 // Close implements net.Conn.
 func (c *cutConn) Close() error {
 	c.links.mu.Lock()
-	delete(c.links.conns, c)
-	c.links.mu.Unlock()
-	return c.TCPConn.Close()
+	defer c.links.mu.Unlock()
+	c.breakOff(net.ErrClosed)
+	return nil
 }
 
 // isServed sends a request to an instance and reports whether it gets a whole answer.
