Reproduce a brittle server that is hardly used after it was full (red)

The first one that the gate lets through is refused then, with one request in flight as far as the gate knows, so that the limit becomes 1, and it rises by one each 2 s.

--- a/sparer/model_test.go
+++ b/sparer/model_test.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// playFromFull is play with a server that is full of requests that were sent before the
+// instances knew that it is brittle.
+func (m *model) playFromFull(instances int, perSecond float64, span time.Duration) {
+	for range m.slots + m.room {
+		m.arrive(&sparer.Gate{})
+	}
+	m.play(instances, perSecond, span)
+}
+
 func newModel(seed uint64, owners, bears, slots int, work time.Duration, guarded bool) *model {
 	m := &model{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), guarded: guarded, bears: bears, slots: slots, room: 4 * slots, work: work}
 	for range owners {
@@ -181,6 +190,25 @@
 		Entry("of 80 instances with two owners", 80, 2, 8, 6, 30*time.Millisecond),
 	)
 
+	// Guards against a limit that is learned while the server works on requests that the gate
+	// has not let through: that limit is too low.
+	DescribeTable("is used also when it was full before its gate knew of a request",
+		func(instances, bears, slots int, work time.Duration) {
+			capacity := float64(slots) / work.Seconds()
+			for seed := range modelSeeds() {
+				m := newModel(seed, 1, bears, slots, work, true)
+				m.playFromFull(instances, 1.5*capacity, span)
+				Expect(float64(m.served)).To(BeNumerically(">", 0.6*capacity*span.Seconds()), "seed %d", seed)
+				Expect(m.mostRefusals()).To(BeNumerically("<", bears), "seed %d", seed)
+			}
+		},
+		Entry("of 6 instances, a plain service", 6, 8, 6, 60*time.Millisecond),
+		Entry("of 6 instances, a plain service with few slots", 6, 8, 3, 50*time.Millisecond),
+		Entry("of 80 instances, a plain service", 80, 8, 6, 30*time.Millisecond),
+		Entry("of 6 instances, model servers", 6, 8, 64, 2*time.Second),
+		Entry("of 80 instances, model servers", 80, 8, 12, 2*time.Second),
+	)
+
 	It("falls over without a gate", func() {
 		m := newModel(1, 1, 10, 6, 30*time.Millisecond, false)
 		m.play(80, 1.5*6/0.03, span)
