Report that a server refuses connections when peers confirm it on a broken path

Cause: once a server was reached through peers only, the direct path counts as broken. A later connection is tried through peers first and then directly; when both find that the server refuses connections, the refusal was still hidden as one that nobody confirms, and a crash counts only if it is confirmed.

Change: the refusal is passed on if the detour was refused by the server as well, as on a path that works.

Result: "does not hide that a server which was reached through peers refuses connections now" failed before and passes.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -177,12 +177,13 @@
 	case down != nil:
 		return nil, down
 	case broken:
-		if c, err := d.detour(ctx, address); err == nil {
+		c, detourErr := d.detour(ctx, address)
+		if detourErr == nil {
 			return c, nil
 		}
 		c, err := d.direct.Dial(ctx, address)
 		if err != nil {
-			return nil, hideRefusal(err)
+			return nil, hideUnconfirmed(err, detourErr)
 		}
 		d.markWorking(address)
 		return c, nil
@@ -258,10 +259,7 @@
 			go d.runDetour(ctx, address, results)
 		}
 	}
-	err := directErr
-	if !errors.Is(detourErr, errNoPeers) && !errors.Is(detourErr, syscall.ECONNREFUSED) {
-		err = hideRefusal(err)
-	}
+	err := hideUnconfirmed(directErr, detourErr)
 	if ctx.Err() == nil {
 		d.markDown(address, err)
 	}
@@ -289,12 +287,14 @@
 	results <- attempt{conn: c, detour: true}
 }
 
-// hideRefusal returns an error that does not wrap ECONNREFUSED.
-func hideRefusal(err error) error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+// hideUnconfirmed returns the error of a direct connection. If it is a refusal that no peer
+// has confirmed, the result does not wrap ECONNREFUSED.
+func hideUnconfirmed(directErr, detourErr error) error {
+	confirmed := errors.Is(detourErr, errNoPeers) || errors.Is(detourErr, syscall.ECONNREFUSED)
+	if errors.Is(directErr, syscall.ECONNREFUSED) && !confirmed {
 		return errNotConfirmed
 	}
-	return err
+	return directErr
 }
 
 func (d *Detourer) path(address string) *path {
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -232,6 +232,20 @@
 		Expect(list[0].BrokenPaths()).To(BeZero())
 	})
 
+	// Guards against missing the crash of a server that was reached through peers, which they
+	// find to refuse connections as well.
+	It("does not hide that a server which was reached through peers refuses connections now", func() {
+		s, list := startServer(), newInstances(4)
+		list[0].links.refuse.Store(true)
+		c, err := list[0].Dial(ctx, s.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		Expect(list[0].BrokenPaths()).To(Equal(1))
+		Expect(s.Close()).To(Succeed())
+		_, err = list[0].Dial(ctx, s.Addr().String())
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	})
+
 	// Guards against detours for a server that is silent for a second, through peers for which
 	// it is silent as well.
 	It("is not opened while the server takes no connections for a second from anyone", func() {
