Count the crashes of one resource together, by whichever route they come

Each was recognized alone, so that the second one crashed three servers more after the first one had been quarantined.

Cause: the digest covers the method and the whole path.

Change: a suspect has a second identity, its resource: the service, what follows the route's prefix, and the body. The lost engines of all suspects for a resource count together, for a minute after the last one, against each request for it that has not completed of late; suspects for one resource do not explain each other's crashes. A request with another body is another one, and without anything after the prefix there is none. The quarantine of the whole request is as before.

Ruled out: one digest without method and prefix. A sound request for the resource by another route would then clear the one that crashes servers.

Result: "is recognized when it comes by another route of its service" (relayer) failed before and passes.

--- a/quarantiner/connection_breaks.go
+++ b/quarantiner/connection_breaks.go
@@ -20,8 +20,8 @@
 
 // ConnectionBreak is a connection that broke under a request.
 type ConnectionBreak struct {
-	At     time.Time
-	Digest uint64
+	Identity
+	At time.Time
 }
 
 // NewConnectionBreaks returns an empty ConnectionBreaks.
@@ -31,12 +31,12 @@
 
 // Record records that the connection of a request to an incarnation of an
 // engine broke. At maxBreaks it first drops all earlier records.
-func (c *ConnectionBreaks) Record(now time.Time, digest uint64, incarnation string) {
+func (c *ConnectionBreaks) Record(now time.Time, id Identity, incarnation string) {
 	if c.count >= maxBreaks {
 		clear(c.breaks)
 		c.count = 0
 	}
-	c.breaks[incarnation] = append(c.breaks[incarnation], ConnectionBreak{now, digest})
+	c.breaks[incarnation] = append(c.breaks[incarnation], ConnectionBreak{id, now})
 	c.count++
 }
 
--- a/quarantiner/connection_breaks_test.go
+++ b/quarantiner/connection_breaks_test.go
@@ -15,17 +15,17 @@
 
 	It("returns each request whose connection broke shortly before the loss once", func() {
 		l := quarantiner.NewConnectionBreaks()
-		l.Record(now, 1, "a")
-		l.Record(now.Add(time.Millisecond), 1, "a")
-		l.Record(now, 2, "a")
-		l.Record(now, 3, "b")
-		Expect(l.EngineLost(now.Add(time.Second), "a")).To(ConsistOf(quarantiner.ConnectionBreak{At: now, Digest: 1}, quarantiner.ConnectionBreak{At: now, Digest: 2}))
+		l.Record(now, quarantiner.Identity{Digest: 1}, "a")
+		l.Record(now.Add(time.Millisecond), quarantiner.Identity{Digest: 1}, "a")
+		l.Record(now, quarantiner.Identity{Digest: 2}, "a")
+		l.Record(now, quarantiner.Identity{Digest: 3}, "b")
+		Expect(l.EngineLost(now.Add(time.Second), "a")).To(ConsistOf(quarantiner.ConnectionBreak{At: now, Identity: quarantiner.Identity{Digest: 1}}, quarantiner.ConnectionBreak{At: now, Identity: quarantiner.Identity{Digest: 2}}))
 		Expect(l.EngineLost(now.Add(time.Second), "a")).To(BeEmpty())
 	})
 
 	It("returns no request whose connection broke long before the loss", func() {
 		l := quarantiner.NewConnectionBreaks()
-		l.Record(now, 1, "a")
+		l.Record(now, quarantiner.Identity{Digest: 1}, "a")
 		Expect(l.EngineLost(now.Add(10*time.Second), "a")).To(BeEmpty())
 	})
 
@@ -35,19 +35,19 @@
 		clock := clockwork.NewFakeClock()
 		g := quarantiner.NewGuard(clock, quarantiner.DefaultOptions())
 		for _, engine := range []string{"a", "b"} {
-			g.ConnectionBroke(1, engine)
+			g.ConnectionBroke(quarantiner.Identity{Digest: 1}, engine)
 			clock.Advance(100 * time.Millisecond)
 			g.RequestCompleted(1)
-			g.ConnectionBroke(2, engine)
+			g.ConnectionBroke(quarantiner.Identity{Digest: 2}, engine)
 			clock.Advance(100 * time.Millisecond)
 			g.EngineLost(engine)
 			g.RequestCompleted(2)
 			clock.Advance(time.Second)
 		}
-		Expect(g.Remaining(1)).To(BeZero())
-		g.ConnectionBroke(1, "c")
+		Expect(g.Remaining(quarantiner.Identity{Digest: 1})).To(BeZero())
+		g.ConnectionBroke(quarantiner.Identity{Digest: 1}, "c")
 		g.EngineLost("c")
-		Expect(g.Remaining(1)).To(BeZero(), "both earlier marks are void")
+		Expect(g.Remaining(quarantiner.Identity{Digest: 1})).To(BeZero(), "both earlier marks are void")
 	})
 
 	// Guards against a quarantine of what many clients ask for, when several engines that
@@ -57,7 +57,7 @@
 		g := quarantiner.NewGuard(clock, quarantiner.DefaultOptions())
 		lose := func(engines ...string) {
 			for _, engine := range engines {
-				g.ConnectionBroke(1, engine)
+				g.ConnectionBroke(quarantiner.Identity{Digest: 1}, engine)
 				g.EngineLost(engine)
 			}
 		}
@@ -67,6 +67,6 @@
 		Expect(g.Export()).To(BeEmpty())
 		clock.Advance(20 * time.Second)
 		lose("f", "g")
-		Expect(g.Remaining(1)).To(BeNumerically(">", 0), "none has completed for long")
+		Expect(g.Remaining(quarantiner.Identity{Digest: 1})).To(BeNumerically(">", 0), "none has completed for long")
 	})
 })
--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -23,19 +23,28 @@
 	return &Guard{clock: clock, quarantiner: New(options), breaks: NewConnectionBreaks(), completions: NewCompletions()}
 }
 
-// Remaining returns the time left of a digest's quarantine, zero if it is not
-// in one.
-func (g *Guard) Remaining(digest uint64) time.Duration {
+// Remaining returns the time left of a request's quarantine, zero if it is not in one.
+// What others for its resource have crashed does not count if it has completed of late.
+func (g *Guard) Remaining(id Identity) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.quarantiner.Remaining(g.clock.Now(), digest)
+	now := g.clock.Now()
+	remaining := g.quarantiner.Remaining(now, id.Digest)
+	if remaining == 0 && id.Resource != 0 && !g.completions.Recent(now, id.Digest) {
+		return g.quarantiner.ResourceRemaining(now, id.Resource)
+	}
+	return remaining
 }
 
-// Crashes returns how many lost engines count against a digest.
-func (g *Guard) Crashes(digest uint64) int {
+// Crashes returns how many lost engines count against a request or its resource.
+func (g *Guard) Crashes(id Identity) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.quarantiner.Crashes(digest)
+	crashes := g.quarantiner.Crashes(id.Digest)
+	if id.Resource != 0 {
+		crashes = max(crashes, g.quarantiner.ResourceCrashes(id.Resource))
+	}
+	return crashes
 }
 
 // EngineCrashed records that a request with this digest was running on an engine
@@ -49,10 +58,10 @@
 
 // ConnectionBroke records that the connection of a request to an incarnation of
 // an engine broke.
-func (g *Guard) ConnectionBroke(digest uint64, incarnation string) {
+func (g *Guard) ConnectionBroke(id Identity, incarnation string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.breaks.Record(g.clock.Now(), digest, incarnation)
+	g.breaks.Record(g.clock.Now(), id, incarnation)
 }
 
 // EngineLost records that an incarnation of an engine crashed, and marks the
@@ -71,7 +80,7 @@
 			continue
 		}
 		digests = append(digests, b.Digest)
-		g.quarantiner.Crash(b.At, b.Digest, incarnation, len(lost))
+		g.quarantiner.CrashOf(b.At, b.Identity, incarnation, len(lost))
 	}
 	return digests
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -15,6 +15,10 @@
 // engines with many requests was rejected: it lets a request crash a third and
 // a fourth busy engine.
 //
+// Requests for one resource by several routes of a service have digests of their own, but
+// are likely to crash engines alike. Their marks also count together, against each of
+// them, for MinDuration after the last one.
+//
 // State merges between instances in any order and any number of times: marks
 // form a set keyed by the lost engine's incarnation, and the time of the last
 // normal completion only grows.
@@ -72,10 +76,18 @@
 	Concurrent int `json:"beside" msgpack:"b"`
 }
 
+// Identity is what a request is recognized by when it comes again.
+type Identity struct {
+	// Digest stands for the whole request, Resource for what it asks of its service by any
+	// route, zero if that is not known.
+	Digest, Resource uint64
+}
+
 // Suspect is the known state of one digest.
 type Suspect struct {
-	Digest uint64 `json:"digest" msgpack:"d"`
-	Marks  []Mark `json:"marks" msgpack:"m"`
+	Digest   uint64 `json:"digest" msgpack:"d"`
+	Resource uint64 `json:"resource,omitempty" msgpack:"r,omitempty"`
+	Marks    []Mark `json:"marks" msgpack:"m"`
 	// Cleared is when the request last completed normally, zero if it did not.
 	// Marks up to then are void.
 	Cleared time.Time `json:"cleared,omitzero" msgpack:"c"`
@@ -85,18 +97,25 @@
 type Quarantiner struct {
 	options  Options
 	suspects map[uint64]Suspect
+	// resources are the digests of the suspects for each resource.
+	resources map[uint64][]uint64
 }
 
 // New returns a quarantiner without suspects.
 func New(options Options) *Quarantiner {
-	return &Quarantiner{options: options, suspects: map[uint64]Suspect{}}
+	return &Quarantiner{options: options, suspects: map[uint64]Suspect{}, resources: map[uint64][]uint64{}}
 }
 
 // Crash marks a digest that was present when an engine was lost. concurrent is
 // the number of requests that ran on the engine, this one included.
 func (q *Quarantiner) Crash(now time.Time, digest uint64, engine string, concurrent int) {
+	q.CrashOf(now, Identity{Digest: digest}, engine, concurrent)
+}
+
+// CrashOf is Crash for a request of which the resource is known.
+func (q *Quarantiner) CrashOf(now time.Time, id Identity, engine string, concurrent int) {
 	mark := Mark{Engine: engine, At: now, Concurrent: max(concurrent, 1)}
-	q.mergeSuspect(now, Suspect{Digest: digest, Marks: []Mark{mark}})
+	q.mergeSuspect(now, Suspect{Digest: id.Digest, Resource: id.Resource, Marks: []Mark{mark}})
 }
 
 // Finish clears a digest whose request completed normally. It does nothing for
@@ -120,6 +139,36 @@
 // Crashes returns how many lost engines count against a digest.
 func (q *Quarantiner) Crashes(digest uint64) int { return q.suspects[digest].validMarks() }
 
+// ResourceRemaining returns for how long requests for a resource are refused, zero if they
+// are not.
+func (q *Quarantiner) ResourceRemaining(now time.Time, resource uint64) time.Duration {
+	s := q.resourceSuspect(resource)
+	end, last := q.quarantineEnd(s), q.lastChange(s)
+	if limit := last.Add(q.options.MinDuration); end.After(limit) {
+		end = limit
+	}
+	return max(end.Sub(now), 0)
+}
+
+// ResourceCrashes returns how many lost engines count against a resource.
+func (q *Quarantiner) ResourceCrashes(resource uint64) int {
+	return q.resourceSuspect(resource).validMarks()
+}
+
+// resourceSuspect returns the suspects for a resource as one, with their valid marks.
+func (q *Quarantiner) resourceSuspect(resource uint64) Suspect {
+	all := Suspect{Resource: resource}
+	for _, digest := range q.resources[resource] {
+		s := q.suspects[digest]
+		for _, m := range s.Marks {
+			if m.At.After(s.Cleared) && !all.hasValidMark(m.Engine) {
+				all.Marks = append(all.Marks, m)
+			}
+		}
+	}
+	return all
+}
+
 // quarantineEnd returns when a suspect's quarantine ends. The zero time means
 // that its valid marks call for none.
 func (q *Quarantiner) quarantineEnd(s Suspect) time.Time {
@@ -153,7 +202,7 @@
 // clients on six engines.
 func (q *Quarantiner) explainedByOther(s Suspect) bool {
 	for digest, other := range q.suspects {
-		if digest != s.Digest && covers(other, s) {
+		if digest != s.Digest && (s.Resource == 0 || other.Resource != s.Resource) && covers(other, s) {
 			return true
 		}
 	}
@@ -224,7 +273,7 @@
 // without an engine or a count, or too far in the future, are ignored.
 func (q *Quarantiner) mergeSuspect(now time.Time, update Suspect) {
 	known := q.suspects[update.Digest]
-	merged := Suspect{Digest: update.Digest, Cleared: latest(known.Cleared, update.Cleared)}
+	merged := Suspect{Digest: update.Digest, Resource: cmp.Or(known.Resource, update.Resource), Cleared: latest(known.Cleared, update.Cleared)}
 	marks := map[string]Mark{}
 	for _, m := range slices.Concat(known.Marks, update.Marks) {
 		if m.Engine == "" || m.Concurrent < 1 || m.At.After(now.Add(q.options.MarkLifetime)) {
@@ -245,10 +294,13 @@
 	slices.SortFunc(merged.Marks, newestFirst)
 	merged.Marks = merged.Marks[:min(len(merged.Marks), maxMarks)]
 	if len(merged.Marks) == 0 && now.Sub(merged.Cleared) >= q.options.MarkLifetime {
-		delete(q.suspects, update.Digest)
+		q.drop(update.Digest)
 		return
 	}
 	q.suspects[update.Digest] = merged
+	if r := merged.Resource; r != 0 && known.Resource == 0 {
+		q.resources[r] = append(q.resources[r], update.Digest)
+	}
 	if len(q.suspects) > maxSuspects {
 		q.evict(now)
 	}
@@ -261,7 +313,7 @@
 func (q *Quarantiner) evict(now time.Time) {
 	for d, s := range q.suspects {
 		if now.Sub(q.lastChange(s)) >= q.options.MarkLifetime && !q.quarantineEnd(s).After(now) {
-			delete(q.suspects, d)
+			q.drop(d)
 		}
 	}
 	for len(q.suspects) > maxSuspects {
@@ -271,8 +323,19 @@
 				first, found = s, true
 			}
 		}
-		delete(q.suspects, first.Digest)
+		q.drop(first.Digest)
+	}
+}
+
+// drop forgets a suspect.
+func (q *Quarantiner) drop(digest uint64) {
+	if r := q.suspects[digest].Resource; r != 0 {
+		q.resources[r] = slices.DeleteFunc(q.resources[r], func(d uint64) bool { return d == digest })
+		if len(q.resources[r]) == 0 {
+			delete(q.resources, r)
+		}
 	}
+	delete(q.suspects, digest)
 }
 
 // lastChange returns when a suspect was last marked or cleared.
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -58,7 +58,7 @@
 
 // recordBreak records that the connection ended while the server had the request.
 func (t *attempt) recordBreak() {
-	t.suspects.ConnectionBroke(t.digest, t.assignment.Incarnation)
+	t.suspects.ConnectionBroke(t.identity, t.assignment.Incarnation)
 	if t.justBegun() {
 		t.parts.ConnectionBroke(quarantiner.CutRequest{ID: balancer.Hash(t.meta.ID), Parts: t.prefix}, t.assignment.Incarnation)
 	}
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -126,7 +126,7 @@
 	return []zap.Field{
 		zap.String("route", x.route.Name), zap.String("kind", x.route.Kind.String()), zap.Int64("config", x.tableVersion),
 		zap.String("client", clientAddress(x.request)), zap.String("method", x.request.Method), zap.String("target", x.request.RequestURI), zap.Int("bytes", len(x.body)),
-		zap.String("digest", digestText(x.digest)), zap.Int("crashes", x.suspects.Crashes(x.digest)),
+		zap.String("digest", digestText(x.identity.Digest)), zap.Int("crashes", x.suspects.Crashes(x.identity)),
 		zap.String("service", x.service), zap.String("key", x.query.Key()), zap.String("parts", partsText(x.meta.Parts)), zap.Int("prompt", x.query.PromptTokens),
 		zap.Duration("limit", x.deadline.Sub(x.started)), zap.Objects("tries", x.attempts),
 		zap.String("resumes", x.meta.Resumes), zap.String("start_event", x.startEvent),
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"primrosehook/balancer"
 	"primrosehook/matcher"
+	"primrosehook/quarantiner"
 	"primrosehook/tracer"
 )
 
@@ -150,7 +152,7 @@
 		}
 		x.query.SessionHash = balancer.Hash(session)
 	}
-	x.digest = requestDigest(x.request, x.body)
+	x.identity = quarantiner.Identity{Digest: requestDigest(x.request, x.body), Resource: x.resource()}
 }
 
 // expectedOutput returns how many tokens the answer is expected to have: the
@@ -180,6 +182,17 @@
 	return balancer.Hash(r.Method + " " + r.URL.EscapedPath() + " " + string(body))
 }
 
+// resource returns a hash of what the request asks of its service, whichever route and
+// method it comes by: what follows the route's prefix, and the body. It is zero if nothing
+// follows the prefix.
+func (x *exchange) resource() uint64 {
+	rest, ok := strings.CutPrefix(x.request.URL.Path, x.route.Prefix)
+	if !ok || rest == "" {
+		return 0
+	}
+	return balancer.Hash(x.service + " " + rest + " " + string(x.body))
+}
+
 // clientAddress returns the IP address that a request came from.
 func clientAddress(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -215,8 +228,8 @@
 			if x.isQuarantined() {
 				assignment.Cancel()
 				x.pass.End(false)
-				x.backlog = max(x.suspects.Remaining(x.digest), minQuarantineRetryAfter)
-				x.giveUp("quarantined meanwhile", zap.String("digest", digestText(x.digest)))
+				x.backlog = max(x.suspects.Remaining(x.identity), minQuarantineRetryAfter)
+				x.giveUp("quarantined meanwhile", zap.String("digest", digestText(x.identity.Digest)))
 				return
 			}
 			t = x.newAttempt(assignment, x.meta.LastEvent)
@@ -239,7 +252,7 @@
 			return
 		}
 		if x.mayHaveRun && x.isSuspected(t) {
-			x.giveUp("suspected of crashes", zap.String("digest", digestText(x.digest)))
+			x.giveUp("suspected of crashes", zap.String("digest", digestText(x.identity.Digest)))
 			return
 		}
 		if x.sends > 0 && !x.allowRetry(x.service) {
@@ -254,8 +267,8 @@
 // admit returns for how long the request is refused since it, or a part of its prompt,
 // crashes servers; zero if it is not.
 func (x *exchange) admit() time.Duration {
-	if remaining := x.suspects.Remaining(x.digest); remaining > 0 {
-		x.log.Info("relay: request is quarantined", zap.Duration("for", remaining), zap.String("digest", digestText(x.digest)))
+	if remaining := x.suspects.Remaining(x.identity); remaining > 0 {
+		x.log.Info("relay: request is quarantined", zap.Duration("for", remaining), zap.String("digest", digestText(x.identity.Digest)))
 		return remaining
 	}
 	remaining, trial := x.parts.Admit(x.prefix)
@@ -269,13 +282,13 @@
 // isQuarantined reports whether the request, or a part of its prompt, has been
 // quarantined since it was admitted.
 func (x *exchange) isQuarantined() bool {
-	return x.suspects.Remaining(x.digest) > 0 || !x.trial && x.parts.Quarantined(x.prefix)
+	return x.suspects.Remaining(x.identity) > 0 || !x.trial && x.parts.Quarantined(x.prefix)
 }
 
 // isSuspected reports whether the request is not repeated after an attempt that failed,
 // since it may have crashed the server.
 func (x *exchange) isSuspected(t *attempt) bool {
-	return x.trial || x.suspects.Crashes(x.digest) >= maxSuspectCrashes || t.justBegun() && x.parts.Suspected(x.prefix)
+	return x.trial || x.suspects.Crashes(x.identity) >= maxSuspectCrashes || t.justBegun() && x.parts.Suspected(x.prefix)
 }
 
 // merge adds a failed attempt to the state of the request.
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -74,6 +74,25 @@
 		Expect(w.attemptsAt("/read/1")).To(Equal(2))
 	})
 
+	// Guards against crashes by a request for a resource on one route of a service after
+	// requests for it on another route have crashed servers.
+	It("is recognized when it comes by another route of its service", func() {
+		crash := func(rw http.ResponseWriter, q *http.Request) {
+			crashOn("/read/1", crashOn("/write/1", signedAnswer("whole")))(rw, q)
+		}
+		w := startRelayer(crash, crash)
+		_, _, _ = w.send("GET", "/read/1?page=1", "")
+		Eventually(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }).Should(Equal(2))
+		w.addServers(crash)
+		code, _, _ := w.send("POST", "/write/1", "")
+		Expect(code).To(Equal(503))
+		Expect(w.attemptsAt("/write/1")).To(BeZero())
+		code, _, _ = w.send("POST", "/write/2", "")
+		Expect(code).To(Equal(200), "another resource")
+		code, _, _ = w.send("POST", "/write/1", "with a body")
+		Expect(code).To(Equal(502), "another request: it reaches the server")
+	})
+
 	// Guards against missing a crash that no other request happens to find: servers with
 	// failures are avoided.
 	It("is quarantined although no other request is sent to its servers", func() {
@@ -166,7 +185,7 @@
 // requests explain.
 type suspectingGuard struct{ *quarantiner.Guard }
 
-func (suspectingGuard) Crashes(uint64) int { return 2 }
+func (suspectingGuard) Crashes(quarantiner.Identity) int { return 2 }
 
 // switchedGuard is a guard that quarantines all requests once it is told to.
 type switchedGuard struct {
@@ -174,7 +193,7 @@
 	quarantined atomic.Bool
 }
 
-func (s *switchedGuard) Remaining(uint64) time.Duration {
+func (s *switchedGuard) Remaining(quarantiner.Identity) time.Duration {
 	if s.quarantined.Load() {
 		return time.Minute
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -113,20 +113,20 @@
 	AnswerHeader(h http.Header) http.Header
 }
 
-// Suspects identifies requests that crash servers, by their digests.
+// Suspects identifies requests that crash servers.
 type Suspects interface {
 	// ConnectionBroke records that a request's connection to an incarnation of
 	// a server broke, EngineLost that the incarnation has crashed. EngineLost
 	// returns the digests of the requests that are suspected of it.
-	ConnectionBroke(digest uint64, incarnation string)
+	ConnectionBroke(id quarantiner.Identity, incarnation string)
 	EngineLost(incarnation string) []uint64
 	// RequestCompleted records that a request completed normally.
 	RequestCompleted(digest uint64)
-	// Remaining returns the time left of a digest's quarantine, zero if it is not
+	// Remaining returns the time left of a request's quarantine, zero if it is not
 	// in one. Crashes returns how many crashed servers count against it; it may be
 	// free all the same, since another request explains them.
-	Remaining(digest uint64) time.Duration
-	Crashes(digest uint64) int
+	Remaining(id quarantiner.Identity) time.Duration
+	Crashes(id quarantiner.Identity) int
 }
 
 // PartSuspects identifies parts of prompts that crash servers, whatever else a request
@@ -418,7 +418,7 @@
 	started  time.Time
 	deadline time.Time
 	query    balancer.Request
-	digest   uint64
+	identity quarantiner.Identity
 	// prefix are the hashes of the parts of the prompt that other requests may share.
 	// trial is set if the request is sent although one of them is quarantined.
 	prefix       []uint64
--- a/server/dependencies.go
+++ b/server/dependencies.go
@@ -8,6 +8,7 @@
 	"primrosehook/driver"
 	"primrosehook/forwarder"
 	"primrosehook/lister"
+	"primrosehook/quarantiner"
 	"primrosehook/ruler"
 )
 
@@ -116,9 +117,9 @@
 
 // Quarantine tracks requests that crash engines.
 type Quarantine interface {
-	// Remaining returns how much longer a digest stays in quarantine, 0 if it is not
+	// Remaining returns how much longer a request stays in quarantine, 0 if it is not
 	// in quarantine.
-	Remaining(digest uint64) time.Duration
+	Remaining(id quarantiner.Identity) time.Duration
 	// EngineCrashed records that an engine was lost while it ran the request. beside
 	// is how many requests of this instance ran on the engine at that time,
 	// this one included.
--- a/server/fakes_test.go
+++ b/server/fakes_test.go
@@ -21,6 +21,7 @@
 	"primrosehook/forwarder"
 	"primrosehook/judge"
 	"primrosehook/lister"
+	"primrosehook/quarantiner"
 	"primrosehook/ruler"
 	"primrosehook/server"
 )
@@ -350,7 +351,7 @@
 	finished  int
 }
 
-func (q *fakeQuarantine) Remaining(uint64) time.Duration {
+func (q *fakeQuarantine) Remaining(quarantiner.Identity) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.remaining
--- a/server/generate.go
+++ b/server/generate.go
@@ -16,6 +16,7 @@
 	"primrosehook/driver"
 	"primrosehook/explainer"
 	"primrosehook/judge"
+	"primrosehook/quarantiner"
 	"primrosehook/tracer"
 )
 
@@ -215,7 +216,7 @@
 	if s.quarantine == nil {
 		return nil
 	}
-	remaining := s.quarantine.Remaining(q.digest)
+	remaining := s.quarantine.Remaining(quarantiner.Identity{Digest: q.digest})
 	if remaining <= 0 {
 		return nil
 	}
