Count the crash of a server that no probe confirms once another one replaces it

Cause: a crash counts only if the connection breaks under a request and a new one is refused within three seconds. There is no such refusal while no peer can confirm it (the instance is partitioned, or the others are), and none at all from a server that ends without closing its connections: its requests time out.

Class: evidence that is decided at one moment and not again when more is known.

Change: breaks are kept, and so are requests that are given up at a server which has sent nothing for half a second. When the registry has another incarnation under the server's ID or at its address, and the server was not draining, they count, up to 15 s before or after. An expired registration alone does not: servers can't renew it while the store is away.

Ruled out: counting each unconfirmed refusal at once. A partition that refuses connections would then mark all requests in progress.

Result: "counts once another incarnation has replaced the engine", "counts if the request is given up after that" (quarantiner) and "is suspected if its servers fell silent and were replaced" (relayer, red without the change for a read, a write and a stream) pass.

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -105,6 +105,9 @@
 	pinner          *pinner.Pinner
 	detourer        *detourer.Detourer
 	sparer          *sparer.Sparer
+	suspects        *quarantiner.Guard
+	parts           *quarantiner.PartGuard
+	replacements    *registrar.Replacements
 	metrics         *exporter.Registry
 	stopping        atomic.Bool
 	work            sync.WaitGroup
@@ -154,15 +157,16 @@
 	// Until the number of instances is known, the slack is shared among
 	// assumedInstances.
 	slack := float64(s.RetrySlack) * retryBudgetShare / assumedInstances
-	suspects, parts := quarantiner.NewGuard(clock, quarantiner.DefaultOptions()), quarantiner.NewPartGuard(clock)
+	e.suspects, e.parts = quarantiner.NewGuard(clock, quarantiner.DefaultOptions()), quarantiner.NewPartGuard(clock)
+	e.replacements = registrar.NewReplacements()
 	e.peers = messenger.NewClient(clock, messenger.WithMaxSilence(time.Second))
 	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock, balancer.WithDialer(e.detourer))
 	e.pacer = pacer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.throttler = throttler.New(s.Control, s.Seeds, e.peers, clock, clocker.SystemClock{}, log)
 	e.pinner = pinner.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.sparer = sparer.New(s.Control, s.Seeds, e.peers, clock, log)
-	e.relayer = relayer.New(platform.Codec{}, e.fleet, suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer),
+	e.relayer = relayer.New(platform.Codec{}, e.fleet, e.suspects, clock, log,
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -174,7 +178,7 @@
 	e.coordinator = coordinator.New(coordinator.Dependencies{
 		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control, Seeds: s.Seeds, LinkMbps: s.Link,
 		OrderGap: s.Lease, ColdLoadWindow: s.CeilingWindow, ColdLoadOverage: s.CeilingOverage, LeaseLog: e.store.Leases(), OrderSender: platform.NewOrderClient(sender.NewClient()),
-		Fleet: e.fleet, Suspects: suspects, Parts: parts, Limits: e.throttler, Registry: e.tails.registry, Config: e.tails.config,
+		Fleet: e.fleet, Suspects: e.suspects, Parts: e.parts, Limits: e.throttler, Registry: e.tails.registry, Config: e.tails.config,
 		Table: e.relayer.Table, Clock: clock, Boot: clocker.SystemClock{}, Log: log, Peers: e.peers, Meter: e.metrics, OnMembers: e.updateMembers,
 	})
 	e.exposeMetrics(o.values)
@@ -195,6 +199,12 @@
 // updateRegistry passes on new records of the registry and the servers that result.
 func (e *Entry) updateRegistry(list []tailer.Record, servers []registrar.Server) {
 	e.coordinator.UpdateRegistry(list, servers)
+	for _, incarnation := range e.replacements.Update(e.clock.Now(), servers) {
+		e.parts.EngineReplaced(incarnation)
+		if suspects := e.suspects.EngineReplaced(incarnation); len(suspects) > 0 {
+			e.log.Info("registry: server was replaced that had requests in progress", zap.String("incarnation", incarnation), zap.Int("suspects", len(suspects)))
+		}
+	}
 	e.throttler.Retain(func(incarnation string) bool {
 		return slices.ContainsFunc(servers, func(s registrar.Server) bool { return s.Incarnation == incarnation })
 	})
--- a/quarantiner/connection_breaks.go
+++ b/quarantiner/connection_breaks.go
@@ -6,6 +6,13 @@
 // to it may have broken because of that loss.
 const breakWindow = 3 * time.Second
 
+// replacedWindow is how long before or after an engine was found to be replaced by another
+// incarnation a connection to it may have broken because of its loss.
+const replacedWindow = 15 * time.Second
+
+// maxReplaced bounds the number of replaced incarnations remembered.
+const maxReplaced = 1024
+
 // maxBreaks bounds the number of broken connections remembered.
 const maxBreaks = 4096
 
@@ -40,13 +47,13 @@
 	c.count++
 }
 
-// EngineLost returns the connections that broke because an incarnation of an
-// engine was lost, the first one of each request, and drops their records.
-func (c *ConnectionBreaks) EngineLost(now time.Time, incarnation string) []ConnectionBreak {
+// EngineLost returns the connections that broke within a time because an incarnation of
+// an engine was lost, the first one of each request, and drops their records.
+func (c *ConnectionBreaks) EngineLost(now time.Time, incarnation string, within time.Duration) []ConnectionBreak {
 	var lost []ConnectionBreak
 	seen := map[uint64]bool{}
 	for _, b := range c.breaks[incarnation] {
-		if now.Sub(b.At) <= breakWindow && !seen[b.Digest] {
+		if now.Sub(b.At) <= within && !seen[b.Digest] {
 			seen[b.Digest] = true
 			lost = append(lost, b)
 		}
--- a/quarantiner/connection_breaks_test.go
+++ b/quarantiner/connection_breaks_test.go
@@ -19,14 +19,14 @@
 		l.Record(now.Add(time.Millisecond), quarantiner.Identity{Digest: 1}, "a")
 		l.Record(now, quarantiner.Identity{Digest: 2}, "a")
 		l.Record(now, quarantiner.Identity{Digest: 3}, "b")
-		Expect(l.EngineLost(now.Add(time.Second), "a")).To(ConsistOf(quarantiner.ConnectionBreak{At: now, Identity: quarantiner.Identity{Digest: 1}}, quarantiner.ConnectionBreak{At: now, Identity: quarantiner.Identity{Digest: 2}}))
-		Expect(l.EngineLost(now.Add(time.Second), "a")).To(BeEmpty())
+		Expect(l.EngineLost(now.Add(time.Second), "a", 3*time.Second)).To(ConsistOf(quarantiner.ConnectionBreak{At: now, Identity: quarantiner.Identity{Digest: 1}}, quarantiner.ConnectionBreak{At: now, Identity: quarantiner.Identity{Digest: 2}}))
+		Expect(l.EngineLost(now.Add(time.Second), "a", 3*time.Second)).To(BeEmpty())
 	})
 
 	It("returns no request whose connection broke long before the loss", func() {
 		l := quarantiner.NewConnectionBreaks()
 		l.Record(now, quarantiner.Identity{Digest: 1}, "a")
-		Expect(l.EngineLost(now.Add(10*time.Second), "a")).To(BeEmpty())
+		Expect(l.EngineLost(now.Add(10*time.Second), "a", 3*time.Second)).To(BeEmpty())
 	})
 
 	// Guards against a mark that is newer than the completion of its request, which
@@ -70,3 +70,46 @@
 		Expect(g.Remaining(quarantiner.Identity{Digest: 1})).To(BeNumerically(">", 0), "none has completed for long")
 	})
 })
+
+var _ = Describe("A loss of an engine that no probe confirms", func() {
+	var (
+		clock *clockwork.FakeClock
+		g     *quarantiner.Guard
+		id    = quarantiner.Identity{Digest: 1}
+	)
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		g = quarantiner.NewGuard(clock, quarantiner.DefaultOptions())
+	})
+
+	// Guards against missing crashes while no peer can confirm that a server refuses
+	// connections.
+	It("counts once another incarnation has replaced the engine", func() {
+		for _, engine := range []string{"a", "b"} {
+			g.ConnectionBroke(id, engine)
+			clock.Advance(5 * time.Second)
+			g.EngineReplaced(engine)
+		}
+		Expect(g.Remaining(id)).To(BeNumerically(">", 0))
+	})
+
+	// Guards against missing the crashes of servers that end without closing their
+	// connections: a request to one is given up after the server is back.
+	It("counts if the request is given up after that", func() {
+		for _, engine := range []string{"a", "b"} {
+			g.EngineReplaced(engine)
+			clock.Advance(5 * time.Second)
+			g.ConnectionBroke(id, engine)
+		}
+		Expect(g.Remaining(id)).To(BeNumerically(">", 0))
+	})
+
+	It("does not count for a connection that broke long before", func() {
+		for _, engine := range []string{"a", "b"} {
+			g.ConnectionBroke(id, engine)
+			clock.Advance(time.Minute)
+			g.EngineReplaced(engine)
+		}
+		Expect(g.Remaining(id)).To(BeZero())
+	})
+})
--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -16,11 +16,13 @@
 	quarantiner *Quarantiner
 	breaks      *ConnectionBreaks
 	completions *Completions
+	// replaced are the incarnations of engines that others have replaced, and when.
+	replaced map[string]time.Time
 }
 
 // NewGuard returns a guard around a new Quarantiner.
 func NewGuard(clock clockwork.Clock, options Options) *Guard {
-	return &Guard{clock: clock, quarantiner: New(options), breaks: NewConnectionBreaks(), completions: NewCompletions()}
+	return &Guard{clock: clock, quarantiner: New(options), breaks: NewConnectionBreaks(), completions: NewCompletions(), replaced: map[string]time.Time{}}
 }
 
 // Remaining returns the time left of a request's quarantine, zero if it is not in one.
@@ -61,7 +63,11 @@
 func (g *Guard) ConnectionBroke(id Identity, incarnation string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.breaks.Record(g.clock.Now(), id, incarnation)
+	now := g.clock.Now()
+	g.breaks.Record(now, id, incarnation)
+	if at, ok := g.replaced[incarnation]; ok && now.Sub(at) <= replacedWindow {
+		g.markLost(now, incarnation, replacedWindow)
+	}
 }
 
 // EngineLost records that an incarnation of an engine crashed, and marks the
@@ -70,10 +76,29 @@
 // Requests that others like it complete are not marked: several engines that have
 // them in progress may be lost together.
 func (g *Guard) EngineLost(incarnation string) []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.markLost(g.clock.Now(), incarnation, breakWindow)
+}
+
+// EngineReplaced is EngineLost for an incarnation of an engine that another one has
+// replaced, with breaks up to replacedWindow before or after that: no probe may have
+// confirmed the loss.
+func (g *Guard) EngineReplaced(incarnation string) []uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	lost := g.breaks.EngineLost(now, incarnation)
+	if len(g.replaced) >= maxReplaced {
+		clear(g.replaced)
+	}
+	g.replaced[incarnation] = now
+	return g.markLost(now, incarnation, replacedWindow)
+}
+
+// markLost marks the requests whose connections to a lost engine broke within a time, and
+// returns their digests. g.mu must be held.
+func (g *Guard) markLost(now time.Time, incarnation string, within time.Duration) []uint64 {
+	lost := g.breaks.EngineLost(now, incarnation, within)
 	var digests []uint64
 	for _, b := range lost {
 		if g.completions.Recent(now, b.Digest) {
--- a/quarantiner/part_guard.go
+++ b/quarantiner/part_guard.go
@@ -139,7 +139,15 @@
 }
 
 // EngineLost records that an incarnation of an engine crashed.
-func (g *PartGuard) EngineLost(incarnation string) {
+func (g *PartGuard) EngineLost(incarnation string) { g.markLost(incarnation, breakWindow) }
+
+// EngineReplaced is EngineLost for an incarnation that another one has replaced, with breaks
+// up to replacedWindow before: no probe may have confirmed the loss.
+func (g *PartGuard) EngineReplaced(incarnation string) { g.markLost(incarnation, replacedWindow) }
+
+// markLost records that an engine crashed under the requests whose connections to it broke
+// within a time.
+func (g *PartGuard) markLost(incarnation string, within time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -148,7 +156,7 @@
 	g.breakCount -= len(list)
 	news := false
 	for _, b := range list {
-		if now.Sub(b.at) <= breakWindow && g.finder.Crash(now, b.at, incarnation, []CutRequest{b.request}) {
+		if now.Sub(b.at) <= within && g.finder.Crash(now, b.at, incarnation, []CutRequest{b.request}) {
 			news = true
 		}
 	}
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -23,6 +23,7 @@
 		t.answer.Close(false)
 	}
 	t.assignment.Done(!t.clientGone())
+	t.recordSilence()
 	t.mayHaveRun = true
 	t.record.outcome = "silent, replaced after event " + t.meta.LastEvent
 	if t.clientGone() {
@@ -59,6 +60,7 @@
 	}
 	if t.clientGone() {
 		t.assignment.Done(false)
+		t.recordSilence()
 		t.giveUp("client left")
 		return false
 	}
@@ -187,11 +189,14 @@
 	t.mayHaveRun = true
 	t.record.outcome = "stream broke off after event " + t.meta.LastEvent + ": " + err.Error()
 	if t.clientGone() {
+		t.recordSilence()
 		t.giveUp("client left")
 		return false
 	}
 	if connector.ClosedByPeer(err) {
 		t.closedByServer()
+	} else {
+		t.recordSilence()
 	}
 	w.settle()
 	if t.route.Resumable && (w.isReplaced() || t.sends < t.route.Attempts) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -255,8 +255,12 @@
 		t.reached, t.ran = true, true
 		t.assignment.Done(!t.clientGone() && (!t.intact() || t.answer.StatusCode >= http.StatusInternalServerError))
 		t.record.outcome = describeBadAnswer(t.answer.StatusCode, t.info, t.bodyErr)
-		if t.bodyErr != nil && connector.ClosedByPeer(t.bodyErr) && !t.clientGone() {
+		switch {
+		case t.bodyErr == nil:
+		case connector.ClosedByPeer(t.bodyErr) && !t.clientGone():
 			t.closedByServer()
+		default:
+			t.recordSilence()
 		}
 	}
 }
@@ -281,6 +285,9 @@
 	t.assignment.Done(!t.clientGone())
 	t.record.outcome = verdict.String() + ": " + causeText(t.err)
 	if t.clientGone() {
+		if t.reached {
+			t.recordSilence()
+		}
 		return
 	}
 	if !t.reached && !errors.Is(t.err, errUnproven) && !errors.Is(t.err, connector.ErrNoneOpen) {
@@ -291,6 +298,8 @@
 		t.serverCrashed()
 	case t.reached && connector.ClosedByPeer(errors.Unwrap(t.err)):
 		t.closedByServer()
+	case t.reached:
+		t.recordSilence()
 	}
 }
 
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -19,6 +19,9 @@
 	// probeTimeout limits a probe. A server that does not answer it may be
 	// unreachable rather than down.
 	probeTimeout = time.Second
+	// minSilence is how long a server must have sent nothing for a request that is given up
+	// there to count as one that may have ended it.
+	minSilence = 500 * time.Millisecond
 	// beginningTime is how long after its first event an answer may still be one that
 	// crashes its server by beginning.
 	beginningTime = 500 * time.Millisecond
@@ -56,6 +59,14 @@
 	}
 }
 
+// recordSilence records that the request is given up at a server that has fallen silent. It
+// may have ended without closing its connections, which shows when another one replaces it.
+func (t *attempt) recordSilence() {
+	if t.assignment.IdleTime() >= minSilence {
+		t.recordBreak()
+	}
+}
+
 // recordBreak records that the connection ended while the server had the request.
 func (t *attempt) recordBreak() {
 	t.suspects.ConnectionBroke(t.identity, t.assignment.Incarnation)
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -128,6 +128,34 @@
 		Eventually(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }).Should(Equal(2))
 	})
 
+	// Guards against missing the crashes of servers that end without closing their
+	// connections, which shows only when others have replaced them.
+	DescribeTable("is suspected if its servers fell silent and were replaced",
+		func(method, path string) {
+			guard := newGuard()
+			silent := delayedAnswer(3*time.Second, "late")
+			w := startRelayerWith(guard, []handler{silent, silent, silent})
+			code, _, _ := w.send(method, path, "x")
+			Expect(code).To(BeNumerically(">=", 500))
+			first := w.attemptCount()
+			Expect(first).To(BeNumerically(">=", 1))
+			if first == 1 {
+				_, _, _ = w.send(method, path, "x")
+			}
+			suspects := 0
+			for _, s := range w.servers {
+				suspects += len(guard.EngineReplaced(s.Incarnation))
+			}
+			Expect(suspects).To(BeNumerically(">=", 2))
+			w.addServers(signedAnswer("whole"))
+			code, _, _ = w.send(method, path, "x")
+			Expect(code).To(Equal(503))
+		},
+		Entry("a read", "GET", "/read/1"),
+		Entry("a write", "POST", "/write/1"),
+		Entry("a stream", "POST", "/chat/1"),
+	)
+
 	// Guards against two servers for each further try of a suspect that can't be told
 	// from a bystander yet.
 	It("is sent to one server only while it is a suspect", func() {
