Send requests that may crash their servers one at a time, over all instances

Cause: a bound on the sum over all instances was kept by each instance alone. A count at each instance can't keep it.

Change: package sequencer. A request that was cut off, or that is suspected of a crash and has not completed of late, takes the turn of its resource first, from an owner that all instances choose by rendezvous. A turn that broke off is followed by a second's pause, in which marks reach the others; a new mark is reported at once. What does not get the turn is refused at once (not run) or, after it may have run, not sent again. Such a request is not sent to another server while one is silent. An instance that reaches no owner keeps turns of its own. The rendezvous of package sparer moved to package ranker, which both use.

--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -188,6 +188,7 @@
 			return
 		case <-c.Fleet.NoReplica():
 		case <-c.Parts.Changed():
+		case <-c.Suspects.Changed():
 		case <-c.Clock.After(pause):
 		}
 	}
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -33,6 +33,7 @@
 	"primrosehook/registrar"
 	"primrosehook/relayer"
 	"primrosehook/sender"
+	"primrosehook/sequencer"
 	"primrosehook/sparer"
 	"primrosehook/tailer"
 	"primrosehook/throttler"
@@ -105,6 +106,7 @@
 	pinner          *pinner.Pinner
 	detourer        *detourer.Detourer
 	sparer          *sparer.Sparer
+	sequencer       *sequencer.Sequencer
 	suspects        *quarantiner.Guard
 	parts           *quarantiner.PartGuard
 	replacements    *registrar.Replacements
@@ -165,8 +167,9 @@
 	e.throttler = throttler.New(s.Control, s.Seeds, e.peers, clock, clocker.SystemClock{}, log)
 	e.pinner = pinner.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.sparer = sparer.New(s.Control, s.Seeds, e.peers, clock, log)
+	e.sequencer = sequencer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, e.suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer),
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -194,6 +197,7 @@
 	e.pinner.Update(addresses)
 	e.detourer.Update(addresses)
 	e.sparer.Update(addresses)
+	e.sequencer.Update(addresses)
 }
 
 // updateRegistry passes on new records of the registry and the servers that result.
@@ -243,6 +247,7 @@
 	e.pinner.Serve(messages)
 	e.detourer.Serve(messages)
 	e.sparer.Serve(messages)
+	e.sequencer.Serve(messages)
 	failed := make(chan error, 2)
 	e.start(func() { e.listen(clientServer, clientListener{front}, failed) })
 	e.start(func() { e.listen(checks, ready, failed) })
--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -11,7 +11,9 @@
 // Guard is a Quarantiner that is safe for concurrent use and takes the time
 // from its own clock.
 type Guard struct {
-	clock       clockwork.Clock
+	clock clockwork.Clock
+	// changed receives a value when there are new marks to report.
+	changed     chan struct{}
 	mu          sync.Mutex
 	quarantiner *Quarantiner
 	breaks      *ConnectionBreaks
@@ -22,9 +24,12 @@
 
 // NewGuard returns a guard around a new Quarantiner.
 func NewGuard(clock clockwork.Clock, options Options) *Guard {
-	return &Guard{clock: clock, quarantiner: New(options), breaks: NewConnectionBreaks(), completions: NewCompletions(), replaced: map[string]time.Time{}}
+	return &Guard{clock: clock, changed: make(chan struct{}, 1), quarantiner: New(options), breaks: NewConnectionBreaks(), completions: NewCompletions(), replaced: map[string]time.Time{}}
 }
 
+// Changed receives a value when there are new marks to report.
+func (g *Guard) Changed() <-chan struct{} { return g.changed }
+
 // Remaining returns the time left of a request's quarantine, zero if it is not in one.
 // What others for its resource have crashed does not count if it has completed of late.
 func (g *Guard) Remaining(id Identity) time.Duration {
@@ -49,6 +54,13 @@
 	return crashes
 }
 
+// Completed reports whether a request like this one has completed of late.
+func (g *Guard) Completed(id Identity) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.completions.Recent(g.clock.Now(), id.Digest)
+}
+
 // EngineCrashed records that a request with this digest was running on an engine
 // when it was lost. concurrent is the number of requests of this instance that
 // ran on the engine, this one included.
@@ -107,6 +119,12 @@
 		digests = append(digests, b.Digest)
 		g.quarantiner.CrashOf(b.At, b.Identity, incarnation, len(lost))
 	}
+	if len(digests) > 0 {
+		select {
+		case g.changed <- struct{}{}:
+		default:
+		}
+	}
 	return digests
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -16,6 +16,7 @@
 	"primrosehook/connector"
 	"primrosehook/judge"
 	"primrosehook/matcher"
+	"primrosehook/sequencer"
 	"primrosehook/sparer"
 )
 
@@ -59,6 +60,10 @@
 	survived   bool
 	// pass is the admission to a brittle server, nil if none was needed.
 	pass *sparer.Pass
+	// turn is the turn of the request, nil if it needs none. broken is set if the connection
+	// broke under the request, or the server fell silent.
+	turn   *sequencer.Turn
+	broken bool
 	// reached is set if the attempt counts as one of the route's attempts, ran if
 	// the server may have run the request.
 	reached, ran bool
@@ -69,6 +74,7 @@
 func (x *exchange) newAttempt(assignment *balancer.Assignment, lastEvent string) *attempt {
 	t := &attempt{exchange: x, assignment: assignment, resumeAfter: lastEvent, record: x.newRecord(assignment, lastEvent)}
 	t.pass, x.pass = x.pass, nil
+	t.turn, x.turn = x.turn, nil
 	t.attemptContext, t.cancel = context.WithCancel(x.context)
 	t.attemptContext, t.span = x.tracer.Start(t.attemptContext, "attempt")
 	return t
@@ -78,6 +84,7 @@
 func (t *attempt) end() {
 	t.cancel()
 	t.pass.End(false)
+	t.turn.End(t.broken)
 	t.span.End()
 }
 
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -41,6 +41,7 @@
 	t.recordBreak()
 	switch err := t.probe(t.attemptContext); {
 	case err == nil:
+		t.broken = false
 		return nil
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return errServerCrashed
@@ -69,6 +70,7 @@
 
 // recordBreak records that the connection ended while the server had the request.
 func (t *attempt) recordBreak() {
+	t.broken = true
 	t.suspects.ConnectionBroke(t.identity, t.assignment.Incarnation)
 	if t.justBegun() {
 		t.parts.ConnectionBroke(quarantiner.CutRequest{ID: balancer.Hash(t.meta.ID), Parts: t.prefix}, t.assignment.Incarnation)
@@ -95,6 +97,7 @@
 // recordSurvival records that the request does not crash its server.
 func (t *attempt) recordSurvival() {
 	t.survived = true
+	t.turn.End(false)
 	t.parts.Survived(t.prefix)
 }
 
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -232,6 +233,13 @@
 				x.giveUp("quarantined meanwhile", zap.String("digest", digestText(x.identity.Digest)))
 				return
 			}
+			if !x.takeTurn() {
+				assignment.Cancel()
+				x.pass.End(false)
+				x.meter.Add(MetricTurnTaken, 1)
+				x.giveUp("another request like it is in progress", zap.String("digest", digestText(x.identity.Digest)))
+				return
+			}
 			t = x.newAttempt(assignment, x.meta.LastEvent)
 		}
 		x.attempts = append(x.attempts, t.record)
@@ -239,6 +247,7 @@
 		if next, retryable = t.perform(); !retryable {
 			return
 		}
+		x.cutOff = x.cutOff || t.broken
 		if !x.hasKnownOrigin() {
 			x.giveUp("build that began the stream is not known")
 			return
@@ -291,6 +300,23 @@
 	return x.trial || x.suspects.Crashes(x.identity) >= maxSuspectCrashes || t.justBegun() && x.parts.Suspected(x.prefix)
 }
 
+// takeTurn takes the turn of the request if it may crash its server. It reports false if
+// another request like it has it.
+func (x *exchange) takeTurn() bool {
+	if !x.mayCrash() {
+		return true
+	}
+	turn, wait, ok := x.sequence.Acquire(x.context, cmp.Or(x.identity.Resource, x.identity.Digest))
+	x.turn, x.backlog = turn, wait
+	return ok
+}
+
+// mayCrash reports whether the request may be what has crashed a server: it was cut off, or
+// is suspected, and none like it has completed of late.
+func (x *exchange) mayCrash() bool {
+	return (x.cutOff || x.suspects.Crashes(x.identity) > 0) && !x.suspects.Completed(x.identity)
+}
+
 // merge adds a failed attempt to the state of the request.
 func (x *exchange) merge(t *attempt) {
 	if t.reached {
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -9,11 +9,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"primrosehook/quarantiner"
 	"primrosehook/registrar"
+	"primrosehook/relayer"
+	"primrosehook/sequencer"
 )
 
 // crashOn answers requests, but crashes its server at those with the path.
@@ -165,6 +169,32 @@
 		Expect(w.attemptsAt("/read/1")).To(Equal(1))
 	})
 
+	// Guards against a server lost under each instance, or each client, that sends the same
+	// suspect at the same time.
+	It("is not sent while another one like it is in progress", func() {
+		w := startRelayerWith(suspectingGuard{newGuard()}, []handler{delayedAnswer(300*time.Millisecond, "whole"), delayedAnswer(300*time.Millisecond, "whole")},
+			relayer.WithSequencer(sequencer.New("self", nil, nil, clockwork.NewRealClock(), zap.NewNop())))
+		var clients sync.WaitGroup
+		var codes [4]int
+		for i, path := range []string{"/read/1", "/read/1", "/write/1", "/read/2"} {
+			clients.Go(func() {
+				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+				codes[i], _, _ = w.send("GET", path, "")
+			})
+		}
+		clients.Wait()
+		Expect(codes).To(Equal([4]int{200, 503, 503, 200}))
+		// It has completed, so that it is not what crashes servers.
+		for range 2 {
+			clients.Go(func() {
+				defer GinkgoRecover()
+				code, _, _ := w.send("GET", "/read/1", "")
+				Expect(code).To(Equal(200))
+			})
+		}
+		clients.Wait()
+	})
+
 	// Guards against sending a request on after its quarantine has begun, which may be
 	// while it waits or is being repeated.
 	Describe("whose quarantine begins while it is in progress", func() {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -19,6 +19,7 @@
 	"primrosehook/pacer"
 	"primrosehook/pinner"
 	"primrosehook/quarantiner"
+	"primrosehook/sequencer"
 	"primrosehook/sparer"
 	"primrosehook/tracer"
 )
@@ -127,6 +128,8 @@
 	// free all the same, since another request explains them.
 	Remaining(id quarantiner.Identity) time.Duration
 	Crashes(id quarantiner.Identity) int
+	// Completed reports whether a request like this one has completed of late.
+	Completed(id quarantiner.Identity) bool
 }
 
 // PartSuspects identifies parts of prompts that crash servers, whatever else a request
@@ -187,6 +190,14 @@
 	Admit(ctx context.Context, service, incarnation string) (pass *sparer.Pass, wait time.Duration, ok bool)
 }
 
+// Sequencer has requests that may crash their servers sent one after the other, by all
+// instances together.
+type Sequencer interface {
+	// Acquire takes the turn of the requests with a key. If another one has it, it returns
+	// the longest time until it is free.
+	Acquire(ctx context.Context, key uint64) (turn *sequencer.Turn, wait time.Duration, ok bool)
+}
+
 // Meter receives counts and durations.
 type Meter interface {
 	Add(name string, n int64)
@@ -209,6 +220,7 @@
 	MetricTakenUp         = "streams_taken_up"
 	MetricRateLimited     = "sends_held_by_rate_limit"
 	MetricSpared          = "sends_held_for_brittle_servers"
+	MetricTurnTaken       = "sends_held_for_another_suspect"
 	MetricWait            = "wait_for_server_ms_"
 	MetricFirst           = "first_byte_ms_"
 	MetricTotal           = "whole_answer_ms_"
@@ -225,6 +237,7 @@
 	throttle Throttler
 	origins  Origins
 	sparer   Sparer
+	sequence Sequencer
 	clock    clockwork.Clock
 	log      *zap.Logger
 	table    atomic.Pointer[matcher.Table]
@@ -269,6 +282,13 @@
 	return nil, 0, true
 }
 
+// unordered is a Sequencer that lets all requests be sent at any time.
+type unordered struct{}
+
+func (unordered) Acquire(context.Context, uint64) (*sequencer.Turn, time.Duration, bool) {
+	return nil, 0, true
+}
+
 // noOrigins is an Origins that knows none.
 type noOrigins struct{}
 
@@ -312,6 +332,10 @@
 // WithSparer spares brittle servers; without it they get requests as others do.
 func WithSparer(s Sparer) Option { return func(r *Relayer) { r.sparer = s } }
 
+// WithSequencer has requests that may crash their servers sent one after the other; without
+// it they are sent at any time.
+func WithSequencer(s Sequencer) Option { return func(r *Relayer) { r.sequence = s } }
+
 // WithOrigins continues streams that clients take up again at the build that began them;
 // without it only those of services that run one build are continued.
 func WithOrigins(o Origins) Option { return func(r *Relayer) { r.origins = o } }
@@ -332,7 +356,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, options ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
+		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, sequence: unordered{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
 	}
 	r.waits, r.endWaits = context.WithCancel(context.Background())
 	for _, o := range options {
@@ -451,6 +475,10 @@
 
 	// pass is the admission of the next attempt to a brittle server, nil if it needs none.
 	pass *sparer.Pass
+	// turn is the turn of the next attempt, nil if it needs none. cutOff is set once the
+	// connection of an attempt broke under the request, or its server fell silent.
+	turn   *sequencer.Turn
+	cutOff bool
 
 	// backlog is the estimated time until a server is free, for a request that
 	// got none.
--- a/sparer/sparer.go
+++ b/sparer/sparer.go
@@ -10,14 +10,11 @@
 package sparer
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -25,6 +22,7 @@
 
 	"primrosehook/judge"
 	"primrosehook/messenger"
+	"primrosehook/ranker"
 )
 
 const (
@@ -83,17 +81,16 @@
 	peers Peers
 	clock clockwork.Clock
 	log   *zap.Logger
+	ranks *ranker.Ranker
 	// anyBrittle is set while the servers of a service are brittle, so that other requests take
 	// no lock.
 	anyBrittle atomic.Bool
 
-	mu      sync.Mutex
-	members []string
+	mu sync.Mutex
 	// contactAt is when another instance last replied to this one, or asked it.
-	contactAt    time.Time
-	brittle      map[string]statement
-	gates        map[string]*gate
-	backoffUntil map[string]time.Time
+	contactAt time.Time
+	brittle   map[string]statement
+	gates     map[string]*gate
 }
 
 // gate is a Gate at which requests are held back. ended has a value after the end of one that
@@ -113,8 +110,8 @@
 // addresses of the instances known at first.
 func New(self string, members []string, peers Peers, clock clockwork.Clock, log *zap.Logger) *Sparer {
 	return &Sparer{
-		self: self, members: members, peers: peers, clock: clock, log: log,
-		brittle: map[string]statement{}, gates: map[string]*gate{}, backoffUntil: map[string]time.Time{},
+		self: self, peers: peers, clock: clock, log: log, ranks: ranker.New(self, members, clock, ownerBackoff),
+		brittle: map[string]statement{}, gates: map[string]*gate{},
 	}
 }
 
@@ -125,11 +122,7 @@
 }
 
 // Update replaces the addresses of the instances.
-func (s *Sparer) Update(members []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.members = slices.Clone(members)
-}
+func (s *Sparer) Update(members []string) { s.ranks.Update(members) }
 
 // Observe records what an answer of a server says: that those of its service are brittle, and
 // how many refusals each bears in a second, or that they are not.
@@ -186,7 +179,7 @@
 		return nil, 0, true
 	}
 	q := AdmitRequest{Incarnation: incarnation, Bears: bears}
-	for _, owner := range s.owners(incarnation) {
+	for _, owner := range s.ranks.Owners(incarnation, maxOwners) {
 		if owner == s.self && s.inContact() {
 			return s.admitHere(ctx, q)
 		}
@@ -232,45 +225,15 @@
 func (s *Sparer) inContact() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.members) <= 1 || s.clock.Since(s.contactAt) < contactTTL
+	return s.ranks.Len() <= 1 || s.clock.Since(s.contactAt) < contactTTL
 }
 
 // ownShare returns this instance's share of the refusals that a server bears.
-func (s *Sparer) ownShare(bears int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return bears / max(len(s.members), 1)
-}
-
-// owners returns the instances to ask about a server: those that come first in an order that
-// all instances share, without those that did not reply of late.
-func (s *Sparer) owners(incarnation string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	type ranked struct {
-		address string
-		weight  uint64
-	}
-	list := []ranked{{s.self, xxhash.Sum64String(s.self + " " + incarnation)}}
-	for _, m := range s.members {
-		if m != s.self && !now.Before(s.backoffUntil[m]) {
-			list = append(list, ranked{m, xxhash.Sum64String(m + " " + incarnation)})
-		}
-	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
-	var owners []string
-	for _, r := range list[:min(len(list), maxOwners)] {
-		owners = append(owners, r.address)
-	}
-	return owners
-}
+func (s *Sparer) ownShare(bears int) int { return bears / max(s.ranks.Len(), 1) }
 
 // backOff records that an owner did not reply, so that it is not asked for a time.
 func (s *Sparer) backOff(owner string, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.backoffUntil[owner] = s.clock.Now().Add(ownerBackoff)
+	s.ranks.BackOff(owner)
 	s.log.Info("spare: instance does not answer", zap.String("member", owner), zap.Duration("not_asked_for", ownerBackoff), zap.Error(err))
 }
 
