Recognize a resource by its path, whichever body its requests have

Change: a resource is the service and what follows the route's prefix. Since other bodies are other requests, its crashes count against a request only while none for it has completed of late on this instance: what others use without harm is not to blame.

--- a/quarantiner/connection_breaks_test.go
+++ b/quarantiner/connection_breaks_test.go
@@ -37,11 +37,11 @@
 		for _, engine := range []string{"a", "b"} {
 			g.ConnectionBroke(quarantiner.Identity{Digest: 1}, engine)
 			clock.Advance(100 * time.Millisecond)
-			g.RequestCompleted(1)
+			g.RequestCompleted(quarantiner.Identity{Digest: 1})
 			g.ConnectionBroke(quarantiner.Identity{Digest: 2}, engine)
 			clock.Advance(100 * time.Millisecond)
 			g.EngineLost(engine)
-			g.RequestCompleted(2)
+			g.RequestCompleted(quarantiner.Identity{Digest: 2})
 			clock.Advance(time.Second)
 		}
 		Expect(g.Remaining(quarantiner.Identity{Digest: 1})).To(BeZero())
@@ -61,7 +61,7 @@
 				g.EngineLost(engine)
 			}
 		}
-		g.RequestCompleted(1)
+		g.RequestCompleted(quarantiner.Identity{Digest: 1})
 		clock.Advance(5 * time.Second)
 		lose("a", "b", "c", "d", "e")
 		Expect(g.Export()).To(BeEmpty())
--- a/quarantiner/guard.go
+++ b/quarantiner/guard.go
@@ -31,24 +31,29 @@
 func (g *Guard) Changed() <-chan struct{} { return g.changed }
 
 // Remaining returns the time left of a request's quarantine, zero if it is not in one.
-// What others for its resource have crashed does not count if it has completed of late.
 func (g *Guard) Remaining(id Identity) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	remaining := g.quarantiner.Remaining(now, id.Digest)
-	if remaining == 0 && id.Resource != 0 && !g.completions.Recent(now, id.Digest) {
+	if remaining == 0 && g.blamesResource(now, id.Resource) {
 		return g.quarantiner.ResourceRemaining(now, id.Resource)
 	}
 	return remaining
 }
 
+// blamesResource reports whether what requests for a resource have crashed counts against
+// others for it: not if one of them has completed of late. g.mu must be held.
+func (g *Guard) blamesResource(now time.Time, resource uint64) bool {
+	return resource != 0 && !g.completions.Recent(now, resource)
+}
+
 // Crashes returns how many lost engines count against a request or its resource.
 func (g *Guard) Crashes(id Identity) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	crashes := g.quarantiner.Crashes(id.Digest)
-	if id.Resource != 0 {
+	if g.blamesResource(g.clock.Now(), id.Resource) {
 		crashes = max(crashes, g.quarantiner.ResourceCrashes(id.Resource))
 	}
 	return crashes
@@ -61,6 +66,17 @@
 	return g.completions.Recent(g.clock.Now(), id.Digest)
 }
 
+// Key returns what stands for a request and those that are suspected together with it: its
+// resource, or its digest if others for the resource complete.
+func (g *Guard) Key(id Identity) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.blamesResource(g.clock.Now(), id.Resource) {
+		return id.Resource
+	}
+	return id.Digest
+}
+
 // EngineCrashed records that a request with this digest was running on an engine
 // when it was lost. concurrent is the number of requests of this instance that
 // ran on the engine, this one included.
@@ -128,13 +144,16 @@
 	return digests
 }
 
-// RequestCompleted clears a digest whose request completed normally.
-func (g *Guard) RequestCompleted(digest uint64) {
+// RequestCompleted clears the digest of a request that completed normally.
+func (g *Guard) RequestCompleted(id Identity) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.completions.Record(now, digest)
-	g.quarantiner.Finish(now, digest)
+	g.completions.Record(now, id.Digest)
+	if id.Resource != 0 {
+		g.completions.Record(now, id.Resource)
+	}
+	g.quarantiner.Finish(now, id.Digest)
 }
 
 // Export returns all suspects, to be merged by other instances.
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -83,7 +83,7 @@
 		t.giveUp("bad answer", zap.Int("status", t.answer.StatusCode))
 		return false
 	}
-	t.suspects.RequestCompleted(t.identity.Digest)
+	t.suspects.RequestCompleted(t.identity)
 	t.recordSurvival()
 	if !t.failed() {
 		t.record.outcome = "answered with " + strconv.Itoa(t.answer.StatusCode)
@@ -152,7 +152,7 @@
 	if err == nil && !w.isReplaced() {
 		t.answer.Close(true)
 		t.assignment.Done(false)
-		t.suspects.RequestCompleted(t.identity.Digest)
+		t.suspects.RequestCompleted(t.identity)
 		t.recordSurvival()
 		if n, err := strconv.Atoi(splitter.LastID()); err == nil {
 			t.assignment.RecordStreamEnd(n)
--- a/relayer/cutoff_test.go
+++ b/relayer/cutoff_test.go
@@ -78,9 +78,9 @@
 	completed atomic.Int64
 }
 
-func (g *countingGuard) RequestCompleted(digest uint64) {
+func (g *countingGuard) RequestCompleted(id quarantiner.Identity) {
 	g.completed.Add(1)
-	g.Guard.RequestCompleted(digest)
+	g.Guard.RequestCompleted(id)
 }
 
 // countingMeter counts the events of one name.
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -183,15 +182,14 @@
 	return balancer.Hash(r.Method + " " + r.URL.EscapedPath() + " " + string(body))
 }
 
-// resource returns a hash of what the request asks of its service, whichever route and
-// method it comes by: what follows the route's prefix, and the body. It is zero if nothing
-// follows the prefix.
+// resource returns a hash of what the request asks of its service, whichever route, method
+// and body it comes with: what follows the route's prefix. It is zero if nothing does.
 func (x *exchange) resource() uint64 {
 	rest, ok := strings.CutPrefix(x.request.URL.Path, x.route.Prefix)
 	if !ok || rest == "" {
 		return 0
 	}
-	return balancer.Hash(x.service + " " + rest + " " + string(x.body))
+	return balancer.Hash(x.service + " " + rest)
 }
 
 // clientAddress returns the IP address that a request came from.
@@ -306,7 +304,7 @@
 	if !x.mayCrash() {
 		return true
 	}
-	turn, wait, ok := x.sequence.Acquire(x.context, cmp.Or(x.identity.Resource, x.identity.Digest))
+	turn, wait, ok := x.sequence.Acquire(x.context, x.suspects.Key(x.identity))
 	x.turn, x.backlog = turn, wait
 	return ok
 }
--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -94,7 +95,29 @@
 		code, _, _ = w.send("POST", "/write/2", "")
 		Expect(code).To(Equal(200), "another resource")
 		code, _, _ = w.send("POST", "/write/1", "with a body")
-		Expect(code).To(Equal(502), "another request: it reaches the server")
+		Expect(code).To(Equal(503))
+	})
+
+	// Guards against refusing all requests for a resource that others use without harm.
+	It("does not keep others from its resource while they complete", func() {
+		fatal := func(rw http.ResponseWriter, q *http.Request) {
+			if body, _ := io.ReadAll(q.Body); string(body) == "fatal" {
+				crashOn(q.URL.Path, nil)(rw, q)
+			}
+			signedAnswer("whole")(rw, q)
+		}
+		w := startRelayer(fatal, fatal)
+		code, _, _ := w.send("POST", "/write/1", "sound")
+		Expect(code).To(Equal(200))
+		for sent := range 2 {
+			_, _, _ = w.send("POST", "/write/1", "fatal")
+			Eventually(func() int { return w.logs.FilterMessage("relay: server crashed").Len() }).Should(Equal(sent + 1))
+		}
+		w.addServers(fatal)
+		code, _, _ = w.send("POST", "/write/1", "fatal")
+		Expect(code).To(Equal(503))
+		code, _, _ = w.send("POST", "/write/1", "sound, too")
+		Expect(code).To(Equal(200))
 	})
 
 	// Guards against missing a crash that no other request happens to find: servers with
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -122,13 +122,15 @@
 	ConnectionBroke(id quarantiner.Identity, incarnation string)
 	EngineLost(incarnation string) []uint64
 	// RequestCompleted records that a request completed normally.
-	RequestCompleted(digest uint64)
+	RequestCompleted(id quarantiner.Identity)
 	// Remaining returns the time left of a request's quarantine, zero if it is not
 	// in one. Crashes returns how many crashed servers count against it; it may be
 	// free all the same, since another request explains them.
 	Remaining(id quarantiner.Identity) time.Duration
 	Crashes(id quarantiner.Identity) int
-	// Completed reports whether a request like this one has completed of late.
+	// Key stands for a request and those that are suspected together with it. Completed
+	// reports whether a request like this one has completed of late.
+	Key(id quarantiner.Identity) uint64
 	Completed(id quarantiner.Identity) bool
 }
 
--- a/server/dependencies.go
+++ b/server/dependencies.go
@@ -125,7 +125,7 @@
 	// this one included.
 	EngineCrashed(digest uint64, engine string, beside int)
 	// RequestCompleted records that a request completed.
-	RequestCompleted(digest uint64)
+	RequestCompleted(id quarantiner.Identity)
 	// Status returns the suspects for operators. The result must be JSON
 	// encodable.
 	Status() any
--- a/server/fakes_test.go
+++ b/server/fakes_test.go
@@ -365,7 +365,7 @@
 
 func (*fakeQuarantine) Status() any { return nil }
 
-func (q *fakeQuarantine) RequestCompleted(uint64) {
+func (q *fakeQuarantine) RequestCompleted(quarantiner.Identity) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.finished++
--- a/server/generate.go
+++ b/server/generate.go
@@ -436,7 +436,7 @@
 		}
 		g.countOnTime()
 		if s.quarantine != nil {
-			s.quarantine.RequestCompleted(q.digest)
+			s.quarantine.RequestCompleted(quarantiner.Identity{Digest: q.digest})
 		}
 	case errors.Is(err, errClientGone):
 		s.counters.cancelled.Add(1)
