Send unproven requests one at a time while a third of a service's servers were lost

Cause: a request is suspected only after a crash that the instance, or one that it reaches, has seen under it. That a service has just lost its servers was not taken for a reason to be careful.

Change: while a third of the servers of a service, or more, were lost within ten seconds (gone from the registry without notice, or taking no connections), each request to it takes its turn, unless one like it has completed of late. Sound requests differ, so that their turns are free: one message to an owner for each of them during that time. A turn in use is asked for again after 300 ms at most.

--- a/balancer/builds.go
+++ b/balancer/builds.go
@@ -25,10 +25,14 @@
 }
 
 // recordDepartures records the servers that were registered before and are not any more.
-func (c *Core) recordDepartures(before map[string]*server) {
+func (c *Core) recordDepartures(now time.Time, before map[string]*server) {
 	for id, s := range before {
-		if now, ok := c.servers[id]; !ok || now.Incarnation != s.Incarnation {
-			c.departed[Hash(s.Incarnation)] = departedServer{build: s.Build, registeredAt: c.registeredAt}
+		if next, ok := c.servers[id]; ok && next.Incarnation == s.Incarnation {
+			continue
+		}
+		c.departed[Hash(s.Incarnation)] = departedServer{build: s.Build, registeredAt: c.registeredAt}
+		if !s.Draining {
+			c.recordLoss(now, s.Incarnation)
 		}
 	}
 	for incarnation, d := range c.departed {
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -128,6 +128,8 @@
 	// servers that are not registered any more, by the hash of their incarnation.
 	registeredAt time.Time
 	departed     map[uint64]departedServer
+	// lost are the incarnations of servers that were lost of late, and when.
+	lost map[string]time.Time
 	// latency is the mean latency of all servers in milliseconds.
 	latency float64
 	// peersAt is when the peers' in-flight counts were last updated.
@@ -143,7 +145,7 @@
 func NewCore(zone string, seed uint64) *Core {
 	return &Core{
 		zone: zone, random: rand.New(rand.NewPCG(seed, 1)),
-		servers: map[string]*server{}, overlays: map[string][]pendingOverlay{}, leaving: map[string]time.Time{}, builds: map[string]time.Time{}, departed: map[uint64]departedServer{}, latency: defaultLatency,
+		servers: map[string]*server{}, overlays: map[string][]pendingOverlay{}, leaving: map[string]time.Time{}, builds: map[string]time.Time{}, lost: map[string]time.Time{}, departed: map[uint64]departedServer{}, latency: defaultLatency,
 	}
 }
 
@@ -165,7 +167,7 @@
 	before := c.servers
 	c.servers = kept
 	c.recordBuilds(now)
-	c.recordDepartures(before)
+	c.recordDepartures(now, before)
 	slices.SortFunc(c.sorted, func(a, b *server) int {
 		if a.ID < b.ID {
 			return -1
@@ -227,6 +229,7 @@
 func (c *Core) MarkUnreachable(now time.Time, id string) {
 	if s, ok := c.servers[id]; ok {
 		s.unreachableUntil = now.Add(unreachableBackoff)
+		c.recordLoss(now, s.Incarnation)
 	}
 }
 
--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -88,11 +88,12 @@
 // Detourer opens connections to servers, directly or through peers, and opens them for peers.
 // It implements connector.Dialer and is safe for concurrent use.
 type Detourer struct {
-	self   string
-	direct connector.Dialer
-	clock  clockwork.Clock
-	log    *zap.Logger
-	meter  Meter
+	self       string
+	direct     connector.Dialer
+	peerDialer connector.Dialer
+	clock      clockwork.Clock
+	log        *zap.Logger
+	meter      Meter
 	// known reports whether an address is that of a registered server.
 	known func(address string) bool
 	// maxServed bounds the detours that are served for peers.
@@ -113,6 +114,10 @@
 // connector.DirectDialer.
 func WithDirect(d connector.Dialer) Option { return func(t *Detourer) { t.direct = d } }
 
+// WithPeerDialer sets how connections to peers are opened; the default is
+// connector.DirectDialer.
+func WithPeerDialer(d connector.Dialer) Option { return func(t *Detourer) { t.peerDialer = d } }
+
 // WithMeter sets the receiver of counts.
 func WithMeter(m Meter) Option { return func(t *Detourer) { t.meter = m } }
 
@@ -132,7 +137,7 @@
 // a registered server.
 func New(self string, members []string, known func(address string) bool, clock clockwork.Clock, log *zap.Logger, options ...Option) *Detourer {
 	d := &Detourer{
-		self: self, members: members, known: known, clock: clock, log: log, direct: connector.DirectDialer{}, meter: discardMeter{}, maxServed: defaultMaxServed,
+		self: self, members: members, known: known, clock: clock, log: log, direct: connector.DirectDialer{}, peerDialer: connector.DirectDialer{}, meter: discardMeter{}, maxServed: defaultMaxServed,
 		paths: map[string]*path{}, peers: map[string]*peer{}, served: map[*tunnel]bool{},
 	}
 	for _, o := range options {
--- a/detourer/tunnel.go
+++ b/detourer/tunnel.go
@@ -14,7 +14,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
-	"primrosehook/connector"
 	"primrosehook/judge"
 	"primrosehook/messenger"
 )
@@ -118,7 +117,7 @@
 }
 
 func (d *Detourer) open(ctx context.Context, peer, address string) (net.Conn, error) {
-	c, err := connector.DirectDialer{}.Dial(ctx, peer)
+	c, err := d.peerDialer.Dial(ctx, peer)
 	if err != nil {
 		return nil, eris.Errorf("peer %s is not reached: %v", peer, err)
 	}
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -123,8 +122,7 @@
 	if ok && !l.broken() {
 		return l, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := c.options.dialer.Dial(ctx, addr)
 	if err != nil {
 		r := judge.Unavailable("peer", "peer is not reachable", time.Second)
 		r.Cause = err
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -45,6 +45,7 @@
 
 type options struct {
 	clock             clockwork.Clock
+	dialer            Dialer
 	writeTimeout      time.Duration
 	idle              time.Duration
 	maxSilence        time.Duration
@@ -59,6 +60,24 @@
 // WithClock sets the clock; the default is the real one.
 func WithClock(clock clockwork.Clock) Option { return func(o *options) { o.clock = clock } }
 
+// Dialer opens connections to peers.
+type Dialer interface {
+	// Dial opens a connection to an address "IP:port".
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// WithDialer sets how a Client opens connections; the default is TCP.
+func WithDialer(d Dialer) Option { return func(o *options) { o.dialer = d } }
+
+// tcpDialer is the default Dialer.
+type tcpDialer struct{}
+
+// Dial implements Dialer.
+func (tcpDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // WithWriteTimeout sets the time limit of one write to a connection.
 func WithWriteTimeout(d time.Duration) Option { return func(o *options) { o.writeTimeout = d } }
 
@@ -86,6 +105,7 @@
 func newOptions(idle time.Duration, set []Option) options {
 	o := options{
 		clock:             clockwork.NewRealClock(),
+		dialer:            tcpDialer{},
 		writeTimeout:      writeTimeout,
 		idle:              idle,
 		maxSilence:        maxSilence,
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -309,12 +309,16 @@
 	return ok
 }
 
-// mayCrash reports whether the request may be what has crashed a server: it was cut off, or
-// is suspected, and none like it has completed of late.
+// mayCrash reports whether the request may be what has crashed a server: it was cut off, it
+// is suspected, or many servers of its service were lost of late, and none like it has
+// completed since.
 func (x *exchange) mayCrash() bool {
-	return (x.cutOff || x.suspects.Crashes(x.identity) > 0) && !x.suspects.Completed(x.identity)
+	return (x.cutOff || x.isMarked() || x.fleet.Unsettled(x.service)) && !x.suspects.Completed(x.identity)
 }
 
+// isMarked reports whether a server has crashed under the request.
+func (x *exchange) isMarked() bool { return x.suspects.Crashes(x.identity) > 0 }
+
 // merge adds a failed attempt to the state of the request.
 func (x *exchange) merge(t *attempt) {
 	if t.reached {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -195,8 +195,8 @@
 // Sequencer has requests that may crash their servers sent one after the other, by all
 // instances together.
 type Sequencer interface {
-	// Acquire takes the turn of the requests with a key. If another one has it, it returns
-	// the longest time until it is free.
+	// Acquire takes the turn of the requests with a key. If that can't be had, it returns
+	// when to ask again.
 	Acquire(ctx context.Context, key uint64) (turn *sequencer.Turn, wait time.Duration, ok bool)
 }
 
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -42,8 +42,7 @@
 	Key uint64 `msgpack:"k"`
 }
 
-// TakeReply answers a TakeRequest. If the turn is not Taken, Wait is the longest time until
-// it is free.
+// TakeReply answers a TakeRequest. If the turn is not Taken, Wait is when to ask again.
 type TakeReply struct {
 	Taken bool          `msgpack:"t"`
 	Wait  time.Duration `msgpack:"w"`
@@ -89,8 +88,8 @@
 // Update replaces the addresses of the instances.
 func (s *Sequencer) Update(members []string) { s.ranks.Update(members) }
 
-// Acquire takes the turn of a key. If another request has it, it returns the longest time
-// until it is free. End must be called on a turn.
+// Acquire takes the turn of a key. If that can't be had, it returns when to ask again. End
+// must be called on a turn.
 func (s *Sequencer) Acquire(ctx context.Context, key uint64) (turn *Turn, wait time.Duration, ok bool) {
 	for _, owner := range s.ranks.Owners(strconv.FormatUint(key, 16), maxOwners) {
 		if owner == s.self {
--- a/sequencer/turns.go
+++ b/sequencer/turns.go
@@ -1,10 +1,15 @@
 package sequencer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// turnTimeout is how long a turn lasts of which no end is reported.
 	turnTimeout = 3 * time.Second
+	// retryInterval is the longest time after which to ask again for a turn that is in use.
+	retryInterval = 300 * time.Millisecond
 	// brokenPause is the time from a turn that broke off to the next one: instances learn in
 	// it whether the server crashed.
 	brokenPause = time.Second
@@ -15,26 +20,31 @@
 // Turns decides which of the requests with the same key may be sent. It is not safe for
 // concurrent use.
 type Turns struct {
-	// closed is until when no request with a key may be sent.
-	closed map[uint64]time.Time
+	// closed is until when no request with a key may be sent, unless its turn ends before.
+	closed map[uint64]turn
+}
+
+// turn is a turn that is in use, or the pause after one that broke off.
+type turn struct {
+	until time.Time
+	inUse bool
 }
 
 // NewTurns returns a Turns without keys.
-func NewTurns() *Turns { return &Turns{closed: map[uint64]time.Time{}} }
+func NewTurns() *Turns { return &Turns{closed: map[uint64]turn{}} }
 
-// Take takes the turn of a key. If it is taken, it returns the longest time until it is not.
+// Take takes the turn of a key. If that can't be had, it returns when to ask again.
 func (t *Turns) Take(now time.Time, key uint64) (wait time.Duration, ok bool) {
-	if until := t.closed[key]; now.Before(until) {
-		return until.Sub(now), false
+	if c := t.closed[key]; now.Before(c.until) {
+		if c.inUse {
+			return min(c.until.Sub(now), retryInterval), false
+		}
+		return c.until.Sub(now), false
 	}
 	if len(t.closed) >= maxTurns {
-		for k, until := range t.closed {
-			if !now.Before(until) {
-				delete(t.closed, k)
-			}
-		}
+		maps.DeleteFunc(t.closed, func(_ uint64, c turn) bool { return !now.Before(c.until) })
 	}
-	t.closed[key] = now.Add(turnTimeout)
+	t.closed[key] = turn{until: now.Add(turnTimeout), inUse: true}
 	return 0, true
 }
 
@@ -42,7 +52,7 @@
 // that its server fell silent.
 func (t *Turns) End(now time.Time, key uint64, broken bool) {
 	if broken {
-		t.closed[key] = now.Add(brokenPause)
+		t.closed[key] = turn{until: now.Add(brokenPause)}
 		return
 	}
 	delete(t.closed, key)
