Keep the rest that a server has asked for while its registration is away

Cause: the rest was kept with the server's entry among the registered servers. When the registration lapsed, could not be read or was replaced by a garbled one, the entry went, and the rest with it; a refusal that arrived meanwhile was not recorded at all. Class: state about a server that lives as long as what another party says of it. What it says of leaving was already kept apart, for that reason.

Change: rests are kept by incarnation until they end.

Result: "gets no request until then, also after its registration was away" and "... also if it refused while its registration was away" (relayer) failed before and pass.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -99,8 +99,6 @@
 	// limitedUntil is when the server may get the next request within the rate limit
 	// that it names.
 	limitedUntil time.Time
-	// restsUntil is until when the server wants no request of this instance.
-	restsUntil time.Time
 	// repliedAt is when the owner of the server's schedule last replied, freeAt
 	// when according to it the next prompt may be sent. The server counts as full
 	// until closedUntil, so that no further reservation is requested before.
@@ -120,6 +118,8 @@
 	overlays map[string][]pendingOverlay
 	// leaving are the incarnations that have said that they leave, and when.
 	leaving map[string]time.Time
+	// resting is until when incarnations want no request of this instance.
+	resting map[string]time.Time
 	// builds is when each build was last registered, observedSince when servers were first
 	// registered.
 	builds        map[string]time.Time
@@ -145,7 +145,7 @@
 func NewCore(zone string, seed uint64) *Core {
 	return &Core{
 		zone: zone, random: rand.New(rand.NewPCG(seed, 1)),
-		servers: map[string]*server{}, overlays: map[string][]pendingOverlay{}, leaving: map[string]time.Time{}, builds: map[string]time.Time{}, lost: map[string]time.Time{}, departed: map[uint64]departedServer{}, latency: defaultLatency,
+		servers: map[string]*server{}, overlays: map[string][]pendingOverlay{}, leaving: map[string]time.Time{}, resting: map[string]time.Time{}, builds: map[string]time.Time{}, lost: map[string]time.Time{}, departed: map[uint64]departedServer{}, latency: defaultLatency,
 	}
 }
 
@@ -295,7 +295,7 @@
 			status = Full
 			continue
 		}
-		if now.Before(s.pausedUntil()) {
+		if now.Before(c.pausedUntil(s)) {
 			if status != Full {
 				status = RateLimited
 			}
--- a/balancer/pause.go
+++ b/balancer/pause.go
@@ -16,11 +16,11 @@
 	}
 }
 
-// pausedUntil returns when the server may get the next request, by its rate limit and
-// its refusals.
-func (s *server) pausedUntil() time.Time {
-	if s.restsUntil.After(s.limitedUntil) {
-		return s.restsUntil
+// pausedUntil returns when a server may get the next request, by its rate limit and its
+// refusals.
+func (c *Core) pausedUntil(s *server) time.Time {
+	if until := c.resting[s.Incarnation]; until.After(s.limitedUntil) {
+		return until
 	}
 	return s.limitedUntil
 }
@@ -30,7 +30,7 @@
 func (c *Core) PauseEnd(now time.Time, key string) time.Time {
 	var first time.Time
 	for _, s := range c.sorted {
-		until := s.pausedUntil()
+		until := c.pausedUntil(s)
 		if s.Draining || key != "" && !s.loaded[key] || !now.Before(until) {
 			continue
 		}
@@ -41,20 +41,17 @@
 	return first
 }
 
-// SetResting records that a server wants no request of this instance until a time.
-func (c *Core) SetResting(id string, until time.Time) {
-	if s, ok := c.servers[id]; ok && until.After(s.restsUntil) {
-		s.restsUntil = until
+// SetResting records that an incarnation of a server wants no request of this instance
+// until a time. That is remembered while its registration expires and comes back.
+func (c *Core) SetResting(now time.Time, incarnation string, until time.Time) {
+	maps.DeleteFunc(c.resting, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if until.After(c.resting[incarnation]) {
+		c.resting[incarnation] = until
 	}
 }
 
-// RestEnd returns until when a server wants no request of this instance.
-func (c *Core) RestEnd(id string) time.Time {
-	if s, ok := c.servers[id]; ok {
-		return s.restsUntil
-	}
-	return time.Time{}
-}
+// RestEnd returns until when an incarnation of a server wants no request of this instance.
+func (c *Core) RestEnd(incarnation string) time.Time { return c.resting[incarnation] }
 
 // MarkLeaving records that an incarnation of a server has said that it leaves. It gets
 // no request any more, whatever its registration says.
@@ -98,9 +95,8 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok {
-		c.SetResting(a.ID, f.clock.Now().Add(d))
-	}
+	now := f.clock.Now()
+	f.core(a.service).SetResting(now, a.Incarnation, now.Add(d))
 }
 
 // RestTime returns for how long the server wants no request of this instance.
@@ -108,9 +104,5 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c, ok := f.cores[a.service]
-	if !ok {
-		return 0
-	}
-	return max(c.RestEnd(a.ID).Sub(f.clock.Now()), 0)
+	return max(f.core(a.service).RestEnd(a.Incarnation).Sub(f.clock.Now()), 0)
 }
--- a/relayer/leaving_test.go
+++ b/relayer/leaving_test.go
@@ -107,6 +107,38 @@
 		Eventually(func() int64 { _, _, _ = w.send("GET", "/read/1", ""); return w.requestCounts[0].Load() }, 2*time.Second).Should(BeNumerically(">", 1))
 	})
 
+	// Guards against forgetting the rest when the registration expires, or can't be read, and
+	// comes back.
+	It("gets no request until then, also after its registration was away", func() {
+		w := startRelayer(refuseFor(5*time.Second), signedAnswer("whole"))
+		_, _, _ = w.send("GET", "/read/1", "")
+		Expect(w.requestCounts[0].Load()).To(Equal(int64(1)))
+		w.fleet.Update(w.servers[1:])
+		w.fleet.Update(w.servers)
+		for range 5 {
+			code, _, _ := w.send("GET", "/read/1", "")
+			Expect(code).To(Equal(200))
+		}
+		Expect(w.requestCounts[0].Load()).To(Equal(int64(1)))
+	})
+
+	// Guards against forgetting a refusal that comes while the registration is away.
+	It("gets no request until then, also if it refused while its registration was away", func() {
+		var w *fixture
+		refuse := refuseFor(5 * time.Second)
+		w = startRelayer(func(rw http.ResponseWriter, q *http.Request) {
+			w.fleet.Update(w.servers[1:])
+			refuse(rw, q)
+		}, signedAnswer("whole"))
+		_, _, _ = w.send("GET", "/read/1", "")
+		w.fleet.Update(w.servers)
+		for range 5 {
+			code, _, _ := w.send("GET", "/read/1", "")
+			Expect(code).To(Equal(200))
+		}
+		Expect(w.requestCounts[0].Load()).To(Equal(int64(1)))
+	})
+
 	It("is what a client is told to wait for if no other server is left", func() {
 		w := startRelayer(refuseFor(5 * time.Second))
 		_, _, _ = w.send("GET", "/read/1", "")
