Ask whether a server rests or leaves before a request is written to it

Cause: the instance looked when it chose the server and once more before it asked for the rate limit. After that a request may wait for the gate of a brittle server, for its turn, for a read of the registry, and up to 0.9 s for a connection; a failover looked only when it was begun. Class: a check long before the act.

Change: the connector asks once there is a connection, right before it writes. A request that is held there was not sent: it counts as no attempt, the connection is kept, and it goes to another server.

Result: "gets none that waited for a connection" for reads, writes and streams at a server that rests and for a read at one that leaves (relayer): each failed before and passes.

--- a/balancer/pause.go
+++ b/balancer/pause.go
@@ -99,6 +99,17 @@
 	f.core(a.service).SetResting(now, a.Incarnation, now.Add(d))
 }
 
+// Paused reports whether the server wants no request of this instance now: it rests, leaves
+// or drains.
+func (a *Assignment) Paused() bool {
+	f := a.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.core(a.service)
+	s, ok := c.servers[a.ID]
+	return f.clock.Now().Before(c.RestEnd(a.Incarnation)) || c.isLeaving(a.Incarnation) || ok && s.Incarnation == a.Incarnation && s.Draining
+}
+
 // RestTime returns for how long the server wants no request of this instance.
 func (a *Assignment) RestTime() time.Duration {
 	f := a.fleet
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -74,7 +74,10 @@
 	// LateHeader, if set, returns further fields once there is a connection: opening one takes
 	// time that the fields may state.
 	LateHeader func() http.Header
-	Body       []byte
+	// Proceed, if set, is asked once there is a connection. If it returns an error, nothing is
+	// sent.
+	Proceed func() error
+	Body    []byte
 	// OpenedBefore allows only connections that were opened before a time, zero for any:
 	// their peer is the process that took connections then.
 	OpenedBefore time.Time
@@ -183,6 +186,12 @@
 	if err != nil {
 		return nil, false, &judge.Refusal{Verdict: judge.NotRun, Status: http.StatusServiceUnavailable, Code: "unreachable", Reason: "the upstream takes no connection", Cause: err}
 	}
+	if q.Proceed != nil {
+		if err := q.Proceed(); err != nil {
+			p.putIdle(c)
+			return nil, false, &judge.Refusal{Verdict: judge.NotRun, Status: http.StatusServiceUnavailable, Code: "held", Reason: "the request is not sent", Cause: err}
+		}
+	}
 	c.stopWatching = context.AfterFunc(ctx, c.close)
 	a, err := c.roundTrip(q, matches)
 	if err != nil {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -31,6 +31,9 @@
 // errAnswerTooLarge ends the reading of a body that exceeds maxAnswerBytes.
 var errAnswerTooLarge = errors.New("the answer is too large")
 
+// errPaused means that the server has said that it wants no request since it was chosen.
+var errPaused = errors.New("the server rests or leaves")
+
 // attempt is one sending of the request to a server.
 type attempt struct {
 	*exchange
@@ -101,6 +104,7 @@
 			Server: t.assignment.ID, Priority: t.route.Priority, LastEvent: t.resumeAfter,
 		}),
 		LateHeader:   func() http.Header { return t.codec.TimeLeftHeader(t.deadline.Sub(t.clock.Now())) },
+		Proceed:      t.proceed,
 		OpenedBefore: t.assignment.OpenedBefore(),
 	}, t.ownsAnswer)
 	if t.err != nil {
@@ -116,6 +120,14 @@
 	}
 }
 
+// proceed returns an error if the server wants no request any more.
+func (t *attempt) proceed() error {
+	if t.assignment.Paused() {
+		return errPaused
+	}
+	return nil
+}
+
 // observeRateLimit records whether the server names a rate limit. An answer that may
 // be another server's, or damaged, is passed over.
 func (t *attempt) observeRateLimit() {
@@ -289,7 +301,7 @@
 	verdict := judge.Of(t.err)
 	t.reached = verdict != judge.NotRun
 	t.ran = t.reached
-	t.assignment.Done(!t.clientGone())
+	t.assignment.Done(!t.clientGone() && !errors.Is(t.err, errPaused))
 	t.record.outcome = verdict.String() + ": " + causeText(t.err)
 	if t.clientGone() {
 		if t.reached {
@@ -297,7 +309,7 @@
 		}
 		return
 	}
-	if !t.reached && !errors.Is(t.err, errUnproven) && !errors.Is(t.err, connector.ErrNoneOpen) {
+	if !t.reached && !errors.Is(t.err, errUnproven) && !errors.Is(t.err, connector.ErrNoneOpen) && !errors.Is(t.err, errPaused) {
 		t.assignment.MarkUnreachable()
 	}
 	switch {
--- a/relayer/leaving_test.go
+++ b/relayer/leaving_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"primrosehook/balancer"
+	"primrosehook/connector"
 	"primrosehook/pacer"
 	"primrosehook/registrar"
 	"primrosehook/relayer"
@@ -24,6 +27,20 @@
 	}
 }
 
+// slowDialer opens connections after a delay, but for the first one.
+type slowDialer struct {
+	dials atomic.Int64
+	delay time.Duration
+}
+
+// Dial implements connector.Dialer.
+func (d *slowDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if d.dials.Add(1) > 1 {
+		time.Sleep(d.delay)
+	}
+	return connector.DirectDialer{}.Dial(ctx, address)
+}
+
 // queuedPacer lets the first request through at once and has the others wait.
 type queuedPacer struct {
 	mu    sync.Mutex
@@ -156,6 +173,48 @@
 		Expect(w.requestCounts[0].Load()).To(Equal(int64(1)))
 	})
 
+	slowly := func(h handler) handler {
+		return func(w http.ResponseWriter, q *http.Request) {
+			time.Sleep(100 * time.Millisecond)
+			h(w, q)
+		}
+	}
+
+	// Guards against sending requests that were waiting for a connection to the server when it
+	// said that it wants none.
+	DescribeTable("gets none that waited for a connection",
+		func(method, path string, first handler) {
+			d := &slowDialer{delay: 400 * time.Millisecond}
+			second := signedAnswer("whole")
+			if method == "POST" && path == "/chat/1" {
+				second = streamEvents(1, 0)
+			}
+			w := startRelayerDialing(d, first, second)
+			w.fleet.Update(w.servers[:1])
+			var clients sync.WaitGroup
+			for i := range 4 {
+				clients.Go(func() {
+					defer GinkgoRecover()
+					if i > 0 {
+						time.Sleep(20 * time.Millisecond)
+					}
+					_, _, err := w.send(method, path, "")
+					Expect(err).NotTo(HaveOccurred())
+				})
+			}
+			time.Sleep(150 * time.Millisecond)
+			w.fleet.Update(w.servers)
+			clients.Wait()
+			Expect(w.requestCounts[0].Load()).To(Equal(int64(1)))
+			Expect(w.requestCounts[1].Load()).To(BeNumerically(">=", 3))
+			Expect(w.logs.FilterMessage("relay: server does not answer a probe").Len()).To(BeZero())
+		},
+		Entry("a read, at a server that rests", "GET", "/read/1", slowly(refuseFor(5*time.Second))),
+		Entry("a write, at a server that rests", "POST", "/write/1", slowly(refuseFor(5*time.Second))),
+		Entry("a stream, at a server that rests", "POST", "/chat/1", slowly(refuseFor(5*time.Second))),
+		Entry("a read, at a server that leaves", "GET", "/read/1", slowly(withHeader("Leave", "1", signedAnswer("whole")))),
+	)
+
 	It("gets none that waited for its turn when it refused", func() {
 		w := startRelayerWith(newGuard(), []handler{refuseFor(5 * time.Second)}, relayer.WithPacer(&queuedPacer{}))
 		w.servers[0].Loaded = []registrar.LoadedModel{{Model: "m", Version: 1}}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"primrosehook/balancer"
+	"primrosehook/connector"
 	"primrosehook/matcher"
 	"primrosehook/quarantiner"
 	"primrosehook/registrar"
@@ -145,12 +146,22 @@
 	return quarantiner.NewGuard(clockwork.NewRealClock(), quarantiner.DefaultOptions())
 }
 
+// startRelayerDialing is startRelayer with a dialer for the connections to servers.
+func startRelayerDialing(d connector.Dialer, handlers ...handler) *fixture {
+	return startRelayerOn(balancer.NewFleet("z", 1, clockwork.NewRealClock(), balancer.WithDialer(d)), newGuard(), handlers)
+}
+
 // startRelayerWith is startRelayer with a search of its own for requests that crash
 // servers, and further options.
 func startRelayerWith(suspects relayer.Suspects, handlers []handler, options ...relayer.Option) *fixture {
+	return startRelayerOn(balancer.NewFleet("z", 1, clockwork.NewRealClock()), suspects, handlers, options...)
+}
+
+// startRelayerOn is startRelayerWith on a fleet.
+func startRelayerOn(fleet *balancer.Fleet, suspects relayer.Suspects, handlers []handler, options ...relayer.Option) *fixture {
 	clock := clockwork.NewRealClock()
 	core, logs := observer.New(zap.InfoLevel)
-	w := &fixture{fleet: balancer.NewFleet("z", 1, clock), logs: logs}
+	w := &fixture{fleet: fleet, logs: logs}
 	w.addServers(handlers...)
 	w.relay = relayer.New(plainCodec{}, w.fleet, suspects, clock, zap.New(core), append(options, relayer.WithRetries(10*time.Second, 0.2, 10))...)
 	route := func(prefix string, kind matcher.Kind, attempts int, resumable bool) matcher.Route {
