Keep what a server has said of rest and leaving at the instance it has said it to

Cause: a request may reach its server through another instance (detourer), and the server takes it for that one's. The instance where the request arrived read the answer and kept to it; the one it came through carries bytes, knew nothing, and went on sending requests of its own and of others. Class: an answer is taken to be meant for whoever reads it.

Change: an answer names the instance that it came through, and that one is told. An instance that knows that a server rests or leaves serves no detours to it and has those that are open used no further.

--- a/balancer/pause.go
+++ b/balancer/pause.go
@@ -80,6 +80,37 @@
 	return list
 }
 
+// Pause is what a server has said to an instance: that it leaves, or for how long it wants no
+// requests.
+type Pause struct {
+	// Incarnation and Address are those of the server.
+	Incarnation string        `msgpack:"s"`
+	Address     string        `msgpack:"a"`
+	Leaving     bool          `msgpack:"l"`
+	Rest        time.Duration `msgpack:"r"`
+}
+
+// ApplyPause records what a server has said in an answer that another instance got, through
+// this one.
+func (f *Fleet) ApplyPause(p Pause) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	for _, c := range f.cores {
+		for _, s := range c.sorted {
+			if s.Incarnation != p.Incarnation {
+				continue
+			}
+			if p.Leaving {
+				c.MarkLeaving(now, s.ID, p.Incarnation)
+			}
+			if p.Rest > 0 {
+				c.SetResting(now, p.Incarnation, now.Add(p.Rest))
+			}
+		}
+	}
+}
+
 // MarkLeaving records that the server has said that it leaves.
 func (a *Assignment) MarkLeaving() {
 	f := a.fleet
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -479,6 +479,15 @@
 // OpenedAt returns when the connection of the answer was opened.
 func (a *Answer) OpenedAt() time.Time { return a.conn.openedAt }
 
+// Via returns the address of the instance that the request went through, empty if it went to
+// the upstream directly.
+func (a *Answer) Via() string {
+	if c, ok := a.conn.conn.(interface{ Via() string }); ok {
+		return c.Via()
+	}
+	return ""
+}
+
 // EndsWithConnection reports whether the end of the body is that of the connection.
 func (a *Answer) EndsWithConnection() bool { return sender.EndsWithConnection(a.Response) }
 
--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -104,7 +104,9 @@
 	paths   map[string]*path
 	peers   map[string]*peer
 	served  map[*tunnel]bool
-	leaving bool
+	// pausedUntil is until when no detours to a server are served, by its address.
+	pausedUntil map[string]time.Time
+	leaving     bool
 }
 
 // Option sets an option of a Detourer.
@@ -138,7 +140,7 @@
 func New(self string, members []string, known func(address string) bool, clock clockwork.Clock, log *zap.Logger, options ...Option) *Detourer {
 	d := &Detourer{
 		self: self, members: members, known: known, clock: clock, log: log, direct: connector.DirectDialer{}, peerDialer: connector.DirectDialer{}, meter: discardMeter{}, maxServed: defaultMaxServed,
-		paths: map[string]*path{}, peers: map[string]*peer{}, served: map[*tunnel]bool{},
+		paths: map[string]*path{}, peers: map[string]*peer{}, served: map[*tunnel]bool{}, pausedUntil: map[string]time.Time{},
 	}
 	for _, o := range options {
 		o(d)
--- a/detourer/tunnel.go
+++ b/detourer/tunnel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -142,6 +143,9 @@
 	once          sync.Once
 }
 
+// Via returns the address of the peer that the connection leads through.
+func (c *detourConn) Via() string { return c.peer }
+
 // Quiet reports whether the connection can be used for a further request. Once the direct path
 // works it is not.
 func (c *detourConn) Quiet() bool { return c.detourer.isBroken(c.address) && c.Stream.Quiet() }
@@ -169,9 +173,9 @@
 	if d.isBroken(q.Address) {
 		return nil, refusal(codeCut, "server is not reached directly here either")
 	}
-	t := &tunnel{detourer: d}
+	t := &tunnel{detourer: d, address: q.Address}
 	if !d.register(t) {
-		return nil, refusal(codeBusy, "instance serves no more detours")
+		return nil, refusal(codeBusy, "instance serves no more detours, or none to this server now")
 	}
 	c, err := d.direct.Dial(ctx, q.Address)
 	if err != nil {
@@ -197,7 +201,7 @@
 func (d *Detourer) register(t *tunnel) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.leaving || len(d.served) >= d.maxServed {
+	if d.leaving || len(d.served) >= d.maxServed || d.clock.Now().Before(d.pausedUntil[t.address]) {
 		return false
 	}
 	d.served[t] = true
@@ -210,6 +214,24 @@
 	delete(d.served, t)
 }
 
+// Pause serves no further detours to a server until a time, and has peers use those that are
+// open no further: it wants no requests of this instance, for which it takes theirs.
+func (d *Detourer) Pause(address string, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	maps.DeleteFunc(d.pausedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if !until.After(d.pausedUntil[address]) {
+		return
+	}
+	d.pausedUntil[address] = until
+	for t := range d.served {
+		if t.address == address {
+			go t.runLeave()
+		}
+	}
+}
+
 // Leave serves no further detours, and waits until those that are served are idle or closed,
 // or the context ends.
 func (d *Detourer) Leave(ctx context.Context) {
@@ -243,6 +265,7 @@
 // tunnel is a detour that is served for a peer.
 type tunnel struct {
 	detourer *Detourer
+	address  string
 	server   net.Conn
 	stream   atomic.Pointer[messenger.Stream]
 	// sentAt is when the server last sent bytes, in nanoseconds since 1970, zero if the peer
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -107,6 +107,7 @@
 	detourer        *detourer.Detourer
 	sparer          *sparer.Sparer
 	sequencer       *sequencer.Sequencer
+	pauses          *pauses
 	suspects        *quarantiner.Guard
 	parts           *quarantiner.PartGuard
 	replacements    *registrar.Replacements
@@ -121,6 +122,7 @@
 type options struct {
 	tracer         trace.Tracer
 	dialer         connector.Dialer
+	peerDialer     connector.Dialer
 	values         map[string]func() int64
 	settingsSource SettingsSource
 }
@@ -132,6 +134,10 @@
 // connector.DirectDialer.
 func WithDialer(d connector.Dialer) Option { return func(o *options) { o.dialer = d } }
 
+// WithPeerDialer sets how connections to other instances are opened; the default is
+// connector.DirectDialer.
+func WithPeerDialer(d connector.Dialer) Option { return func(o *options) { o.peerDialer = d } }
+
 // WithMetric adds a value to the metrics.
 func WithMetric(name string, read func() int64) Option {
 	return func(o *options) { o.values[name] = read }
@@ -140,7 +146,7 @@
 // Run runs an instance until the context ends and its requests are finished or
 // the grace period is over.
 func Run(ctx context.Context, s platform.Settings, clock clockwork.Clock, log *zap.Logger, set ...Option) error {
-	o := options{tracer: tracer.NewNoop(), dialer: connector.DirectDialer{}, values: map[string]func() int64{}}
+	o := options{tracer: tracer.NewNoop(), dialer: connector.DirectDialer{}, peerDialer: connector.DirectDialer{}, values: map[string]func() int64{}}
 	for _, f := range set {
 		f(&o)
 	}
@@ -154,22 +160,23 @@
 	e := &Entry{initial: s, source: o.settingsSource, clock: clock, log: log, metrics: exporter.New()}
 	e.current.Store(&s)
 	e.store = platform.NewStore(s.Store, sender.NewClient())
-	e.detourer = detourer.New(s.Control, s.Seeds, func(address string) bool { return e.fleet.HasServer(address) }, clock, log, detourer.WithDirect(o.dialer), detourer.WithMeter(e.metrics),
+	e.detourer = detourer.New(s.Control, s.Seeds, func(address string) bool { return e.fleet.HasServer(address) }, clock, log, detourer.WithDirect(o.dialer), detourer.WithPeerDialer(o.peerDialer), detourer.WithMeter(e.metrics),
 		detourer.WithMaxServed(max((s.Descriptors-reservedDescriptors)/descriptorsPerDetour, 32)))
 	// Until the number of instances is known, the slack is shared among
 	// assumedInstances.
 	slack := float64(s.RetrySlack) * retryBudgetShare / assumedInstances
 	e.suspects, e.parts = quarantiner.NewGuard(clock, quarantiner.DefaultOptions()), quarantiner.NewPartGuard(clock)
 	e.replacements = registrar.NewReplacements()
-	e.peers = messenger.NewClient(clock, messenger.WithMaxSilence(time.Second))
+	e.peers = messenger.NewClient(clock, messenger.WithMaxSilence(time.Second), messenger.WithDialer(o.peerDialer))
 	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock, balancer.WithDialer(e.detourer))
 	e.pacer = pacer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.throttler = throttler.New(s.Control, s.Seeds, e.peers, clock, clocker.SystemClock{}, log)
 	e.pinner = pinner.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.sparer = sparer.New(s.Control, s.Seeds, e.peers, clock, log)
+	e.pauses = &pauses{fleet: e.fleet, detourer: e.detourer, peers: e.peers, clock: clock, log: log}
 	e.sequencer = sequencer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, e.suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer),
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer), relayer.WithPauses(e.pauses),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -248,6 +255,7 @@
 	e.detourer.Serve(messages)
 	e.sparer.Serve(messages)
 	e.sequencer.Serve(messages)
+	e.pauses.Serve(messages)
 	failed := make(chan error, 2)
 	e.start(func() { e.listen(clientServer, clientListener{front}, failed) })
 	e.start(func() { e.listen(checks, ready, failed) })
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -159,11 +159,18 @@
 	if t.info.NotLoaded || !t.info.Signed && !t.info.Refused {
 		return
 	}
-	if t.info.Leaving {
+	p := balancer.Pause{Incarnation: t.assignment.Incarnation, Address: t.assignment.Address, Leaving: t.info.Leaving}
+	if t.answer.StatusCode == http.StatusServiceUnavailable {
+		p.Rest = t.info.RetryAfter
+	}
+	if p.Leaving {
 		t.assignment.MarkLeaving()
 	}
-	if t.info.RetryAfter > 0 && t.answer.StatusCode == http.StatusServiceUnavailable {
-		t.assignment.MarkResting(t.info.RetryAfter)
+	if p.Rest > 0 {
+		t.assignment.MarkResting(p.Rest)
+	}
+	if p.Leaving || p.Rest > 0 {
+		t.pauses.Spread(p, t.answer.Via())
 	}
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -200,6 +200,13 @@
 	Acquire(ctx context.Context, key uint64) (turn *sequencer.Turn, wait time.Duration, ok bool)
 }
 
+// Pauses spreads what servers say of leaving and rest to where it matters beside this fleet.
+type Pauses interface {
+	// Spread records what a server has said in an answer, which came through the instance
+	// with the address via, empty if it came directly.
+	Spread(p balancer.Pause, via string)
+}
+
 // Meter receives counts and durations.
 type Meter interface {
 	Add(name string, n int64)
@@ -240,6 +247,7 @@
 	origins  Origins
 	sparer   Sparer
 	sequence Sequencer
+	pauses   Pauses
 	clock    clockwork.Clock
 	log      *zap.Logger
 	table    atomic.Pointer[matcher.Table]
@@ -291,6 +299,11 @@
 	return nil, 0, true
 }
 
+// keptPauses is a Pauses for an instance that reaches all servers directly.
+type keptPauses struct{}
+
+func (keptPauses) Spread(balancer.Pause, string) {}
+
 // noOrigins is an Origins that knows none.
 type noOrigins struct{}
 
@@ -338,6 +351,10 @@
 // it they are sent at any time.
 func WithSequencer(s Sequencer) Option { return func(r *Relayer) { r.sequence = s } }
 
+// WithPauses spreads what servers say of leaving and rest; without it only this instance
+// keeps to it.
+func WithPauses(p Pauses) Option { return func(r *Relayer) { r.pauses = p } }
+
 // WithOrigins continues streams that clients take up again at the build that began them;
 // without it only those of services that run one build are continued.
 func WithOrigins(o Origins) Option { return func(r *Relayer) { r.origins = o } }
@@ -358,7 +375,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, options ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, sequence: unordered{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
+		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, sequence: unordered{}, pauses: keptPauses{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
 	}
 	r.waits, r.endWaits = context.WithCancel(context.Background())
 	for _, o := range options {
