Wait for the reports of a crash before a request in progress is refused for it

Cause: a request that was beside the crashing one on both engines is quarantined unless that one's marks are known, which explain its own. They come with a broadcast up to 200 ms after the crash; the request looks 50 to 250 ms after it.

Change: a request in progress that is in quarantine after its pause looks again until 500 ms after the crash. Nothing is sent meanwhile.

Result: "serves a request whose crashes another instance's request explains, as is reported after the second one" (server) failed before and passes.

--- a/server/generate.go
+++ b/server/generate.go
@@ -187,15 +187,41 @@
 	maxCrashPause = 250 * time.Millisecond
 )
 
+const (
+	// crashSettleTime is how long after a crash its reports from peers may take to arrive:
+	// until then another request may turn out to explain it. settleInterval is the pause
+	// between checks for that.
+	crashSettleTime = 500 * time.Millisecond
+	settleInterval  = 50 * time.Millisecond
+)
+
 // pauseAfterCrash waits for a random time before the retry. Requests that were
 // lost together are then not sent together again, and reports of the crash from
-// peers have had time to arrive. It reports whether the client is still
-// connected.
+// peers have had time to arrive. A request that is in quarantine after that waits
+// until all of them must have. It reports whether the client is still connected.
 func (g *generation) pauseAfterCrash(ctx context.Context) bool {
 	g.pauseNext = false
+	begin := g.server.clock.Now()
 	spread := uint64(maxCrashPause - minCrashPause)
 	wait := minCrashPause + time.Duration((g.request.digest^uint64(g.start.UnixNano()))%spread)
-	timer := g.server.clock.NewTimer(wait)
+	for g.sleep(ctx, wait) {
+		if !g.quarantined() || g.server.clock.Since(begin) >= crashSettleTime {
+			return true
+		}
+		wait = settleInterval
+	}
+	return false
+}
+
+// quarantined reports whether the request is in quarantine.
+func (g *generation) quarantined() bool {
+	q := g.server.quarantine
+	return q != nil && q.Remaining(quarantiner.Identity{Digest: g.request.digest}) > 0
+}
+
+// sleep waits for a time, and reports whether the client is still connected.
+func (g *generation) sleep(ctx context.Context, d time.Duration) bool {
+	timer := g.server.clock.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
--- a/server/generate_test.go
+++ b/server/generate_test.go
@@ -475,6 +475,37 @@
 			NotTo(Equal(422), "another request is not quarantined")
 	})
 
+	// Guards against a bystander that is cut off since the report of the request that explains
+	// its crashes arrives a moment later.
+	It("serves a request whose crashes another instance's request explains, as is reported after the second one", func() {
+		guard := quarantiner.NewGuard(clockwork.NewRealClock(), quarantiner.DefaultOptions())
+		c := newHarness(server.WithQuarantine(guard))
+		DeferCleanup(c.close)
+		c.dispatcher.engines = []string{"e1", "e2", "e3"}
+		for _, name := range c.dispatcher.engines {
+			c.engines[name] = newEngine(name)
+		}
+		for _, name := range []string{"e1", "e2"} {
+			c.engines[name].cutAt, c.engines[name].lostAfterCut = 1, true
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for len(guard.Export()) == 0 || len(guard.Export()[0].Marks) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(300 * time.Millisecond)
+			other := guard.Export()[0]
+			other.Digest++
+			other.Marks = append(other.Marks, quarantiner.Mark{Engine: "e0", At: time.Now(), Concurrent: 1})
+			guard.Merge([]quarantiner.Suspect{other})
+		}()
+		p := sendRequest("POST", c.callers.URL+"/v1/chat/completions", chatBody)
+		Expect(p.status).To(Equal(200), p.body)
+		Expect(p.body).To(ContainSubstring(wholeAnswer))
+		<-done
+	})
+
 	It("cancels the generation on the engine if the client disconnects", func() {
 		b.engines["e1"].stalls = true
 		ctx, cancel := context.WithCancel(context.Background())
