Fleet tests: requests that crash the three servers of a service, beside sound ones

Six instances on real sockets, three servers that are back after three seconds, one, two and five resources whose requests crash them, by one route or two, beside sound traffic on the same routes: while nothing else happens, four instances are partitioned from all others and the store, the fleet is split in halves, instances are restarted one after the other or all at once, the store is away, registrations lapse and are garbled, and servers end without closing their connections and come back under their old ID.

Instances take a dialer for their peers, so that a test can partition them, and each test instance has a link to the store of its own.

--- a/entryassembler/crash_test.go
+++ b/entryassembler/crash_test.go
@@ -1,6 +1,7 @@
 package entryassembler_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,7 +19,7 @@
 )
 
 // crashingService is a service of some servers that crash under some requests, and
-// are back a second later at the same address as new incarnations.
+// are back some time later at the same address as new incarnations.
 type crashingService struct {
 	cluster *cluster
 	name    string
@@ -27,15 +28,56 @@
 	// isFatal reports whether a request crashes its server; a fatal stream does so after
 	// the head of its answer.
 	isFatal func(q *http.Request) bool
+	// restart is how long a crashed server is away, a second if it is zero.
+	restart time.Duration
 	mu      sync.Mutex
 	starts  int
 	crashes []time.Time
 	closing bool
+	// silent servers end without closing their connections or leaving the registry, and are
+	// back under their old ID.
+	silent  bool
 	servers map[string]*http.Server
+	// records are the registrations by ID.
+	records map[string][]byte
+}
+
+// setSilent makes servers end without a word from now on.
+func (c *crashingService) setSilent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = true
+}
+
+// disturbRegistrations lets one registration lapse and garbles another one for a while.
+func (c *crashingService) disturbRegistrations() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for id, record := range c.records {
+		switch n++; n {
+		case 1:
+			c.cluster.metadata.Put(platform.TopicServers, id, nil)
+		case 2:
+			c.cluster.metadata.Put(platform.TopicServers, id, []byte("{garbled"))
+		default:
+			continue
+		}
+		time.AfterFunc(300*time.Millisecond, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.records[id] != nil {
+				c.cluster.metadata.Put(platform.TopicServers, id, record)
+			}
+		})
+	}
 }
 
 // start starts a server at an address.
-func (c *crashingService) start(address string) {
+func (c *crashingService) start(address string) { c.startAs("", address) }
+
+// startAs starts a server with an ID at an address, with a new ID if that is empty.
+func (c *crashingService) startAs(id, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
@@ -44,7 +86,10 @@
 	l, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
 	c.starts++
-	id := fmt.Sprint("crashing-", c.starts)
+	if id == "" {
+		id = fmt.Sprint("crashing-", c.starts)
+	}
+	hung := make(chan struct{})
 	s := &http.Server{ReadHeaderTimeout: time.Second}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set("Primrosehook-Request-Id", q.Header.Get("Primrosehook-Request-Id"))
@@ -53,12 +98,19 @@
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
+		select {
+		case <-hung:
+			// The server has ended without a word.
+			<-q.Context().Done()
+			panic(http.ErrAbortHandler)
+		default:
+		}
 		w.Header().Set("Primrosehook-Server-Signature", id)
 		if c.models != "[]" {
 			_ = http.NewResponseController(w).Flush()
 		}
 		if c.isFatal(q) {
-			c.crash(id, l.Addr().String(), s)
+			c.crash(q, id, l, s, hung)
 		}
 		for i := range 5 {
 			if c.models == "[]" {
@@ -74,19 +126,38 @@
 	})
 	c.servers[id] = s
 	go func() { _ = s.Serve(l) }()
-	c.cluster.metadata.Put(platform.TopicServers, id, []byte(fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"z1","slots":8,"state":"ready","sequence":1,"born":%d,"models":%s}`, c.name, l.Addr(), time.Now().UnixMilli(), c.models)))
+	if c.records == nil {
+		c.records = map[string][]byte{}
+	}
+	c.records[id] = []byte(fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"z1","slots":8,"state":"ready","sequence":1,"born":%d,"models":%s}`, c.name, l.Addr(), time.Now().UnixMilli(), c.models))
+	c.cluster.metadata.Put(platform.TopicServers, id, c.records[id])
 }
 
 // crash ends a server under a request.
-func (c *crashingService) crash(id, address string, s *http.Server) {
+func (c *crashingService) crash(q *http.Request, id string, l net.Listener, s *http.Server, hung chan struct{}) {
+	address := l.Addr().String()
 	c.mu.Lock()
+	if c.servers[id] != s {
+		// Another request has crashed it.
+		c.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	c.crashes = append(c.crashes, time.Now())
 	delete(c.servers, id)
+	delete(c.records, id)
+	silent, restart := c.silent, cmp.Or(c.restart, time.Second)
 	c.mu.Unlock()
+	if silent {
+		close(hung)
+		_ = l.Close()
+		time.AfterFunc(restart, func() { c.startAs(id, address) })
+		<-q.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	_ = s.Close()
 	c.cluster.metadata.Put(platform.TopicServers, id, nil)
-	time.AfterFunc(time.Second, func() { c.start(address) })
+	time.AfterFunc(restart, func() { c.start(address) })
 	panic(http.ErrAbortHandler)
 }
 
--- a/entryassembler/entryassembler_test.go
+++ b/entryassembler/entryassembler_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -46,8 +47,14 @@
 	readies   []string
 	metrics   []string
 	ended     []chan struct{}
-	// links are the instances' links to servers.
-	links []*serverLinks
+	// links are the instances' links to servers, peers those between instances, nil if they
+	// are never cut. storeCut are set while an instance is cut off from the store.
+	links    []*serverLinks
+	peers    *peerLinks
+	storeCut []*atomic.Bool
+	// settings are those of the instances, controls their addresses for peers.
+	settings []platform.Settings
+	controls []string
 }
 
 const config = `{"version":%d,"routes":[
@@ -79,24 +86,49 @@
 	return g
 }
 
+// start starts a new instance with a number, which is that of the last one and one more.
 func (g *cluster) start(i int) {
+	cut := &atomic.Bool{}
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if cut.Load() {
+			_, _ = io.Copy(io.Discard, q.Body)
+			select {
+			case <-q.Context().Done():
+			case <-time.After(3 * time.Second):
+			}
+			panic(http.ErrAbortHandler)
+		}
+		g.metadata.ServeHTTP(w, q)
+	}))
+	DeferCleanup(store.Close)
 	s := platform.Settings{
-		Instance: fmt.Sprintf("front-%d", i), IP: "127.0.0.1", Zone: "z1", Front: port(), Ready: port(), Control: port(), Metrics: port(), Store: g.store,
+		Instance: fmt.Sprintf("front-%d", i), IP: "127.0.0.1", Zone: "z1", Front: port(), Ready: port(), Control: port(), Metrics: port(), Store: store.Listener.Addr().String(),
 		Memory: 284, Descriptors: 4100, Grace: 3 * time.Second, Drain: 2 * time.Second, Lease: 300 * time.Millisecond,
 		RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, CeilingWindow: 5 * time.Second, CeilingOverage: 1.1,
 	}
-	links := &serverLinks{}
-	g.links = append(g.links, links)
+	g.settings, g.controls, g.storeCut = append(g.settings, s), append(g.controls, s.Control), append(g.storeCut, cut)
+	g.links = append(g.links, &serverLinks{})
+	g.metrics = append(g.metrics, s.Metrics)
+	g.fronts, g.readies = append(g.fronts, s.Front), append(g.readies, s.Ready)
+	g.stops, g.ended = append(g.stops, nil), append(g.ended, nil)
+	g.run(i)
+	DeferCleanup(func() { g.stops[i](); <-g.ended[i] })
+}
+
+// run runs an instance that does not run.
+func (g *cluster) run(i int) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	g.stops[i], g.ended[i] = stop, done
+	set := []entryassembler.Option{entryassembler.WithDialer(g.links[i])}
+	if g.peers != nil {
+		set = append(set, entryassembler.WithPeerDialer(peerDialer{g.peers, g.settings[i].Control}))
+	}
 	go func() {
 		defer GinkgoRecover()
 		defer close(done)
-		Expect(entryassembler.Run(ctx, s, clockwork.NewRealClock(), zap.NewNop(), entryassembler.WithDialer(links))).To(Succeed())
+		Expect(entryassembler.Run(ctx, g.settings[i], clockwork.NewRealClock(), zap.NewNop(), set...)).To(Succeed())
 	}()
-	g.metrics = append(g.metrics, s.Metrics)
-	g.stops, g.fronts, g.readies, g.ended = append(g.stops, stop), append(g.fronts, s.Front), append(g.readies, s.Ready), append(g.ended, done)
-	DeferCleanup(func() { stop(); <-done })
 }
 
 func (g *cluster) ready(i int) int {
