Fleet tests: more clients for each fatal request; heartbeats after a lapsed registration

The test let a registration lapse and wrote the same record again, which the registry ignores as one that was written late: a real server counts its heartbeats on.

--- a/entryassembler/crash_fleet_test.go
+++ b/entryassembler/crash_fleet_test.go
@@ -324,8 +324,10 @@
 	number := uint64(100)
 	for _, paths := range f.fatal {
 		for _, path := range paths {
-			number++
-			clients.Go(func() { f.runClient(ctx, seed*1000+number, path, 400*time.Millisecond) })
+			for range 4 {
+				number++
+				clients.Go(func() { f.runClient(ctx, seed*1000+number, path, 600*time.Millisecond) })
+			}
 		}
 	}
 	if disturb != nil {
--- a/entryassembler/crash_test.go
+++ b/entryassembler/crash_test.go
@@ -1,6 +1,7 @@
 package entryassembler_test
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"io"
@@ -40,6 +41,8 @@
 	servers map[string]*http.Server
 	// records are the registrations by ID.
 	records map[string][]byte
+	// heartbeats counts the registrations that were written again.
+	heartbeats int
 }
 
 // setSilent makes servers end without a word from now on.
@@ -67,6 +70,8 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.records[id] != nil {
+				c.heartbeats++
+				record = bytes.Replace(record, []byte(`"sequence":1,`), []byte(fmt.Sprintf(`"sequence":%d,`, 1+c.heartbeats)), 1)
 				c.cluster.metadata.Put(platform.TopicServers, id, record)
 			}
 		})
