--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -134,8 +134,8 @@
 // connector.DirectDialer.
 func WithDialer(d connector.Dialer) Option { return func(o *options) { o.dialer = d } }
 
-// WithPeerDialer sets how connections to other instances are opened; the default is
-// connector.DirectDialer.
+// WithPeerDialer sets how connections to other instances are opened; without it messages and
+// detours have the defaults of their packages.
 func WithPeerDialer(d connector.Dialer) Option { return func(o *options) { o.peerDialer = d } }
 
 // WithMetric adds a value to the metrics.
@@ -146,7 +146,7 @@
 // Run runs an instance until the context ends and its requests are finished or
 // the grace period is over.
 func Run(ctx context.Context, s platform.Settings, clock clockwork.Clock, log *zap.Logger, set ...Option) error {
-	o := options{tracer: tracer.NewNoop(), dialer: connector.DirectDialer{}, peerDialer: connector.DirectDialer{}, values: map[string]func() int64{}}
+	o := options{tracer: tracer.NewNoop(), dialer: connector.DirectDialer{}, values: map[string]func() int64{}}
 	for _, f := range set {
 		f(&o)
 	}
@@ -160,14 +160,22 @@
 	e := &Entry{initial: s, source: o.settingsSource, clock: clock, log: log, metrics: exporter.New()}
 	e.current.Store(&s)
 	e.store = platform.NewStore(s.Store, sender.NewClient())
-	e.detourer = detourer.New(s.Control, s.Seeds, func(address string) bool { return e.fleet.HasServer(address) }, clock, log, detourer.WithDirect(o.dialer), detourer.WithPeerDialer(o.peerDialer), detourer.WithMeter(e.metrics),
-		detourer.WithMaxServed(max((s.Descriptors-reservedDescriptors)/descriptorsPerDetour, 32)))
+	toPeers := []messenger.Option{messenger.WithMaxSilence(time.Second)}
+	detours := []detourer.Option{
+		detourer.WithDirect(o.dialer), detourer.WithMeter(e.metrics),
+		detourer.WithMaxServed(max((s.Descriptors-reservedDescriptors)/descriptorsPerDetour, 32)),
+	}
+	if o.peerDialer != nil {
+		toPeers = append(toPeers, messenger.WithDialer(o.peerDialer))
+		detours = append(detours, detourer.WithPeerDialer(o.peerDialer))
+	}
+	e.detourer = detourer.New(s.Control, s.Seeds, func(address string) bool { return e.fleet.HasServer(address) }, clock, log, detours...)
 	// Until the number of instances is known, the slack is shared among
 	// assumedInstances.
 	slack := float64(s.RetrySlack) * retryBudgetShare / assumedInstances
 	e.suspects, e.parts = quarantiner.NewGuard(clock, quarantiner.DefaultOptions()), quarantiner.NewPartGuard(clock)
 	e.replacements = registrar.NewReplacements()
-	e.peers = messenger.NewClient(clock, messenger.WithMaxSilence(time.Second), messenger.WithDialer(o.peerDialer))
+	e.peers = messenger.NewClient(clock, toPeers...)
 	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock, balancer.WithDialer(e.detourer))
 	e.pacer = pacer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.throttler = throttler.New(s.Control, s.Seeds, e.peers, clock, clocker.SystemClock{}, log)
