--- a/entryassembler/crash_fleet_test.go
+++ b/entryassembler/crash_fleet_test.go
@@ -326,7 +326,8 @@
 		for _, path := range paths {
 			for range 4 {
 				number++
-				clients.Go(func() { f.runClient(ctx, seed*1000+number, path, 600*time.Millisecond) })
+				clientSeed := seed*1000 + number
+				clients.Go(func() { f.runClient(ctx, clientSeed, path, 600*time.Millisecond) })
 			}
 		}
 	}
--- a/entryassembler/entryassembler_test.go
+++ b/entryassembler/entryassembler_test.go
@@ -120,14 +120,15 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	g.stops[i], g.ended[i] = stop, done
+	settings := g.settings[i]
 	set := []entryassembler.Option{entryassembler.WithDialer(g.links[i])}
 	if g.peers != nil {
-		set = append(set, entryassembler.WithPeerDialer(peerDialer{g.peers, g.settings[i].Control}))
+		set = append(set, entryassembler.WithPeerDialer(peerDialer{g.peers, settings.Control}))
 	}
 	go func() {
 		defer GinkgoRecover()
 		defer close(done)
-		Expect(entryassembler.Run(ctx, g.settings[i], clockwork.NewRealClock(), zap.NewNop(), set...)).To(Succeed())
+		Expect(entryassembler.Run(ctx, settings, clockwork.NewRealClock(), zap.NewNop(), set...)).To(Succeed())
 	}()
 }
 
