Blame a part of prompts for many lost engines also at a lower precision

Cause: isCertain asks for a precision of at least 0.5. The part had 14 lost engines and a precision of 0.38, since several requests with it were cut off by each; parts that follow it in some prompts, quarantined by mistake, explained its engines meanwhile.

Change: what counts is the number of engines times the precision, as much as five engines at 0.5. A sound part survives on one of many engines and so does not get that far.

--- a/quarantiner/part_finder.go
+++ b/quarantiner/part_finder.go
@@ -9,7 +9,8 @@
 
 // A part of a prompt is suspected of crashes after suspectCrashes lost engines without a
 // survival, and quarantined after guiltyCrashes, unless another part explains them. After
-// certainPartCrashes with at least certainPrecision it is quarantined in any case.
+// certainPartCrashes with certainPrecision, or more of them with less, it is quarantined in
+// any case.
 const (
 	suspectCrashes     = 2
 	guiltyCrashes      = 3
@@ -361,7 +362,9 @@
 // it do not explain them.
 func (m marks) isCertain(part uint64, blamed map[uint64]bool) bool {
 	own := m[part]
-	if len(own.engines) < certainPartCrashes || own.precision() < certainPrecision {
+	// Many engines make up for a low precision: a sound part survives on one of them.
+	weight := own.precision() * float64(len(own.engines))
+	if len(own.engines) < certainPartCrashes || weight < certainPrecision*certainPartCrashes {
 		return false
 	}
 	unexplained := maps.Clone(own.engines)
