Give the lease to the instance that may send orders soonest

Half of the requests of 28 to 44 s were refused or late.

Cause, from the logs of all instances: - The lease holder was stopped while the store was away. When that came back an instance took the lease that had been restarted 2.7 s before. It knew only that the last entry was no newer than its first read, and so waited for that entry's term and the order gap; three others had watched the log all the time and could have sent orders at once. - All processes were killed at 34 s. The machine that had held the lease came back with the others, waited for its own term, and another one took the lease and waited for the order gap. - A new holder counted the loads that the one before may have started as started now, although that one could have sent none for up to ten seconds.

Change: instances that may not send orders yet claim after those that may; a process whose own address wrote the last entry claims at once, as its predecessor has ended; renewals say with Clear, as releases did, that earlier holders no longer matter; loads of an earlier holder count from when it last may have sent an order.

Ruled out: a shorter order gap (the platform's rule), loads read from reports (an order under way does not show).

--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -64,8 +64,8 @@
 	// Fence is the fencing token; zero means the entry's own offset plus one.
 	Fence   int64 `msgpack:"f"`
 	Release bool  `msgpack:"r"`
-	// Clear is set on a release by a holder that was free to send orders: all
-	// earlier holders have sent none for long enough.
+	// Clear is set by a holder that was free to send orders: all earlier holders have sent
+	// none for long enough. Builds before UPGRADES.md set it and read it on releases only.
 	Clear bool `msgpack:"c"`
 }
 
@@ -99,7 +99,7 @@
 	// orderGap is the least time between orders of two holders.
 	orderGap time.Duration
 	// onTerm is called at the start of each term of this instance.
-	onTerm func(hadHolder bool)
+	onTerm func(Handover)
 	// maxBackoff returns the longest pause after failed calls.
 	maxBackoff func() time.Duration
 
@@ -107,8 +107,10 @@
 	elector    *leaser.Elector
 	lastEntry  Entry
 	nextOffset int64
-	// orderFrom is when this instance may send orders at the earliest.
-	orderFrom time.Time
+	// orderFrom is when this instance may send orders at the earliest, othersUntil until when
+	// another holder, or this machine's process before, may have sent some. Both are zero if
+	// there was none.
+	orderFrom, othersUntil time.Time
 	// termFence is the fencing token that onTerm was last called for.
 	termFence int64
 	// holderRepliedAt is when the holder, or a deputy that watches the lease,
@@ -129,11 +131,18 @@
 	unconfirmed bool
 }
 
+// Handover is what the holder of a new term knows of earlier holders.
+type Handover struct {
+	// HadHolder is false if there was none. Elapsed is the least time since one of them sent an
+	// order; it is negative while one still may.
+	HadHolder bool
+	Elapsed   time.Duration
+}
+
 // NewLease returns a lease that has read nothing yet. orderGap is the least time
-// between orders of two holders. onTerm is called at the start of each term and
-// receives whether another machine held the lease before. maxBackoff returns the
-// longest pause after failed calls to the log.
-func NewLease(self Entry, orderGap time.Duration, log Log, boot clocker.Clock, clock clockwork.Clock, logger *zap.Logger, onTerm func(hadHolder bool), maxBackoff func() time.Duration) *Lease {
+// between orders of two holders. onTerm is called at the start of each term.
+// maxBackoff returns the longest pause after failed calls to the log.
+func NewLease(self Entry, orderGap time.Duration, log Log, boot clocker.Clock, clock clockwork.Clock, logger *zap.Logger, onTerm func(Handover), maxBackoff func() time.Duration) *Lease {
 	settings := leaser.Settings{Term: leaseTerm, Margin: leaseMargin, RankDelay: claimRankDelay}
 	return &Lease{
 		self: self, log: log, boot: boot, clock: clock, logger: logger, orderGap: orderGap, onTerm: onTerm, maxBackoff: maxBackoff,
@@ -162,7 +171,11 @@
 func (l *Lease) MayOrder() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.boot.Now()
+	return l.mayOrder(l.boot.Now())
+}
+
+// mayOrder is MayOrder at a time. l.mu must be held.
+func (l *Lease) mayOrder(now time.Time) bool {
 	return l.elector.Valid(now.Add(sendMargin)) && !now.Before(l.orderFrom)
 }
 
@@ -318,15 +331,38 @@
 // machine. Whoever appended an entry sends orders for at most a term after it,
 // whether or not it reads the entries that follow.
 func (l *Lease) delayOrders(now time.Time, e Entry) {
-	switch {
-	case e.Machine == l.self.Machine:
-	case e.Release && e.Clear:
-		l.orderFrom = now.Add(l.orderGap + maxOrderTransit)
-	default:
-		if from := now.Add(leaseTerm + l.orderGap + maxOrderTransit); from.After(l.orderFrom) {
-			l.orderFrom = from
-		}
+	if e.Clear {
+		l.orderFrom, l.othersUntil = time.Time{}, time.Time{}
+	}
+	if e.Instance == l.self.Instance {
+		return
+	}
+	until := now
+	if !e.Release && !l.isFormerSelf(e) {
+		until = now.Add(leaseTerm)
+	}
+	l.othersUntil = latest(l.othersUntil, until)
+	if e.Machine == l.self.Machine {
+		return
+	}
+	if e.Release && !e.Clear {
+		// The holder before it may still be within its term.
+		until = now.Add(leaseTerm)
 	}
+	l.orderFrom = latest(l.orderFrom, until.Add(l.orderGap+maxOrderTransit))
+}
+
+// isFormerSelf reports whether an entry is that of an earlier process at this instance's
+// address. It has ended, since its port is free.
+func (l *Lease) isFormerSelf(e Entry) bool {
+	return e.Machine == l.self.Machine && e.Address == l.self.Address && e.Instance != l.self.Instance
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // observe applies the newest entry.
@@ -339,7 +375,7 @@
 	}
 	l.lastEntry = e
 	s := leaser.State{Holder: e.Instance, Fence: replayer.Position(e.Fence), Last: replayer.Position(offset), Term: leaseTerm}
-	if e.Release {
+	if e.Release || l.isFormerSelf(e) {
 		s.Holder = ""
 	}
 	l.elector.Observe(now, s)
@@ -351,7 +387,7 @@
 	now := l.boot.Now()
 	previous := l.lastEntry
 	renewal := l.elector.IsHolder()
-	_, due := l.elector.Next(now, l.claimRank(previous.Fence))
+	_, due := l.elector.Next(now, l.claimRank(now, previous))
 	if !due || l.stopping {
 		if due {
 			l.elector.ClaimResolved(false)
@@ -362,6 +398,7 @@
 	e := l.self
 	if renewal {
 		e.Fence = previous.Fence
+		e.Clear = l.mayOrder(now)
 	}
 	at := l.nextOffset
 	e.Era, _ = tailer.SplitPosition(at)
@@ -388,19 +425,27 @@
 	}
 	l.termFence = l.lastEntry.Fence
 	l.logger.Info("lease: taken", zap.Int64("fence", l.lastEntry.Fence), zap.Duration("orders_after", max(l.orderFrom.Sub(now), 0)))
-	l.onTerm(!l.orderFrom.IsZero())
+	l.onTerm(Handover{HadHolder: !l.othersUntil.IsZero(), Elapsed: now.Sub(l.othersUntil)})
 }
 
 // claimRank returns this instance's rank among claims, in a different order for
-// each term.
-func (l *Lease) claimRank(fence int64) int {
+// each term. The former process of this machine is succeeded at once, since others have to
+// wait for its term and the order gap. Instances that may not send orders yet come after those
+// that may: one that has started knows only that entries are no newer than its first read.
+func (l *Lease) claimRank(now time.Time, last Entry) int {
+	if l.isFormerSelf(last) {
+		return 0
+	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(l.self.Instance)) // a hash never fails
-	_, _ = h.Write([]byte{byte(fence), byte(fence >> 8)})
+	_, _ = h.Write([]byte{byte(last.Fence), byte(last.Fence >> 8)})
 	rank := int(h.Sum32() % claimRanks)
-	if l.yields {
+	if now.Before(l.orderFrom) {
 		rank += claimRanks
 	}
+	if l.yields {
+		rank += 2 * claimRanks
+	}
 	return rank
 }
 
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -103,7 +103,7 @@
 	})
 	lease := func(name string) *coordinator.Lease {
 		return coordinator.NewLease(coordinator.Entry{Instance: name, Machine: name, Address: name}, orderGap, store, clock,
-			clockwork.NewFakeClock(), zap.NewNop(), func(bool) {}, func() time.Duration { return 700 * time.Millisecond })
+			clockwork.NewFakeClock(), zap.NewNop(), func(coordinator.Handover) {}, func() time.Duration { return 700 * time.Millisecond })
 	}
 	stepFor := func(d time.Duration, list ...*coordinator.Lease) {
 		for end := clock.Add(d); clock.Before(end); clock.Time = clock.Add(50 * time.Millisecond) {
@@ -195,6 +195,67 @@
 		Expect(a.WatchesLog(600 * time.Millisecond)).To(BeFalse())
 	})
 
+	// Guards against five seconds without orders after all instances were restarted: the machine
+	// that held the lease need not wait for itself.
+	It("succeeds the process before at its address at once, which was free to send orders", func() {
+		a, b := lease("a"), lease("b")
+		stepFor(time.Second, a)
+		a.Release(context.Background())
+		for !b.MayOrder() {
+			stepFor(50*time.Millisecond, b)
+		}
+		stepFor(time.Second, b)
+		restarted := coordinator.NewLease(coordinator.Entry{Instance: "b2", Machine: "b", Address: "b"}, orderGap, store, clock,
+			clockwork.NewFakeClock(), zap.NewNop(), func(coordinator.Handover) {}, func() time.Duration { return 700 * time.Millisecond })
+		other := lease("c")
+		stepFor(100*time.Millisecond, other, restarted)
+		Expect(restarted.MayOrder()).To(BeTrue())
+		Expect(other.Valid()).To(BeFalse())
+	})
+
+	It("waits for the term of a process of its machine at another address", func() {
+		stepFor(time.Second, lease("b"))
+		moved := coordinator.NewLease(coordinator.Entry{Instance: "b2", Machine: "b", Address: "b'"}, orderGap, store, clock,
+			clockwork.NewFakeClock(), zap.NewNop(), func(coordinator.Handover) {}, func() time.Duration { return 700 * time.Millisecond })
+		stepFor(1500*time.Millisecond, moved)
+		Expect(moved.Valid()).To(BeFalse())
+	})
+
+	// Guards against a restarted instance that takes the lease and may send no orders for
+	// seconds, while others have watched the log for long.
+	DescribeTable("is taken by an instance that may send orders, not by one that has just started", func(name string) {
+		stepFor(time.Second, lease("a"))
+		watching := lease(name)
+		stepFor(500*time.Millisecond, watching)
+		store.unavailable = true
+		stepFor(6*time.Second, watching)
+		store.unavailable = false
+		var started []*coordinator.Lease
+		for i := range 6 {
+			started = append(started, lease(fmt.Sprint("new", i)))
+		}
+		stepFor(4*time.Second, append(started, watching)...)
+		Expect(watching.MayOrder()).To(BeTrue())
+	},
+		Entry("b", "b"), Entry("c", "c"), Entry("d", "d"), Entry("e", "e"), Entry("f", "f"),
+	)
+
+	It("tells the holder of a new term how long ago others may have sent orders", func() {
+		var handover coordinator.Handover
+		b := coordinator.NewLease(coordinator.Entry{Instance: "b", Machine: "b", Address: "b"}, orderGap, store, clock,
+			clockwork.NewFakeClock(), zap.NewNop(), func(h coordinator.Handover) { handover = h }, func() time.Duration { return 700 * time.Millisecond })
+		a := lease("a")
+		stepFor(time.Second, a)
+		stepFor(time.Second, a, b)
+		store.unavailable = true
+		stepFor(10*time.Second, b)
+		store.unavailable = false
+		stepFor(time.Second, b)
+		Expect(b.MayOrder()).To(BeTrue())
+		Expect(handover.HadHolder).To(BeTrue())
+		Expect(handover.Elapsed).To(And(BeNumerically(">", 7*time.Second), BeNumerically("<", 9*time.Second)))
+	})
+
 	It("claims after the other instances if it yields", func() {
 		a, b := lease("a"), lease("b")
 		a.Yield()
@@ -262,10 +323,10 @@
 		Expect(a.MayOrder()).To(BeTrue())
 	})
 
-	// Instances freeze, and the log becomes unavailable, loses replies and executes
-	// appends late. An instance may send orders only if no other one could within
-	// the order gap.
-	It("never lets two instances send orders within the order gap", func() {
+	// Instances freeze, some are restarted, and the log becomes unavailable, loses replies and
+	// executes appends late. An instance may send orders only if none of another machine could
+	// within the order gap.
+	DescribeTable("never lets two machines send orders within the order gap", func(restarts bool) {
 		for seed := range uint64(200) {
 			random := rand.New(rand.NewPCG(seed, 2))
 			clock = &manualClock{time.Unix(1000, 0)}
@@ -284,6 +345,12 @@
 					store.lateAppends = store.lateAppends[1:]
 				}
 				for i, l := range leases {
+					if restarts && random.IntN(100) == 0 {
+						name := string(rune('a' + i))
+						l = coordinator.NewLease(coordinator.Entry{Instance: fmt.Sprint(name, clock.UnixNano()), Machine: name, Address: name}, orderGap, store, clock,
+							clockwork.NewFakeClock(), zap.NewNop(), func(coordinator.Handover) {}, func() time.Duration { return 700 * time.Millisecond })
+						leases[i], frozenUntil[i] = l, clock.Add(time.Duration(300+random.IntN(3000))*time.Millisecond)
+					}
 					if random.IntN(150) == 0 {
 						frozenUntil[i] = clock.Add(time.Duration(random.IntN(6000)) * time.Millisecond)
 					}
@@ -305,5 +372,8 @@
 			}
 			Expect(orders).To(BeNumerically(">", 0))
 		}
-	})
+	},
+		Entry("that freeze", false),
+		Entry("that freeze and are restarted", true),
+	)
 })
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -73,25 +73,26 @@
 	return &reconciler{Coordinator: c, servers: map[string]*serverState{}, coldLoads: map[string]*ColdLoadCounter{}, unanswered: map[string]time.Time{}}
 }
 
-// startTerm counts the loads that a previous lease holder may have started, and
-// drops the state that an earlier term of this instance assumed.
-func (r *reconciler) startTerm(hadHolder bool) {
+// startTerm counts the loads that a previous lease holder may have started, the last of them
+// when it last may have sent an order, and drops the state that an earlier term of this
+// instance assumed.
+func (r *reconciler) startTerm(h Handover) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.coldLoads)
 	clear(r.servers)
 	table := r.Table()
-	if table == nil || !hadHolder {
+	if table == nil || !h.HadHolder {
 		return
 	}
-	now := r.Clock.Now()
+	lastOrder := r.Clock.Now().Add(-h.Elapsed)
 	for name, s := range table.Services {
 		if s.Engine == nil {
 			continue
 		}
 		c := r.coldLoadCounter(name)
 		for range coldLoadLimit(s.Engine, r.ColdLoadWindow, r.ColdLoadOverage) {
-			c.Plan().Sent(now)
+			c.Plan().Sent(lastOrder)
 		}
 	}
 }
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -173,9 +173,9 @@
 }
 
 // leaseAcquired is called at the start of each term of this instance.
-func (c *Coordinator) leaseAcquired(hadHolder bool) {
+func (c *Coordinator) leaseAcquired(h Handover) {
 	c.cluster.reset()
-	c.reconciler.startTerm(hadHolder)
+	c.reconciler.startTerm(h)
 }
 
 // runReports reports to the lease holder, or a deputy, until the context ends.
