Let a reply of the lease holder replace reads of the store until the next one is due

The holder itself counted as slow: it reads the registry each second, and only a read within 0.9 s counted as on time. At the start all instances read three streams, since they knew nobody to ask. After the loss of the holder its deputies and its successor went on as if they were fed, so that all others read the store until their own feeds had ended.

Change: a reply counts until the next one must have arrived; a read is on time as the reader's own pace says; an instance without a reply reports to the next deputy at once; deputies and a new holder stop waiting for the feed that ended, and read once without waiting for a record; instances that start with a narrow link ask the seeds first and wait a second for them. Demand that was reported in vain goes to the deputy. Calls are counted by kind in the metrics.

Ruled out: reports more often (they cost the holder's link and processor). Open: a configuration that is too large for a reply is still read by each instance, one call for each version.

--- a/coordinator/config_test.go
+++ b/coordinator/config_test.go
@@ -81,8 +81,8 @@
 				configSource, link = source, 10
 			}
 			interval := func() time.Duration { return 100 * time.Millisecond }
-			registry := tailer.New("registry", &countingSource{}, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
-			config := tailer.New("config", configSource, sink, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
+			registry := tailer.New("registry", &countingSource{}, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(func() time.Duration { return 800 * time.Millisecond }))
+			config := tailer.New("config", configSource, sink, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(func() time.Duration { return 800 * time.Millisecond }))
 			name := string(rune('a' + i))
 			c := coordinator.New(coordinator.Dependencies{
 				Instance: name, Machine: name, Address: listener.Addr().String(), LinkMbps: link, OrderGap: 300 * time.Millisecond, ColdLoadWindow: time.Second, ColdLoadOverage: 1,
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -26,6 +26,14 @@
 	// number of instances.
 	minReportInterval         = 150 * time.Millisecond
 	reportIntervalPerInstance = 4 * time.Millisecond
+	// minReplyTTL is how long a reply replaces reads of the store, or if that is longer until
+	// the next report must have been answered, with a margin of replyMargin.
+	minReplyTTL = 700 * time.Millisecond
+	replyMargin = 400 * time.Millisecond
+	// startDelay is how long an instance that starts with a narrow link waits for a peer to
+	// feed it before it reads the store. Those with wide links read it at once: one of them
+	// is to hold the lease.
+	startDelay = time.Second
 	// minRetryLimit and retryLimitPerInstance determine the longest pause
 	// after failed calls to the store: all instances together call an
 	// unavailable store some 40 times a second.
@@ -53,10 +61,6 @@
 	// overlayWait is the longest delay of the reply to an instance whose
 	// requests wait for an order; the reply is sent once there is an overlay.
 	overlayWait = 150 * time.Millisecond
-	// maxReadAge is how old the coordinator's last read of the store may be for
-	// peers to rely on it: its longest read that waits for a record, and a
-	// margin.
-	maxReadAge = 900 * time.Millisecond
 	// wideLinkMbps is the link speed, in Mbit/s, from which a machine is suited
 	// to be the coordinator: about a hundred instances fetch updates on as many
 	// servers from it, several MB/s.
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -53,7 +53,7 @@
 	if holder != "" && !c.backsOffFrom(holder) {
 		return holder, false
 	}
-	for _, a := range c.deputyOrder[:min(maxDeputies, len(c.deputyOrder))] {
+	for _, a := range c.deputies() {
 		if !c.backsOffFrom(a) {
 			return a, true
 		}
@@ -61,6 +61,19 @@
 	return "", false
 }
 
+// deputies returns the addresses of the deputies in their order: seeds, from a different one
+// on for each instance, until it knows the members.
+func (c *Coordinator) deputies() []string {
+	if len(c.deputyOrder) > 0 {
+		return c.deputyOrder[:min(maxDeputies, len(c.deputyOrder))]
+	}
+	if len(c.Seeds) == 0 {
+		return nil
+	}
+	first := int(balancer.Hash(c.Address) % uint64(len(c.Seeds)))
+	return slices.Concat(c.Seeds[first:], c.Seeds[:first])
+}
+
 func (c *Coordinator) backsOffFrom(address string) bool {
 	return c.Clock.Now().Before(c.backoffUntil[address])
 }
@@ -91,12 +104,19 @@
 	if own {
 		return
 	}
+	c.deputyStarts.Store(!r.RegistryFresh || !r.LeaseFresh)
 	if r.LeaseFresh {
-		c.lease.HolderReplied()
+		c.lease.HolderReplied(c.ReplyTTL())
+	}
+	if r.LeaseFresh || c.lease.Holder() == "" {
 		c.holderHint = r.Holder
 	}
 	c.Suspects.Merge(r.Suspects)
 	c.mergeLimits(r.Limits)
 	c.feedRegistry(r, sent)
+	if r.ConfigInStore && len(c.deputyOrder) == 0 && r.Holder != "" {
+		// The holder, which is asked next, may have a link that is wide enough.
+		return
+	}
 	c.feedConfig(r)
 }
--- a/coordinator/deputy_test.go
+++ b/coordinator/deputy_test.go
@@ -98,8 +98,8 @@
 		m := &instance{fleet: balancer.NewFleet("z", uint64(i), clock), registry: &countingSource{}, config: &countingSource{}, address: listener.Addr().String(), stop: cancel}
 		m.fleet.Update([]registrar.Server{{ID: "s", Incarnation: "s", Service: "llm", Address: "127.0.0.1:1", Zone: "z", Slots: 64, Loaded: []registrar.LoadedModel{{Model: "m"}}}})
 		interval := func() time.Duration { return 100 * time.Millisecond }
-		registry := tailer.New("registry", m.registry, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
-		config := tailer.New("config", m.config, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(800*time.Millisecond))
+		registry := tailer.New("registry", m.registry, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(func() time.Duration { return 800 * time.Millisecond }))
+		config := tailer.New("config", m.config, discard{}, clock, zap.NewNop(), tailer.WithInterval(interval), tailer.WithFeedTTL(func() time.Duration { return 800 * time.Millisecond }))
 		name := fmt.Sprint("i", i)
 		link := 1000.0
 		if i < narrow {
--- a/coordinator/exchange_test.go
+++ b/coordinator/exchange_test.go
@@ -85,7 +85,7 @@
 			sink := &tableSink{}
 			sink.table.Store(matcher.NewTable(1, nil, nil, matcher.Limits{}))
 			stream := func(sink tailer.Sink) *tailer.Tailer {
-				return tailer.New("stream", &countingSource{}, sink, clock, zap.NewNop(), tailer.WithInterval(func() time.Duration { return 100 * time.Millisecond }), tailer.WithFeedTTL(800*time.Millisecond))
+				return tailer.New("stream", &countingSource{}, sink, clock, zap.NewNop(), tailer.WithInterval(func() time.Duration { return 100 * time.Millisecond }), tailer.WithFeedTTL(func() time.Duration { return 800 * time.Millisecond }))
 			}
 			registry, config := stream(discard{}), stream(sink)
 			c := coordinator.New(coordinator.Dependencies{
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -45,9 +45,6 @@
 	// minLeaseBackoff is the pause after the first failed call: short compared
 	// with the term, so that one lost reply does not end it.
 	minLeaseBackoff = 60 * time.Millisecond
-	// holderReplyTTL is how long a reply of the holder replaces reads of the
-	// lease.
-	holderReplyTTL = 700 * time.Millisecond
 )
 
 // Entry is one record of the lease. Each is appended on the condition that it
@@ -113,9 +110,9 @@
 	orderFrom, othersUntil time.Time
 	// termFence is the fencing token that onTerm was last called for.
 	termFence int64
-	// holderRepliedAt is when the holder, or a deputy that watches the lease,
-	// last replied to a report.
-	holderRepliedAt time.Time
+	// repliedUntil is until when a reply of the holder, or of a deputy that watches the
+	// lease, replaces reads of the log.
+	repliedUntil time.Time
 	// readAt is when this instance last read the log.
 	readAt time.Time
 	// stopping is set once the lease is released for a planned stop.
@@ -187,11 +184,18 @@
 }
 
 // HolderReplied records a reply of the holder, or of a deputy that watches the
-// lease.
-func (l *Lease) HolderReplied() {
+// lease. It replaces reads of the log for a time.
+func (l *Lease) HolderReplied(ttl time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holderRepliedAt = l.boot.Now()
+	l.repliedUntil = l.boot.Now().Add(ttl)
+}
+
+// Watch makes this instance read the log from now on, until the holder replies again.
+func (l *Lease) Watch() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.repliedUntil = time.Time{}
 }
 
 // Yield makes this instance claim the lease only after the others have had time
@@ -254,7 +258,7 @@
 func (l *Lease) holderRepliedRecently() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.elector.IsHolder() && l.boot.Now().Sub(l.holderRepliedAt) < holderReplyTTL
+	return !l.elector.IsHolder() && l.boot.Now().Before(l.repliedUntil)
 }
 
 // backingOff reports whether the log is not called yet after a failed call.
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,6 +109,9 @@
 	configAnnounced chan struct{}
 	// partsReceiver is the address of the last report. Only runReports uses it.
 	partsReceiver string
+	// deputyStarts is set while the deputy that replies does not read the store at its usual
+	// pace.
+	deputyStarts atomic.Bool
 	// holderLost is set while the lease holder does not reply.
 	holderLost bool
 }
@@ -124,6 +128,9 @@
 	if d.LinkMbps > 0 && d.LinkMbps < wideLinkMbps {
 		c.lease.Yield()
 	}
+	if delay := StartDelay(d.LinkMbps, d.Address, d.Seeds); delay > 0 {
+		c.lease.HolderReplied(delay)
+	}
 	c.reconciler = newReconciler(c)
 	return c
 }
@@ -155,6 +162,34 @@
 // Instances returns the number of instances of late, 0 if unknown.
 func (c *Coordinator) Instances() int { return int(c.instances.Load()) }
 
+// StartDelay returns how long an instance that starts waits for a peer to feed it before it
+// reads the store. Seeds read it at once, since the others ask them.
+func StartDelay(linkMbps float64, address string, seeds []string) time.Duration {
+	if linkMbps <= 0 || linkMbps >= wideLinkMbps || len(seeds) == 0 || slices.Contains(seeds, address) {
+		return 0
+	}
+	return startDelay
+}
+
+// reportPause returns the pause between two reports. It is short while a deputy that has just
+// become one does not feed this instance yet.
+func (c *Coordinator) reportPause() time.Duration {
+	if c.deputyStarts.Load() {
+		return minReportInterval
+	}
+	return c.usualPause()
+}
+
+func (c *Coordinator) usualPause() time.Duration {
+	return max(minReportInterval, time.Duration(c.Instances())*reportIntervalPerInstance)
+}
+
+// ReplyTTL returns how long a reply to a report replaces reads of the store. It covers the
+// pause until the next report and the time in which that must be answered.
+func (c *Coordinator) ReplyTTL() time.Duration {
+	return max(minReplyTTL, c.usualPause()+exchangeTimeout+replyMargin)
+}
+
 // MaxRetryInterval returns the longest pause of an instance after failed calls
 // to the store. It grows with the number of instances, so that a larger fleet
 // does not call a store more often while it is unavailable and when it returns.
@@ -175,6 +210,8 @@
 // leaseAcquired is called at the start of each term of this instance.
 func (c *Coordinator) leaseAcquired(h Handover) {
 	c.cluster.reset()
+	c.Registry.EndFeed()
+	c.Config.EndFeed()
 	c.reconciler.startTerm(h)
 }
 
@@ -182,27 +219,30 @@
 func (c *Coordinator) runReports(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.exchange(ctx)
-		pause := max(minReportInterval, time.Duration(c.Instances())*reportIntervalPerInstance)
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.Fleet.NoReplica():
 		case <-c.Parts.Changed():
 		case <-c.Suspects.Changed():
-		case <-c.Clock.After(pause):
+		case <-c.Clock.After(c.reportPause()):
 		}
 	}
 }
 
-// exchange sends a report and applies the reply. While requests wait for an order
-// it repeats this until the coordinator has no new overlays.
+// exchange sends a report and applies the reply. If there is none it reports to the next
+// deputy at once. While requests wait for an order it repeats this until the coordinator has
+// no new overlays.
 func (c *Coordinator) exchange(ctx context.Context) {
+	var demand []balancer.Demand
 	for range 20 {
 		address, deputy := c.reportTarget()
-		if address == "" {
+		if address == "" || ctx.Err() != nil {
 			return
 		}
-		demand := c.Fleet.TakeDemand()
+		if demand == nil {
+			demand = c.Fleet.TakeDemand()
+		}
 		r := Report{
 			Instance: c.Instance, Address: c.Address, Link: c.LinkMbps, Members: c.membersDigest, Demand: demand, InFlight: c.Fleet.OwnInFlight(),
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
@@ -217,8 +257,9 @@
 				c.holderLost = true
 				c.Log.Info("coordinator: holder does not reply", zap.String("holder", address), zap.Error(err))
 			}
-			return
+			continue
 		}
+		demand = nil
 		if deputy && !reply.HoldsLease {
 			c.Meter.Add(MetricDeputyExchanges, 1)
 			c.applyDeputyReply(reply, sent, address == c.Address)
@@ -279,7 +320,14 @@
 // serveReport applies a report and returns what its instance has not received yet.
 func (c *Coordinator) serveReport(ctx context.Context, r Report) Reply {
 	holds := c.lease.Valid()
-	if !holds && !r.Deputy {
+	switch {
+	case holds:
+	case r.Deputy:
+		// The holder may be lost: its feed is not waited for any longer.
+		c.lease.Watch()
+		c.Registry.EndFeed()
+		c.Config.EndFeed()
+	default:
 		return Reply{}
 	}
 	c.Suspects.Merge(r.Suspects)
@@ -299,11 +347,11 @@
 	}
 	reply.Fence = c.lease.Fence()
 	reply.Next = next
-	reply.RegistryFresh = c.Registry.Age() < maxReadAge
+	reply.RegistryFresh = c.Registry.Fresh()
 	reply.RegistryAge = max(c.Registry.KnownAge(), 1)
 	// An instance that does not know ConfigInStore reads the store when no fresh
 	// feed arrives.
-	reply.ConfigFresh = c.Config.Age() < maxReadAge && !reply.ConfigInStore
+	reply.ConfigFresh = c.Config.Fresh() && !reply.ConfigInStore
 	reply.Parts = parts
 	reply.Suspects, reply.Limits = c.Suspects.ExportRecent(suspectsResend), c.exportLimits()
 	if !holds {
@@ -352,7 +400,8 @@
 
 // applyReply applies a reply of the coordinator to a report that was sent at a time.
 func (c *Coordinator) applyReply(r Reply, sent time.Time) {
-	c.lease.HolderReplied()
+	c.lease.HolderReplied(c.ReplyTTL())
+	c.deputyStarts.Store(false)
 	c.fence, c.overlaysSeen = r.Fence, r.Overlay
 	c.instances.Store(int64(c.instancesPeak.Add(c.Clock.Now(), instancesWindow, r.Instances)))
 	if len(r.Members) > 0 {
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -47,9 +47,6 @@
 	// registryReadsPerDrain is how often the registry is read within the time
 	// within which new requests to a draining server must stop.
 	registryReadsPerDrain = 4
-	// feedTTL is how long records that the coordinator forwards replace our
-	// own reads of the store.
-	feedTTL = 800 * time.Millisecond
 	// memoryLimitShare is the part of the process's memory limit that is the
 	// garbage collector's soft limit.
 	memoryLimitShare = 0.7
@@ -189,10 +186,11 @@
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
 	e.config = &configuration{relayer: e.relayer, log: log}
+	startDelay := coordinator.StartDelay(s.Link, s.Control, s.Seeds)
 	e.tails.config = tailer.New("config", e.store.Topic(platform.TopicOperator), e.config, clock, log,
-		tailer.WithWait(configWait), tailer.WithFeedTTL(feedTTL), tailer.WithMaxRetryInterval(e.maxRetryInterval))
+		tailer.WithWait(configWait), tailer.WithFeedTTL(e.replyTTL), tailer.WithStartDelay(startDelay), tailer.WithMaxRetryInterval(e.maxRetryInterval))
 	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
-		tailer.WithInterval(func() time.Duration { return e.currentSettings().Drain / registryReadsPerDrain }), tailer.WithOnRead(e.fleet.RecordRead), tailer.WithFeedTTL(feedTTL), tailer.WithMaxRetryInterval(e.maxRetryInterval))
+		tailer.WithInterval(func() time.Duration { return e.currentSettings().Drain / registryReadsPerDrain }), tailer.WithOnRead(e.fleet.RecordRead), tailer.WithFeedTTL(e.replyTTL), tailer.WithStartDelay(startDelay), tailer.WithMaxRetryInterval(e.maxRetryInterval))
 	e.coordinator = coordinator.New(coordinator.Dependencies{
 		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control, Seeds: s.Seeds, LinkMbps: s.Link,
 		OrderGap: s.Lease, ColdLoadWindow: s.CeilingWindow, ColdLoadOverage: s.CeilingOverage, LeaseLog: e.store.Leases(), OrderSender: platform.NewOrderClient(sender.NewClient()),
@@ -395,6 +393,10 @@
 // maxRetryInterval returns the longest pause after a failed call to the store.
 func (e *Entry) maxRetryInterval() time.Duration { return e.coordinator.MaxRetryInterval() }
 
+// replyTTL returns how long records that the coordinator forwards replace our own reads of the
+// store.
+func (e *Entry) replyTTL() time.Duration { return e.coordinator.ReplyTTL() }
+
 // releaseLease releases the coordinator lease while the instance drains.
 func (e *Entry) releaseLease() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -4,6 +4,8 @@
 	"maps"
 	"runtime"
 	"slices"
+
+	"primrosehook/platform"
 )
 
 // values returns the metrics that are computed at each read of the metrics, by
@@ -19,7 +21,6 @@
 		"servers_behind_peers":    func() int64 { return int64(e.detourer.BrokenPaths()) },
 		"servers_unreachable":     func() int64 { return int64(len(e.fleet.Unavailable())) },
 		"server_connections_made": e.fleet.Dials.Count,
-		"store_calls":             e.store.Calls,
 		"memory_bytes":            memoryBytes,
 	}
 }
@@ -27,6 +28,9 @@
 // exposeMetrics registers the instance's values and the additional ones.
 func (e *Entry) exposeMetrics(more map[string]func() int64) {
 	all := e.values()
+	for _, kind := range platform.CallKinds {
+		all["store_calls_"+kind] = func() int64 { return e.store.Calls(kind) }
+	}
 	maps.Copy(all, more)
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		e.metrics.Gauge(name, all[name])
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -57,6 +57,13 @@
 // ageUnread is the age of a stream that has not been read yet.
 const ageUnread = time.Hour
 
+// readMargin is how much later than usual a read may be that still counts as on time,
+// minFreshAge the least age up to which one does.
+const (
+	readMargin  = 300 * time.Millisecond
+	minFreshAge = 900 * time.Millisecond
+)
+
 // feedCheckInterval is the pause between checks whether a peer still feeds the
 // stream.
 const feedCheckInterval = 100 * time.Millisecond
@@ -69,11 +76,13 @@
 	clock    clockwork.Clock
 	log      *zap.Logger
 	wait     time.Duration
-	feedTTL  time.Duration
+	feedTTL  func() time.Duration
 	interval func() time.Duration
 	maxRetry func() time.Duration
 	onRead   func(asOf time.Time)
 	readNow  chan struct{}
+	// startDelay is how long the first read waits for a feed.
+	startDelay time.Duration
 
 	mu     sync.Mutex
 	next   int64
@@ -81,6 +90,8 @@
 	// fedAt is when a peer that reads the store at its usual pace last fed the
 	// stream.
 	fedAt time.Time
+	// readAtOnce is set if the next read does not wait for a record.
+	readAtOnce bool
 	// asOf is when the newest read began whose records this instance has, its own or a
 	// peer's.
 	asOf time.Time
@@ -103,8 +114,12 @@
 	return func(t *Tailer) { t.maxRetry = longest }
 }
 
-// WithFeedTTL sets how long a feed from a peer replaces reads of the store.
-func WithFeedTTL(d time.Duration) Option { return func(t *Tailer) { t.feedTTL = d } }
+// WithFeedTTL sets the function that returns how long a feed from a peer replaces reads of
+// the store.
+func WithFeedTTL(ttl func() time.Duration) Option { return func(t *Tailer) { t.feedTTL = ttl } }
+
+// WithStartDelay sets how long the first read waits for a feed from a peer.
+func WithStartDelay(d time.Duration) Option { return func(t *Tailer) { t.startDelay = d } }
 
 // WithOnRead sets a function that is called after each read, this instance's own or one that
 // a peer passes on, with the time at which it began.
@@ -117,6 +132,7 @@
 		interval: func() time.Duration { return 0 },
 		maxRetry: func() time.Duration { return maxRetryInterval },
 		onRead:   func(time.Time) {},
+		feedTTL:  func() time.Duration { return 0 },
 		readNow:  make(chan struct{}, 1), next: offsetUnread,
 	}
 	for _, o := range options {
@@ -143,6 +159,7 @@
 func (t *Tailer) run(ctx context.Context) {
 	unavailable := false
 	pause := minRetryInterval
+	t.awaitFeed(ctx)
 	for ctx.Err() == nil {
 		if t.fedRecently() {
 			t.sleep(ctx, feedCheckInterval)
@@ -173,6 +190,41 @@
 	}
 }
 
+// awaitFeed waits up to startDelay for a feed, or until ReadNow.
+func (t *Tailer) awaitFeed(ctx context.Context) {
+	until := t.clock.Now().Add(t.startDelay)
+	for ctx.Err() == nil && !t.fedRecently() && t.clock.Now().Before(until) {
+		select {
+		case <-ctx.Done():
+		case <-t.readNow:
+			return
+		case <-t.clock.After(min(feedCheckInterval, t.startDelay)):
+		}
+	}
+}
+
+// EndFeed makes this instance read the store from now on, until a peer feeds the stream again.
+// It has no effect while none does. The first read does not wait for a record, so that this
+// instance can soon feed others.
+func (t *Tailer) EndFeed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.fedAt.IsZero() {
+		t.fedAt, t.readAtOnce = time.Time{}, true
+	}
+}
+
+// readWait returns how long the next read waits for a record.
+func (t *Tailer) readWait() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.readAtOnce {
+		t.readAtOnce = false
+		return 0
+	}
+	return t.wait
+}
+
 // readOnce reads the newest records if the stream has not been read yet, and new
 // records otherwise.
 func (t *Tailer) readOnce(ctx context.Context) error {
@@ -180,7 +232,7 @@
 	defer cancel()
 	from, began := t.Next(), t.clock.Now()
 	if from != offsetUnread {
-		list, end, err := t.source.Read(ctx, from, t.wait)
+		list, end, err := t.source.Read(ctx, from, t.readWait())
 		if err != nil {
 			return err
 		}
@@ -248,6 +300,10 @@
 	return t.clock.Since(t.readAt)
 }
 
+// Fresh reports whether this instance reads the store at its usual pace, so that it may feed
+// others. A read on time is no older than the pause after it and the wait for a record.
+func (t *Tailer) Fresh() bool { return t.Age() < max(t.wait+t.interval()+readMargin, minFreshAge) }
+
 // Feed applies records that a peer has read, up to the offset next. fresh is set
 // if the peer reads the store at its usual pace; this instance then need not.
 func (t *Tailer) Feed(list []Record, next int64, fresh bool) {
@@ -282,7 +338,7 @@
 func (t *Tailer) fedRecently() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.fedAt.IsZero() && t.clock.Since(t.fedAt) < t.feedTTL
+	return !t.fedAt.IsZero() && t.clock.Since(t.fedAt) < t.feedTTL()
 }
 
 func (t *Tailer) sleep(ctx context.Context, d time.Duration) {
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -94,7 +94,7 @@
 		src = &source{newest: []tailer.Record{{Offset: 4, Key: "a", Value: []byte("1")}}, next: 5}
 		dst = &sink{}
 		clock = clockwork.NewFakeClock()
-		t = tailer.New("test", src, dst, clock, zap.NewNop(), tailer.WithFeedTTL(800*time.Millisecond),
+		t = tailer.New("test", src, dst, clock, zap.NewNop(), tailer.WithFeedTTL(func() time.Duration { return 800 * time.Millisecond }),
 			tailer.WithInterval(func() time.Duration { return 500 * time.Millisecond }))
 	})
 	start := func() {
