Place models by the demand that is not served, also over last replicas that nobody requests

Cause, from the logs of all instances: nearly all memory held last replicas of models that nobody requested, and no last replica ever made room.

Change: one order among models by the demand that their replicas have no room for (all of it for a model that is not loaded). Such a model may take the place of a last replica if its unserved demand is eight times what the other one has, or can have had unseen: once in the time without a request. A model without demand gets free room only. An adapter in demand is loaded at further servers that have its model and less to do.

The property that a replica of each model is kept has the exception above.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -12,6 +12,7 @@
 
 	"primrosehook/balancer"
 	"primrosehook/decayer"
+	"primrosehook/matcher"
 	"primrosehook/registrar"
 	"primrosehook/serviceplanner"
 	"primrosehook/tailer"
@@ -42,6 +43,9 @@
 // any.
 type demandKey struct{ service, key, build string }
 
+// modelKey names a model of a service.
+type modelKey struct{ service, model string }
+
 type demandRates struct{ fast, slow decayer.Counter }
 
 // clusterState is the coordinator's view of all instances and servers. Every
@@ -61,7 +65,11 @@
 	addresses       []string
 	addressesDigest uint64
 	demand          map[demandKey]*demandRates
-	overlays        []balancer.Overlay
+	// requestedAt is when an instance last reported a request for a model of a service,
+	// requestedSince when one first did in this term.
+	requestedAt    map[modelKey]time.Time
+	requestedSince time.Time
+	overlays       []balancer.Overlay
 	// droppedOverlays is how many overlays were added and then dropped.
 	droppedOverlays int
 	// records are the newest registry records by key, all of them of the same era of
@@ -80,7 +88,7 @@
 
 func newClusterState(clock clockwork.Clock, linkMbps float64) *clusterState {
 	return &clusterState{
-		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, demand: map[demandKey]*demandRates{},
+		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, demand: map[demandKey]*demandRates{}, requestedAt: map[modelKey]time.Time{},
 		records: map[string]tailer.Record{}, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
 	}
 }
@@ -93,6 +101,8 @@
 	clear(c.totalInFlight)
 	c.updateAddresses()
 	c.overlays, c.droppedOverlays = nil, 0
+	clear(c.requestedAt)
+	c.requestedSince = time.Time{}
 }
 
 // addReport applies an instance's report.
@@ -114,6 +124,11 @@
 	}
 	waiting := false
 	for _, d := range r.Demand {
+		model, _, _ := strings.Cut(d.Key, "/")
+		c.requestedAt[modelKey{d.Service, model}] = now
+		if c.requestedSince.IsZero() {
+			c.requestedSince = now
+		}
 		k := demandKey{d.Service, d.Key, ""}
 		rates, ok := c.demand[k]
 		if !ok {
@@ -325,6 +340,26 @@
 	return demand, waiting, builds
 }
 
+// unrequested returns how long no instance has reported a request for each model of a service.
+// It is empty while none was reported at all.
+func (c *clusterState) unrequested(service string, models map[string]matcher.Model) map[string]time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := map[string]time.Duration{}
+	if c.requestedSince.IsZero() {
+		return since
+	}
+	now := c.clock.Now()
+	for m := range models {
+		at, ok := c.requestedAt[modelKey{service, m}]
+		if !ok {
+			at = c.requestedSince
+		}
+		since[m] = now.Sub(at)
+	}
+	return since
+}
+
 // unavailable returns the incarnations of servers that some instance cannot connect
 // to, or that say that they leave.
 func (c *clusterState) unavailable() map[string]bool {
--- a/serviceplanner/builds.go
+++ b/serviceplanner/builds.go
@@ -35,7 +35,7 @@
 			}
 		}
 		switch {
-		case replicas < 2 && p.addReplica(model, n.Build, "requests wait for the model at a build", true):
+		case replicas < 2 && p.addReplica(model, n.Build, "requests wait for the model at a build", (*planner).anyVictim):
 		case adapter != "" && adapters < min(replicas, 2):
 			p.loadAdapter(model, adapter, n.Build, true)
 		}
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -14,19 +14,13 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"primrosehook/balancer"
 	"primrosehook/matcher"
 )
 
 const (
-	// replicaDemand is the demand per replica, in requests a second, above which
-	// another replica noticeably shortens the wait for a first token: at some
-	// 70 ms of prefill per request, prefill takes a fifth of an engine's time.
-	replicaDemand = 2.5
-	// minDemandRatio is how many times the demand of the replica that it
-	// replaces a new replica must get.
-	minDemandRatio = 1.5
 	// unloadCost and coldLoadCost are how much load on a server, in requests a
 	// second, an unload that makes room and a load from the weight store count
 	// as: each takes a second or two longer.
@@ -86,6 +80,9 @@
 	// WaitingBuilds is the number of requests that wait for a replica at one build: they
 	// continue streams that it began.
 	WaitingBuilds map[BuildKey]int
+	// Unrequested is how long nobody has requested a model, as far as that is known. A model
+	// that it does not have keeps its last replica.
+	Unrequested map[string]time.Duration
 	// ColdLoads is how many loads from the weight store may start now.
 	ColdLoads int
 }
@@ -234,11 +231,12 @@
 	}
 	p.models = slices.Sorted(maps.Keys(state.Engine.Models))
 	slices.SortStableFunc(p.models, func(a, b string) int { return cmp.Compare(p.modelDemand[b], p.modelDemand[a]) })
-	p.loadMissing(true)
+	p.addUnserved()
 	p.loadMissingAdapters(true)
 	p.loadMissingAtBuilds()
 	p.addReplicas()
-	p.loadMissing(false)
+	p.addAdapterReplicas()
+	p.loadIdle()
 	p.loadMissingAdapters(false)
 	return p.orders
 }
@@ -249,53 +247,37 @@
 	return model
 }
 
-// loadMissing loads models that no server has loaded. A model without demand
-// replaces no replica that is in demand.
-func (p *planner) loadMissing(demanded bool) {
+// loadIdle loads models without demand that no server has loaded, where room is free.
+func (p *planner) loadIdle() {
 	for _, m := range p.models {
-		if p.replicas[m] == 0 && demanded == (p.modelDemand[m] > 0) {
-			p.addReplica(m, "", "no server has the model loaded", demanded)
-		}
-	}
-}
-
-// addReplicas adds replicas of the models in most demand.
-func (p *planner) addReplicas() {
-	for range len(p.servers) {
-		best, most := "", replicaDemand
-		for _, m := range p.models {
-			if n := p.replicas[m]; n > 0 && n < len(p.servers) {
-				if d := p.modelDemand[m] / float64(n); d > most {
-					best, most = m, d
-				}
-			}
-		}
-		if best == "" || !p.addReplica(best, "", fmt.Sprintf("%.1f requests/s per replica", most), false) {
-			return
+		if p.replicas[m] == 0 && p.modelDemand[m] == 0 {
+			p.addReplica(m, "", "no server has the model loaded", noVictim)
 		}
 	}
 }
 
 // addReplica orders one more replica of a model at a server of a build: the load, or the
-// unload that makes room with the load to follow. It reports whether it found a server.
-func (p *planner) addReplica(m, build, reason string, missing bool) bool {
+// unload that makes room with the load to follow. choose returns the model that makes room on
+// a server. addReplica reports whether it found a server.
+func (p *planner) addReplica(m, build, reason string, choose func(p *planner, s *server, m string) (string, bool)) bool {
 	spec := p.Engine.Models[m]
 	var best *server
 	var victim string
 	bestCost := 0.0
 	for _, s := range p.servers {
-		if _, ok := s.planned[m]; ok || s.Busy || !s.runs(build) {
+		if _, ok := s.planned[m]; ok || s.Busy || !s.runs(build) || !s.Warm[m] && p.ColdLoads <= 0 {
 			continue
 		}
 		v, ok := "", true
 		if p.usedMemory(s)+spec.SizeMB > p.Engine.MemoryMB {
-			v, ok = p.victim(s, m, missing)
+			v, ok = choose(p, s, m)
 		}
-		if !ok || !s.Warm[m] && p.ColdLoads <= 0 {
+		if !ok {
 			continue
 		}
 		cost := p.demandShare(s)
-		if v != "" {
+		if p.modelDemand[v] > 0 {
+			// Requests in progress delay the unload.
 			cost += unloadCost
 		}
 		if !s.Warm[m] {
@@ -308,27 +290,33 @@
 	if best == nil {
 		return false
 	}
-	best.Busy = true
-	cold := !best.Warm[m]
+	p.orderReplica(best, m, victim, reason)
+	return true
+}
+
+// orderReplica orders a load, or the unload of a victim that makes room for it with the load to
+// follow.
+func (p *planner) orderReplica(s *server, m, victim, reason string) {
+	s.Busy = true
+	cold := !s.Warm[m]
 	if cold {
 		// This includes a load that follows an unload: without it, the unload
 		// gains nothing.
 		p.ColdLoads--
 	}
-	order := Order{Server: best.ID, Op: Load, Model: m, Cold: cold, Reason: reason}
+	order := Order{Server: s.ID, Op: Load, Model: m, Cold: cold, Reason: reason}
 	if victim != "" {
 		next := order
-		order = Order{Server: best.ID, Op: Unload, Model: victim, Next: &next, Reason: "room for " + m + ": " + reason}
+		order = Order{Server: s.ID, Op: Unload, Model: victim, Next: &next, Reason: "room for " + m + ": " + reason}
 		p.replicas[victim]--
-		if best.keeps(victim) {
+		if s.keeps(victim) {
 			p.kept[victim]--
 		}
-		best.apply(order)
+		s.apply(order)
 	}
 	p.orders = append(p.orders, order)
 	p.replicas[m]++
-	best.planned[m] = nil
-	return true
+	s.planned[m] = nil
 }
 
 // demandShare returns a server's share of the demand for the models that it has
@@ -341,33 +329,6 @@
 	return total
 }
 
-// victim returns the model to unload from a server to make room for m, and
-// whether there is one. It is never the last loaded replica of a model. Unless m
-// is missing, the demand per remaining loaded replica of the victim, with that for
-// the adapters that are lost, must be clearly less than the demand per replica of
-// m after the load.
-func (p *planner) victim(s *server, m string, missing bool) (string, bool) {
-	spec := p.Engine.Models[m]
-	best, least := "", 0.0
-	for v := range s.planned {
-		others := p.kept[v]
-		if s.keeps(v) {
-			others--
-		}
-		if others < 1 || p.usedMemory(s)-p.Engine.Models[v].SizeMB+spec.SizeMB > p.Engine.MemoryMB {
-			continue
-		}
-		after := p.modelDemand[v]/float64(others) + p.lostAdapterDemand(s, v)
-		if !missing && after*minDemandRatio > p.modelDemand[m]/float64(p.replicas[m]+1) {
-			continue
-		}
-		if best == "" || after < least || after == least && v < best {
-			best, least = v, after
-		}
-	}
-	return best, best != ""
-}
-
 // lostAdapterDemand returns the demand for the adapters that are unloaded along
 // with a model and that no other server has loaded. They are loaded again within
 // milliseconds on another replica.
