Tell instances each other's builds and queues, and keep sums with builds that lack a message

While a fleet is replaced machine by machine, an instance of a build without a message was taken for one that does not answer: it was left out for a second, logged, and two such owners in a row made each newer instance use a gate or turn of its own, so that a bound on the sum over all instances held for each of them alone.

Change: messenger.IsUnknownKind tells these apart; such a peer is passed over as an owner for ten seconds, however many there are, so that the newer instances agree on the first one that knows the message. Reports say which build an instance runs, and how many run which comes back (metrics builds_in_fleet, build_formats; the line entry: started; primrosehook status).

Reports also say how many requests of which priority wait for which model, and how many got a server lately; the reply sums the peers'. The predicted wait of a request counts them. With 195 instances each is the first in its own queue, and all waited for one replica until their time was over. A request for a model that no server has loaded is refused at once if its load, from where its weights are, is not completed while it may wait, and comes back when it is; it counts as demand.

Loads are logged with what the server has loaded.

A field that an earlier build does not know is passed over by it, and is zero where it is missing.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -233,6 +233,11 @@
 	}
 }
 
+// hasModels reports whether servers of the service have models loaded.
+func (c *Core) hasModels() bool {
+	return slices.ContainsFunc(c.sorted, func(s *server) bool { return len(s.loaded) > 0 })
+}
+
 // SetCacheTokens sets the capacity of each server's cache in tokens; 0 means
 // unknown.
 func (c *Core) SetCacheTokens(tokens int) { c.cacheTokens = tokens }
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"primrosehook/connector"
+	"primrosehook/matcher"
 	"primrosehook/registrar"
 )
 
@@ -18,7 +19,7 @@
 	Service string `msgpack:"s"`
 	Key     string `msgpack:"k"`
 	// Arrived counts the requests that arrived, Waiting those that wait for a
-	// replica now.
+	// replica now, or were refused since none is there in time.
 	Arrived int `msgpack:"a"`
 	Waiting int `msgpack:"w"`
 	// Build is the only build whose replicas are of use, empty for any.
@@ -50,8 +51,14 @@
 	pools           map[string]*connector.Pool
 	arrived         map[demandKey]int
 	awaitingReplica map[demandKey]int
-	queues          map[string]*WaitQueue
-	noReplica       chan struct{}
+	// missed counts the requests that were refused since no replica is there in time, since the
+	// last report. absentSince is when one of a model or adapter was first missing.
+	missed      map[demandKey]int
+	absentSince map[demandKey]time.Time
+	// models are the models of each service.
+	models    map[string]map[string]matcher.Model
+	queues    map[string]*WaitQueue
+	noReplica chan struct{}
 }
 
 // FleetOption sets an option of a Fleet.
@@ -66,7 +73,7 @@
 	f := &Fleet{
 		zone: zone, seed: seed, clock: clock, started: clock.Now(),
 		cores: map[string]*Core{}, pools: map[string]*connector.Pool{},
-		arrived: map[demandKey]int{}, awaitingReplica: map[demandKey]int{},
+		arrived: map[demandKey]int{}, awaitingReplica: map[demandKey]int{}, missed: map[demandKey]int{}, absentSince: map[demandKey]time.Time{}, models: map[string]map[string]matcher.Model{},
 		queues: map[string]*WaitQueue{}, registryWasRead: make(chan struct{}), noReplica: make(chan struct{}, 1),
 		dialer: connector.DirectDialer{},
 	}
@@ -255,12 +262,17 @@
 	switch status {
 	case Found:
 		queue.RecordGrant(now, q.queueKey())
+		delete(f.absentSince, demandKey{service, q.Key(), ""})
 		return a, nil, Found
 	case Full:
 		if queue.Predict(now, q) > q.MaxWait {
 			return nil, nil, Full
 		}
 	case NotLoaded:
+		if wait := f.loadWait(now, service, q); wait > q.Deadline.Sub(now) {
+			f.missed[demandKey{service, q.Key(), q.Build}]++
+			return nil, nil, status
+		}
 	case AllExcluded:
 		// The last replica may have failed; loading the model on another server
 		// takes about a second.
@@ -367,7 +379,10 @@
 func (f *Fleet) RetryDelay(service string, q Request, status Status) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if status == NotLoaded || status == AllExcluded {
+	if status == NotLoaded {
+		return f.loadWait(f.clock.Now(), service, q)
+	}
+	if status == AllExcluded {
 		return coldLoadTime
 	}
 	if status == RateLimited {
@@ -566,9 +581,14 @@
 	for k := range f.awaitingReplica {
 		all[k] += 0
 	}
+	missed := maps.Clone(f.missed)
+	clear(f.missed)
+	for k := range missed {
+		all[k] += 0
+	}
 	list := make([]Demand, 0, len(all))
 	for k, n := range all {
-		list = append(list, Demand{Service: k.service, Key: k.key, Arrived: n, Waiting: f.awaitingReplica[k], Build: k.build})
+		list = append(list, Demand{Service: k.service, Key: k.key, Arrived: n, Waiting: f.awaitingReplica[k] + missed[k], Build: k.build})
 	}
 	return list
 }
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -15,6 +15,8 @@
 	// minGrantRate is the lowest rate of grants per second that is assumed, so
 	// that the first requests to wait are not refused for lack of a history.
 	minGrantRate = 4.0
+	// minReportedRate is the rate of grants per second below which peers are not told.
+	minReportedRate = 0.05
 )
 
 // Waiter is a request that waits for a server.
@@ -34,6 +36,9 @@
 type WaitQueue struct {
 	waiters []*Waiter
 	grants  map[string]*decayer.Counter
+	// peers are the queues of the peers by key as of peersAt.
+	peers   map[string]Queue
+	peersAt time.Time
 }
 
 // NewWaitQueue returns an empty queue.
@@ -43,7 +48,7 @@
 func (wq *WaitQueue) Len() int { return len(wq.waiters) }
 
 // Predict returns how long a request would wait, from the number of requests for
-// the same model that would go before it and the recent rate of grants.
+// the same model that would go before it and the recent rate of grants, here and at the peers.
 func (wq *WaitQueue) Predict(now time.Time, q Request) time.Duration {
 	ahead := 0
 	key := q.queueKey()
@@ -52,11 +57,15 @@
 			ahead++
 		}
 	}
-	rate := minGrantRate
+	rate := 0.0
 	if g, ok := wq.grants[key]; ok {
-		rate = max(rate, g.Rate(now, grantHalfLife))
+		rate = g.Rate(now, grantHalfLife)
 	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	if p, ok := wq.peers[key]; ok && now.Sub(wq.peersAt) < peersTTL {
+		ahead += p.ahead(q.Priority)
+		rate += p.Granted
+	}
+	return time.Duration(float64(ahead) / max(rate, minGrantRate) * float64(time.Second))
 }
 
 // Add adds a request to the queue.
--- a/cmd/primrosehook/status.go
+++ b/cmd/primrosehook/status.go
@@ -85,10 +85,10 @@
 // instances prints a table with one row for each instance.
 func (s *status) instances(states map[string]server.State) {
 	t := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "INSTANCE\tZONE\tREADY\tRULES\tLIST\tOPEN\tNOTES")
+	_, _ = fmt.Fprintln(t, "INSTANCE\tZONE\tBUILD\tREADY\tRULES\tLIST\tOPEN\tNOTES")
 	for _, name := range slices.Sorted(maps.Keys(states)) {
 		v := states[name]
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%v\t%d\t%s\t%d\t%s\n", name, v.Instance.Zone, v.Ready,
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%v\t%d\t%s\t%d\t%s\n", name, v.Instance.Zone, v.Build, v.Ready,
 			v.Rules.Version, v.Rules.Name, v.Open, strings.Join(v.Reasons, "; "))
 	}
 	_ = t.Flush()
--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -37,6 +37,8 @@
 	inFlight    map[string]balancer.InFlight
 	waiting     map[demandKey]int
 	unavailable []string
+	queues      []balancer.Queue
+	build       string
 }
 
 // demandKey names a model or adapter of a service, at one build or, if that is empty, at
@@ -60,6 +62,8 @@
 	// updated with each report: summing for each reply would cost instances
 	// times servers.
 	totalInFlight map[string]balancer.InFlight
+	// totalQueues sums the queues of all members.
+	totalQueues balancer.Queues
 	// addresses are the members' addresses in the order of deputies,
 	// addressesDigest their digest; both are rebuilt when they change.
 	addresses       []string
@@ -88,7 +92,7 @@
 
 func newClusterState(clock clockwork.Clock, linkMbps float64) *clusterState {
 	return &clusterState{
-		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, demand: map[demandKey]*demandRates{}, requestedAt: map[modelKey]time.Time{},
+		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, demand: map[demandKey]*demandRates{}, requestedAt: map[modelKey]time.Time{},
 		records: map[string]tailer.Record{}, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
 	}
 }
@@ -99,6 +103,7 @@
 	defer c.mu.Unlock()
 	clear(c.members)
 	clear(c.totalInFlight)
+	clear(c.totalQueues)
 	c.updateAddresses()
 	c.overlays, c.droppedOverlays = nil, 0
 	clear(c.requestedAt)
@@ -110,12 +115,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	m := &member{address: r.Address, link: r.Link, reportedAt: now, inFlight: r.InFlight, waiting: map[demandKey]int{}, unavailable: r.Unavailable}
+	m := &member{address: r.Address, link: r.Link, reportedAt: now, inFlight: r.InFlight, waiting: map[demandKey]int{}, unavailable: r.Unavailable, queues: r.Queues, build: r.Build.String()}
 	old, ok := c.members[r.Instance]
 	if ok {
 		c.subtractInFlight(old)
+		c.totalQueues.Remove(old.queues)
 	}
 	c.members[r.Instance] = m
+	c.totalQueues.Add(m.queues)
 	for id, f := range m.inFlight {
 		c.totalInFlight[id] = c.totalInFlight[id].Add(f)
 	}
@@ -164,6 +171,7 @@
 	for name, m := range c.members {
 		if now.Sub(m.reportedAt) > memberTTL {
 			c.subtractInFlight(m)
+			c.totalQueues.Remove(m.queues)
 			delete(c.members, name)
 		}
 	}
@@ -193,7 +201,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	c.expireMembers(now)
-	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight)}
+	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds()}
 	if m, ok := c.members[r.Instance]; ok {
 		for id, f := range m.inFlight {
 			if left := out.InFlight[id].Sub(f); left != (balancer.InFlight{}) {
@@ -228,6 +236,15 @@
 	return out, c.overlaysAdded
 }
 
+// builds returns how many members run each build. c.mu must be held.
+func (c *clusterState) builds() map[string]int {
+	count := map[string]int{}
+	for _, m := range c.members {
+		count[m.build]++
+	}
+	return count
+}
+
 // maxConfigBytes returns the size of the largest configuration that fits a reply
 // to an instance: all instances want it at the same time, from this instance's
 // link. A reply that is not complete within exchangeTimeout is sent again and
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"primrosehook/quarantiner"
 	"primrosehook/tailer"
 	"primrosehook/throttler"
+	"primrosehook/upgrader"
 )
 
 const (
@@ -99,6 +100,10 @@
 	Unavailable []string `msgpack:"d"`
 	// Waiting is set while requests wait for an order.
 	Waiting bool `msgpack:"a"`
+	// Queues are the requests that wait at the instance for a busy server.
+	Queues []balancer.Queue `msgpack:"wq,omitempty"`
+	// Build is the build that the instance runs.
+	Build upgrader.Build `msgpack:"bd"`
 	// Deputy asks an instance that does not hold the lease to act as deputy.
 	Deputy bool `msgpack:"u"`
 }
@@ -137,6 +142,10 @@
 	Suspects      []quarantiner.Suspect `msgpack:"s"`
 	Parts         quarantiner.PartReply `msgpack:"pt"`
 	Limits        []throttler.Statement `msgpack:"q"`
+	// Queues are the requests that wait at the peers for a busy server.
+	Queues []balancer.Queue `msgpack:"wq,omitempty"`
+	// Builds is how many instances run each build.
+	Builds map[string]int `msgpack:"bs,omitempty"`
 	// Holder is the lease holder as a deputy last read it. LeaseFresh is set if
 	// the deputy reads the lease at its usual pace and claims it when it
 	// expires.
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -99,6 +99,7 @@
 func (c *Coordinator) applyDeputyReply(r Reply, sent time.Time, own bool) {
 	if float64(r.Instances) >= minReportedShare*float64(len(c.deputyOrder)) {
 		c.Fleet.UpdatePeers(r.InFlight)
+		c.Fleet.UpdatePeerQueues(r.Queues)
 	}
 	c.Parts.ApplyReply(r.Parts)
 	if own {
--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -146,6 +147,12 @@
 			x.coldLoad.Sent(x.Clock.Now())
 			x.mu.Unlock()
 		}
+		if x.order.Op == serviceplanner.Load && x.order.Adapter == "" {
+			x.mu.Lock()
+			loaded := slices.Sorted(maps.Keys(x.state.loaded))
+			x.mu.Unlock()
+			x.Log.Info("orders: load is sent", zap.String("server", x.server.ID), zap.String("model", x.order.Model), zap.Int64("expected", expected), zap.Strings("loaded", loaded))
+		}
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := x.OrderSender.Send(call, x.server, Order{
 			Order: x.order, ExpectedOrders: expected, Holder: x.lease.self.Machine, Fence: x.lease.Fence(),
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"primrosehook/registrar"
 	"primrosehook/tailer"
 	"primrosehook/throttler"
+	"primrosehook/upgrader"
 )
 
 // Meter counts events by the name of their metric.
@@ -109,6 +111,9 @@
 	configAnnounced chan struct{}
 	// partsReceiver is the address of the last report. Only runReports uses it.
 	partsReceiver string
+	// build is the build of this instance, builds how many instances run each one.
+	build  upgrader.Build
+	builds atomic.Pointer[map[string]int]
 	// deputyStarts is set while the deputy that replies does not read the store at its usual
 	// pace.
 	deputyStarts atomic.Bool
@@ -123,6 +128,8 @@
 	}
 	c := &Coordinator{Dependencies: d, cluster: newClusterState(d.Clock, d.LinkMbps), backoffUntil: map[string]time.Time{}, configAnnounced: make(chan struct{}, 1)}
 	c.peerAddresses.Store(&[]string{})
+	c.build = upgrader.Current()
+	c.builds.Store(&map[string]int{})
 	self := Entry{Instance: d.Instance, Machine: d.Machine, Address: d.Address}
 	c.lease = NewLease(self, d.OrderGap, d.LeaseLog, d.Boot, d.Clock, d.Log, c.leaseAcquired, c.MaxRetryInterval)
 	if d.LinkMbps > 0 && d.LinkMbps < wideLinkMbps {
@@ -159,6 +166,9 @@
 // Release releases the lease before a planned stop.
 func (c *Coordinator) Release(ctx context.Context) { c.lease.Release(ctx) }
 
+// Builds returns how many instances run each build, empty if that is not known.
+func (c *Coordinator) Builds() map[string]int { return maps.Clone(*c.builds.Load()) }
+
 // Instances returns the number of instances of late, 0 if unknown.
 func (c *Coordinator) Instances() int { return int(c.instances.Load()) }
 
@@ -246,7 +256,7 @@
 		r := Report{
 			Instance: c.Instance, Address: c.Address, Link: c.LinkMbps, Members: c.membersDigest, Demand: demand, InFlight: c.Fleet.OwnInFlight(),
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
-			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy,
+			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy, Queues: c.Fleet.OwnQueues(), Build: c.build,
 		}
 		sent := c.Clock.Now()
 		reply, err := c.sendReport(ctx, address, r)
@@ -411,6 +421,8 @@
 		c.OnMembers(r.Members)
 	}
 	c.Fleet.UpdatePeers(r.InFlight)
+	c.Fleet.UpdatePeerQueues(r.Queues)
+	c.builds.Store(&r.Builds)
 	c.Suspects.Merge(r.Suspects)
 	c.Parts.ApplyReply(r.Parts)
 	c.mergeLimits(r.Limits)
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -38,6 +38,7 @@
 	"primrosehook/tailer"
 	"primrosehook/throttler"
 	"primrosehook/tracer"
+	"primrosehook/upgrader"
 )
 
 const (
@@ -279,7 +280,7 @@
 	if e.initial.Metrics != "" {
 		e.start(func() { e.listenMetrics(metricsServer) })
 	}
-	e.log.Info("entry: started", zap.String("front", e.initial.Front), zap.String("zone", e.initial.Zone))
+	e.log.Info("entry: started", zap.String("front", e.initial.Front), zap.String("zone", e.initial.Zone), zap.Stringer("build", upgrader.Current()))
 	if len(e.initial.Unused) > 0 {
 		e.log.Info("entry: settings have fields that are not used", zap.Strings("fields", e.initial.Unused))
 	}
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"primrosehook/platform"
+	"primrosehook/upgrader"
 )
 
 // values returns the metrics that are computed at each read of the metrics, by
@@ -16,6 +17,8 @@
 		"config_age_ms":           func() int64 { return e.tails.config.Age().Milliseconds() },
 		"registry_age_ms":         func() int64 { return e.tails.registry.Age().Milliseconds() },
 		"instances":               func() int64 { return int64(e.coordinator.Instances()) },
+		"builds_in_fleet":         func() int64 { return int64(len(e.coordinator.Builds())) },
+		"build_formats":           func() int64 { return upgrader.Formats },
 		"lease_held":              func() int64 { return boolValue(e.coordinator.HoldsLease()) },
 		"requests_waiting":        func() int64 { return int64(e.fleet.QueueLen()) },
 		"servers_behind_peers":    func() int64 { return int64(e.detourer.BrokenPaths()) },
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// codeUnknownKind is the code of the refusal of a message that the peer does not know.
+const codeUnknownKind = "kind"
+
+// IsUnknownKind reports whether a call failed since the peer runs a build that does not know the
+// message. It has not run, and will fail until the peer is replaced.
+func IsUnknownKind(err error) bool {
+	var r *judge.Refusal
+	return errors.As(err, &r) && r.Code == codeUnknownKind
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -168,7 +168,7 @@
 	if !ok {
 		a.conn.send(a.message.ID, reply{
 			Verdict: int(judge.NotRun), Status: http.StatusNotImplemented,
-			Code: "kind", Reason: "peer does not know this message",
+			Code: codeUnknownKind, Reason: "peer does not know this message",
 		})
 		return
 	}
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -69,6 +69,17 @@
 	return owners
 }
 
+// unknownTTL is how long a peer is left out that does not know a message: it runs another build
+// and may be replaced at any time.
+const unknownTTL = 10 * time.Second
+
+// LeaveOut leaves a peer out that does not know the message.
+func (r *Ranker) LeaveOut(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.backoffUntil[peer] = r.clock.Now().Add(unknownTTL)
+}
+
 // BackOff leaves a peer out for a time, since it did not reply.
 func (r *Ranker) BackOff(peer string) {
 	r.mu.Lock()
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -221,6 +221,7 @@
 			assignment, status := x.takeServer()
 			if assignment == nil {
 				x.backlog = x.fleet.RetryDelay(x.service, x.query, status)
+				x.awaitsLoad = status == balancer.NotLoaded
 				x.giveUp("no server", append(x.refusalFields(), zap.Stringer("status", status), zap.Duration("backlog", x.backlog))...)
 				return
 			}
@@ -433,7 +434,12 @@
 		x.meter.Add(MetricFailed, 1)
 		writeStatus(x.writer, http.StatusBadGateway)
 	default:
-		x.refuse(x.writer, max(x.backlog, busyRetryAfter), "no_server")
+		earliest := earliestRetry
+		if x.awaitsLoad {
+			// Before the model is loaded it would be refused again.
+			earliest = 1
+		}
+		x.refuseFrom(x.writer, max(x.backlog, busyRetryAfter), earliest, "no_server")
 	}
 }
 
@@ -441,8 +447,17 @@
 // time in Retry-After. The time is jittered, so that clients that were refused
 // together do not retry together.
 func (r *Relayer) refuse(w http.ResponseWriter, retryAfter time.Duration, why string) {
+	r.refuseFrom(w, retryAfter, earliestRetry, why)
+}
+
+// earliestRetry and latestRetry times the time until a request could be served is when clients
+// come back.
+const earliestRetry, latestRetry = 0.7, 1.3
+
+// refuseFrom is refuse for clients that come back from earliest times retryAfter on.
+func (r *Relayer) refuseFrom(w http.ResponseWriter, retryAfter time.Duration, earliest float64, why string) {
 	r.meter.Add(MetricRefused+why, 1)
-	jittered := retryAfter.Seconds() * (0.7 + 0.6*rand.Float64())
+	jittered := retryAfter.Seconds() * (earliest + (latestRetry-earliest)*rand.Float64())
 	w.Header().Set("Retry-After", strconv.FormatFloat(jittered, 'f', 3, 64))
 	writeStatus(w, http.StatusServiceUnavailable)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -285,6 +285,7 @@
 			for name, s := range t.Services {
 				if s.Engine != nil {
 					r.fleet.SetCacheTokens(name, s.Engine.CacheTokens)
+					r.fleet.SetModels(name, s.Engine.Models)
 				}
 			}
 			return true
@@ -387,4 +388,6 @@
 	// backlog is the estimated time until a server is free, for a request that
 	// got none.
 	backlog time.Duration
+	// awaitsLoad is set if it got none since no server has its model loaded.
+	awaitsLoad bool
 }
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -91,7 +91,8 @@
 // Acquire takes the turn of a key. If that can't be had, it returns when to ask again. End
 // must be called on a turn.
 func (s *Sequencer) Acquire(ctx context.Context, key uint64) (turn *Turn, wait time.Duration, ok bool) {
-	for _, owner := range s.ranks.Owners(strconv.FormatUint(key, 16), maxOwners) {
+	for tries := 0; tries < maxOwners; {
+		owner := s.ranks.Owners(strconv.FormatUint(key, 16), 1)[0]
 		if owner == s.self {
 			break
 		}
@@ -99,12 +100,16 @@
 		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 		err := s.peers.Call(callCtx, owner, kindTake, TakeRequest{Key: key}, &r)
 		cancel()
-		if err == nil {
+		switch {
+		case err == nil:
 			return s.newTurn(owner, key, r)
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return nil, 0, false
+		case messenger.IsUnknownKind(err):
+			s.ranks.LeaveOut(owner)
+			continue
 		}
+		tries++
 		s.ranks.BackOff(owner)
 		s.log.Info("sequence: instance does not answer", zap.String("member", owner), zap.Duration("not_asked_for", ownerBackoff), zap.Error(err))
 	}
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"primrosehook/judge"
 	"primrosehook/sequencer"
 )
 
@@ -21,6 +22,8 @@
 	mu        sync.Mutex
 	instances map[string]*sequencer.Sequencer
 	groups    map[string]int
+	// earlier are the instances of a build that does not know the messages.
+	earlier map[string]bool
 	// calls counts the calls.
 	calls int
 }
@@ -36,7 +39,11 @@
 	p.mesh.mu.Lock()
 	p.mesh.calls++
 	s, reached := p.mesh.instances[address], p.mesh.groups[address] == p.mesh.groups[p.self]
+	earlier := p.mesh.earlier[address]
 	p.mesh.mu.Unlock()
+	if earlier {
+		return &judge.Refusal{Verdict: judge.NotRun, Code: "kind", Reason: "peer does not know this message"}
+	}
 	if !reached {
 		return eris.New("cut")
 	}
@@ -51,7 +58,7 @@
 
 // newMesh returns instances that know each other.
 func newMesh(clock clockwork.Clock, count int) (*mesh, []*sequencer.Sequencer) {
-	m := &mesh{instances: map[string]*sequencer.Sequencer{}, groups: map[string]int{}}
+	m := &mesh{instances: map[string]*sequencer.Sequencer{}, groups: map[string]int{}, earlier: map[string]bool{}}
 	var names []string
 	for i := range count {
 		names = append(names, fmt.Sprint("i", i))
@@ -68,6 +75,24 @@
 var _ = Describe("Sequencer", func() {
 	ctx := context.Background()
 
+	// Guards against several requests like one that crashes servers at the same time, sent by
+	// instances whose first owners run an earlier build.
+	It("gives one turn of a key while most instances run a build without turns", func() {
+		m, list := newMesh(clockwork.NewFakeClock(), 9)
+		for i := range 6 {
+			m.earlier[fmt.Sprint("i", i)] = true
+		}
+		for key := range uint64(20) {
+			taken := 0
+			for _, s := range list[6:] {
+				if _, _, ok := s.Acquire(ctx, key); ok {
+					taken++
+				}
+			}
+			Expect(taken).To(Equal(1))
+		}
+	})
+
 	It("gives the turn of a key to one request at a time, whichever instance asks", func() {
 		clock := clockwork.NewFakeClock()
 		_, list := newMesh(clock, 6)
--- a/server/admin.go
+++ b/server/admin.go
@@ -15,6 +15,7 @@
 	"primrosehook/judge"
 	"primrosehook/lister"
 	"primrosehook/ruler"
+	"primrosehook/upgrader"
 )
 
 // VersionHeader carries the version of the rule list in force.
@@ -32,7 +33,9 @@
 // State is the state that an instance reports about itself.
 type State struct {
 	Instance lister.Instance `json:"instance"`
-	Ready    bool            `json:"ready"`
+	// Build is the build that the instance runs.
+	Build string `json:"build"`
+	Ready bool   `json:"ready"`
 	// Reasons state why the instance is not ready; empty if it is.
 	Reasons []string       `json:"reasons,omitempty"`
 	Leaving bool           `json:"leaving"`
@@ -178,6 +181,7 @@
 func (s *Server) State() State {
 	reasons := s.notReadyReasons()
 	state := State{
+		Build:    upgrader.Current().String(),
 		Instance: s.self, Ready: len(reasons) == 0, Reasons: reasons,
 		Leaving: s.leaving.Load(), Open: s.OpenRequests(), Parts: s.partStatuses(),
 	}
--- a/sparer/sparer.go
+++ b/sparer/sparer.go
@@ -179,7 +179,8 @@
 		return nil, 0, true
 	}
 	q := AdmitRequest{Incarnation: incarnation, Bears: bears}
-	for _, owner := range s.ranks.Owners(incarnation, maxOwners) {
+	for tries := 0; tries < maxOwners; {
+		owner := s.ranks.Owners(incarnation, 1)[0]
 		if owner == s.self && s.inContact() {
 			return s.admitHere(ctx, q)
 		}
@@ -194,6 +195,11 @@
 			s.recordContact()
 			return s.newPass(owner, q), r.Wait, r.Admitted
 		}
+		if messenger.IsUnknownKind(err) {
+			s.ranks.LeaveOut(owner)
+			continue
+		}
+		tries++
 		if judge.Of(err) != judge.NotRun {
 			// The owner may have admitted the request.
 			s.newPass(owner, q).End(false)
--- a/sparer/sparer_test.go
+++ b/sparer/sparer_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"primrosehook/judge"
 	"primrosehook/sparer"
 )
 
@@ -20,6 +21,8 @@
 	mu      sync.Mutex
 	sparers map[string]*sparer.Sparer
 	down    map[string]bool
+	// earlier are the instances of a build that does not know the messages.
+	earlier map[string]bool
 	// decided counts the decisions of each instance.
 	decided map[string]int
 }
@@ -27,14 +30,17 @@
 // Call implements sparer.Peers.
 func (n *network) Call(ctx context.Context, address, _ string, request, reply any) error {
 	n.mu.Lock()
-	to, down := n.sparers[address], n.down[address]
-	if _, ok := request.(sparer.AdmitRequest); ok && !down {
+	to, down, earlier := n.sparers[address], n.down[address], n.earlier[address]
+	if _, ok := request.(sparer.AdmitRequest); ok && !down && !earlier {
 		n.decided[address]++
 	}
 	n.mu.Unlock()
 	if down {
 		return errors.New("connection refused")
 	}
+	if earlier {
+		return &judge.Refusal{Verdict: judge.NotRun, Code: "kind", Reason: "peer does not know this message"}
+	}
 	switch q := request.(type) {
 	case sparer.AdmitRequest:
 		*reply.(*sparer.AdmitReply) = to.Decide(ctx, q)
@@ -45,7 +51,7 @@
 }
 
 func newNetwork(members int) (*network, []*sparer.Sparer) {
-	n := &network{sparers: map[string]*sparer.Sparer{}, down: map[string]bool{}, decided: map[string]int{}}
+	n := &network{sparers: map[string]*sparer.Sparer{}, down: map[string]bool{}, earlier: map[string]bool{}, decided: map[string]int{}}
 	var names []string
 	var list []*sparer.Sparer
 	for i := range members {
@@ -98,6 +104,27 @@
 		Expect(admitted()).To(BeNumerically("<=", 2))
 	})
 
+	// Guards against a gate at each instance during an upgrade: an instance of an earlier build
+	// is no owner, however many of them come first for a server.
+	It("have one gate for each server while most instances run a build without gates", func() {
+		n, list := newNetwork(9)
+		for i := range 6 {
+			n.earlier[fmt.Sprintf("m%d", i)] = true
+		}
+		for server := range 20 {
+			admitted := 0
+			for _, s := range list[6:] {
+				s.Observe("api", 5, true)
+				if _, _, ok := s.Admit(ctx, "api", fmt.Sprint("s", server)); ok {
+					admitted++
+				}
+			}
+			Expect(admitted).To(Equal(1))
+		}
+		Expect(n.decided).To(HaveKey("m6"))
+		Expect(n.decided).NotTo(HaveKey("m0"))
+	})
+
 	// Guards against a server that idles while requests wait to ask again.
 	It("admit a request that waits at a gate as soon as another one ends", func() {
 		clock := clockwork.NewFakeClock()
--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -30,6 +30,7 @@
 	"primrosehook/sparer"
 	"primrosehook/tailer"
 	"primrosehook/throttler"
+	"primrosehook/upgrader"
 )
 
 // recordedAt is a time in the samples.
@@ -42,6 +43,7 @@
 	suspect := quarantiner.Suspect{Digest: 7, Resource: 8, Marks: []quarantiner.Mark{{Engine: "s1-a", At: recordedAt, Concurrent: 2}}, Cleared: recordedAt}
 	limit := throttler.Statement{Incarnation: "s1-a", Limited: true, PerSecond: 2.5, Age: time.Second, ID: 77}
 	inFlight := map[string]balancer.InFlight{"s1": {RunningStreams: 3, PrefillTokens: 1460, CacheTokens: 9000, Requests: 4, RecentPromptTokens: 2200}}
+	queues := []balancer.Queue{{Service: "llm", Key: "m0", Waiting: []int{1, 0, 2}, Granted: 1.5}}
 	record := tailer.Record{Offset: 41, Key: "k", Value: []byte("value")}
 	return map[string]any{
 		"exchange request": coordinator.Report{
@@ -52,7 +54,7 @@
 				Crashes:   []quarantiner.PartCrash{{Engine: "s1-a", Age: time.Second, Requests: []quarantiner.CutRequest{{ID: 1, Parts: []uint64{9, 10}}}}},
 				Survivals: []quarantiner.PartAge{{Part: 10, Age: time.Second}}, Quarantines: []quarantiner.PartVerdict{part}, Refused: []uint64{9},
 			},
-			Limits: []throttler.Statement{limit}, Unavailable: []string{"s2-a"}, Waiting: true, Deputy: true,
+			Limits: []throttler.Statement{limit}, Unavailable: []string{"s2-a"}, Waiting: true, Deputy: true, Queues: queues, Build: upgrader.Build{Revision: "1a2b3c4d5e6f", Formats: 1},
 		},
 		"exchange reply": coordinator.Reply{
 			HoldsLease: true, Fence: 5, Instances: 9, Members: []string{"10.1.0.38:7380"}, InFlight: inFlight,
@@ -63,7 +65,7 @@
 				Quarantines: []quarantiner.PartVerdict{part}, Cleared: []quarantiner.PartAge{{Part: 11, Age: time.Second}},
 				Suspected: []uint64{12}, Watched: []uint64{13}, Trials: []uint64{14},
 			},
-			Limits: []throttler.Statement{limit}, Holder: "10.1.0.39:7380", LeaseFresh: true,
+			Limits: []throttler.Statement{limit}, Holder: "10.1.0.39:7380", LeaseFresh: true, Queues: queues, Builds: map[string]int{"1a2b3c4d5e6f (formats 1)": 9},
 		},
 		"lease entry":    coordinator.Entry{Instance: "front-1.5f", Machine: "front-1", Address: "10.1.0.38:7380", Era: 2, Fence: 5, Release: true, Clear: true},
 		"config request": coordinator.ConfigQuery{Offset: 41, From: 100},
