Pass over deputies that the store refuses, and read the registry six times in the drain time

After its lease it still replies, as no holder, and is a deputy for the others and for itself; a report to it brings nothing, the next one goes elsewhere only after a whole pause (780 ms), and a deputy that does not read the store was asked again and again. Together with the second between two readings and the time for which a reply counts, 3.2 s could pass before a registration was known, and one more while the holder changed.

Change: an instance that is no holder, or a deputy that has not read the store since it was last asked, is left out at once and the next one asked; replies count 200 ms less; the holder reads the registry six times within the drain time, not four.

--- a/coordinator/calls_test.go
+++ b/coordinator/calls_test.go
@@ -47,19 +47,26 @@
 	return s.sharedLog.Append(ctx, value, at)
 }
 
-// countedTopic is a topic of a countedStore with one record.
+// countedTopic is a topic of a countedStore with one record, as one instance sees it.
 type countedTopic struct {
-	calls *atomic.Int64
-	waits bool
+	calls   *atomic.Int64
+	waits   bool
+	refused *atomic.Bool
 }
 
 func (t countedTopic) Newest(context.Context) ([]tailer.Record, int64, error) {
 	t.calls.Add(1)
+	if t.refused.Load() {
+		return nil, 0, errUnavailable
+	}
 	return []tailer.Record{{Offset: 0, Key: "k", Value: []byte("v")}}, 1, nil
 }
 
 func (t countedTopic) Read(ctx context.Context, from int64, wait time.Duration) ([]tailer.Record, int64, error) {
 	t.calls.Add(1)
+	if t.refused.Load() {
+		return nil, from, errUnavailable
+	}
 	if t.waits {
 		select {
 		case <-time.After(wait):
@@ -70,9 +77,34 @@
 	return nil, from, nil
 }
 
-// fleetInstance is one instance of a fleet that uses a countedStore.
+// refusingLog is the lease's log as one instance sees it.
+type refusingLog struct {
+	*countedStore
+	refused *atomic.Bool
+}
+
+func (l refusingLog) Read(ctx context.Context, from int64, wait time.Duration) ([]coordinator.LogRecord, int64, error) {
+	if l.refused.Load() {
+		l.lease.Add(1)
+		return nil, from, errUnavailable
+	}
+	return l.countedStore.Read(ctx, from, wait)
+}
+
+func (l refusingLog) Append(ctx context.Context, value []byte, at int64) error {
+	if l.refused.Load() {
+		l.lease.Add(1)
+		return errUnavailable
+	}
+	return l.countedStore.Append(ctx, value, at)
+}
+
+// fleetInstance is one instance of a fleet that uses a countedStore. The store refuses it while
+// refused is set.
 type fleetInstance struct {
 	coordinator *coordinator.Coordinator
+	registry    *tailer.Tailer
+	refused     *atomic.Bool
 	stop        context.CancelFunc
 }
 
@@ -97,20 +129,21 @@
 		if i < wide {
 			link = 200
 		}
-		m := &fleetInstance{stop: cancel}
+		m := &fleetInstance{stop: cancel, refused: &atomic.Bool{}}
 		ttl := func() time.Duration { return m.coordinator.ReplyTTL() }
 		delay := tailer.WithStartDelay(coordinator.StartDelay(link, address, seeds))
-		registry := tailer.New("registry", countedTopic{&store.registry, false}, discard{}, clock, zap.NewNop(), tailer.WithInterval(func() time.Duration { return time.Second }), tailer.WithFeedTTL(ttl), delay)
-		config := tailer.New("config", countedTopic{&store.config, true}, discard{}, clock, zap.NewNop(), tailer.WithWait(600*time.Millisecond), tailer.WithFeedTTL(ttl), delay)
+		registry := tailer.New("registry", countedTopic{&store.registry, false, m.refused}, discard{}, clock, zap.NewNop(), tailer.WithInterval(func() time.Duration { return time.Second }), tailer.WithFeedTTL(ttl), delay)
+		config := tailer.New("config", countedTopic{&store.config, true, m.refused}, discard{}, clock, zap.NewNop(), tailer.WithWait(600*time.Millisecond), tailer.WithFeedTTL(ttl), delay)
 		m.coordinator = coordinator.New(coordinator.Dependencies{
 			Instance: fmt.Sprint("i", i), Machine: fmt.Sprint("i", i), Address: address, Seeds: seeds, LinkMbps: link, OrderGap: 300 * time.Millisecond, ColdLoadWindow: time.Second, ColdLoadOverage: 1,
-			LeaseLog: store, Fleet: balancer.NewFleet("z", uint64(i), clock), Suspects: quarantiner.NewGuard(clock, quarantiner.DefaultOptions()), Registry: registry, Config: config,
+			LeaseLog: refusingLog{store, m.refused}, Fleet: balancer.NewFleet("z", uint64(i), clock), Suspects: quarantiner.NewGuard(clock, quarantiner.DefaultOptions()), Registry: registry, Config: config,
 			Table: func() *matcher.Table { return nil }, Clock: clock, Boot: clocker.SystemClock{}, Log: zap.NewNop(), Meter: discard{},
 			Peers: messenger.NewClient(clock, messenger.WithMaxSilence(time.Second)), OnMembers: func([]string) {},
 		})
 		s := messenger.NewServer(zap.NewNop())
 		m.coordinator.Serve(s)
 		go func() { _ = s.Serve(ctx, l) }()
+		m.registry = registry
 		go registry.Run(ctx)
 		go config.Run(ctx)
 		go m.coordinator.Run(ctx)
@@ -154,4 +187,25 @@
 		Entry("195 instances", 195, 15),
 		Entry("390 instances", 390, 15),
 	)
+
+	// Guards against instances that know for seconds no more of the servers than a lease holder
+	// that the store refuses: it still replies, and is a deputy itself, its own too.
+	It("refused to the lease holder leave no instance without the registry for long", func() {
+		all := startFleet(&countedStore{}, 60, 8)
+		for _, m := range all {
+			Eventually(m.coordinator.Instances, "20s").Should(BeNumerically(">", 30))
+		}
+		time.Sleep(2 * time.Second)
+		for _, m := range all {
+			if m.coordinator.HoldsLease() {
+				m.refused.Store(true)
+			}
+		}
+		Consistently(func() (oldest time.Duration) {
+			for _, m := range all {
+				oldest = max(oldest, m.registry.KnownAge())
+			}
+			return oldest
+		}, "8s", "50ms").Should(BeNumerically("<", 4*time.Second), "the time within which requests to a leaving server must stop")
+	})
 })
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -30,7 +30,7 @@
 	// minReplyTTL is how long a reply replaces reads of the store, or if that is longer until
 	// the next report must have been answered, with a margin of replyMargin.
 	minReplyTTL = 700 * time.Millisecond
-	replyMargin = 400 * time.Millisecond
+	replyMargin = 200 * time.Millisecond
 	// startDelay is how long an instance that starts with a narrow link waits for a peer to
 	// feed it before it reads the store. Those with wide links read it at once: one of them
 	// is to hold the lease.
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -95,17 +95,24 @@
 }
 
 // applyDeputyReply applies the reply of a deputy, which may be this instance, to a report
-// that was sent at a time.
-func (c *Coordinator) applyDeputyReply(r Reply, sent time.Time, own bool) {
+// that was sent at a time. It reports false if the deputy is none: it has been asked before and
+// does not read the store at its usual pace, since the store refuses it, for example.
+func (c *Coordinator) applyDeputyReply(r Reply, sent time.Time, deputy string) bool {
+	fresh := r.RegistryFresh && r.LeaseFresh
+	serves := fresh || c.staleDeputy != deputy
+	c.staleDeputy = ""
+	if !fresh {
+		c.staleDeputy = deputy
+	}
 	if float64(r.Instances) >= minReportedShare*float64(len(c.deputyOrder)) {
 		c.Fleet.UpdatePeers(r.InFlight)
 		c.Fleet.UpdatePeerQueues(r.Queues)
 	}
 	c.Parts.ApplyReply(r.Parts)
-	if own {
-		return
+	c.deputyStarts.Store(!fresh)
+	if deputy == c.Address {
+		return serves
 	}
-	c.deputyStarts.Store(!r.RegistryFresh || !r.LeaseFresh)
 	if r.LeaseFresh {
 		c.lease.HolderReplied(c.ReplyTTL())
 	}
@@ -117,7 +124,8 @@
 	c.feedRegistry(r, sent)
 	if r.ConfigInStore && len(c.deputyOrder) == 0 && r.Holder != "" {
 		// The holder, which is asked next, may have a link that is wide enough.
-		return
+		return serves
 	}
 	c.feedConfig(r)
+	return serves
 }
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -114,6 +114,9 @@
 	// build is the build of this instance, builds how many instances run each one.
 	build  upgrader.Build
 	builds atomic.Pointer[map[string]int]
+	// staleDeputy is the deputy that replied last without reading the store at its usual pace,
+	// empty if it does. Only runReports uses it.
+	staleDeputy string
 	// deputyStarts is set while the deputy that replies does not read the store at its usual
 	// pace.
 	deputyStarts atomic.Bool
@@ -272,12 +275,15 @@
 		demand = nil
 		if deputy && !reply.HoldsLease {
 			c.Meter.Add(MetricDeputyExchanges, 1)
-			c.applyDeputyReply(reply, sent, address == c.Address)
-			return
+			if c.applyDeputyReply(reply, sent, address) {
+				return
+			}
+			c.backOffFrom(address)
+			continue
 		}
 		if !reply.HoldsLease {
 			c.backOffFrom(address)
-			return
+			continue
 		}
 		if c.holderLost {
 			c.holderLost = false
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -47,7 +47,7 @@
 	configWait = 600 * time.Millisecond
 	// registryReadsPerDrain is how often the registry is read within the time
 	// within which new requests to a draining server must stop.
-	registryReadsPerDrain = 4
+	registryReadsPerDrain = 6
 	// memoryLimitShare is the part of the process's memory limit that is the
 	// garbage collector's soft limit.
 	memoryLimitShare = 0.7
