Unload a model in demand only once all instances know of it

Cause: the overlay that marks the model as unloaded was published right before the order, and instances learn it with their next report, 150 ms later or more.

Change: the unload of a model or adapter in demand waits for a pause between two reports and the way back. One that nobody requests is unloaded at once as before.

--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -14,6 +14,9 @@
 	"primrosehook/serviceplanner"
 )
 
+// overlayTransit is how long an overlay takes to an instance once that has reported.
+const overlayTransit = 50 * time.Millisecond
+
 // execution executes one order, and the orders that follow it on the server.
 type execution struct {
 	*reconciler
@@ -75,7 +78,7 @@
 		x.publishOverlays(false)
 	}
 	x.unsettled = false
-	done := x.send(ctx)
+	done := x.awaitOverlays(ctx) && x.send(ctx)
 	if done {
 		done = x.awaitCompletion(ctx)
 	}
@@ -96,6 +99,12 @@
 	return done
 }
 
+// awaitOverlays waits, before the unload of what is in demand, until the instances send no more
+// requests for it: the server refuses those that it has not begun.
+func (x *execution) awaitOverlays(ctx context.Context) bool {
+	return !x.order.Requested || x.sleep(ctx, x.usualPause()+overlayTransit)
+}
+
 // publishOverlays reports to the instances whether the order's model or adapter is
 // loaded on the server. For the unload of a model it includes the model's adapters.
 func (x *execution) publishOverlays(loaded bool) {
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -95,6 +95,9 @@
 	Adapter string
 	// Cold loads fetch the weights from the weight store.
 	Cold bool
+	// Requested is set for the unload of a model or adapter in demand: requests for it may be on
+	// their way to the server.
+	Requested bool
 	// Next is the load that an unload makes room for. It follows on the same
 	// server, so that no other server makes room for it as well.
 	Next *Order
@@ -307,7 +310,7 @@
 	order := Order{Server: s.ID, Op: Load, Model: m, Cold: cold, Reason: reason}
 	if victim != "" {
 		next := order
-		order = Order{Server: s.ID, Op: Unload, Model: victim, Next: &next, Reason: "room for " + m + ": " + reason}
+		order = Order{Server: s.ID, Op: Unload, Model: victim, Requested: p.modelDemand[victim] > 0, Next: &next, Reason: "room for " + m + ": " + reason}
 		p.replicas[victim]--
 		if s.keeps(victim) {
 			p.kept[victim]--
@@ -445,7 +448,7 @@
 		return
 	}
 	next := Order{Server: best.ID, Op: Load, Model: m, Adapter: a, Reason: "no server has the adapter loaded"}
-	order := Order{Server: best.ID, Op: Unload, Model: model, Adapter: adapter, Next: &next, Reason: "room for " + m + "/" + a}
+	order := Order{Server: best.ID, Op: Unload, Model: model, Adapter: adapter, Requested: p.Demand[balancer.Key(model, adapter)] > 0, Next: &next, Reason: "room for " + m + "/" + a}
 	p.orders = append(p.orders, order)
 	best.apply(order)
 	best.apply(next)
--- a/serviceplanner/serviceplanner_test.go
+++ b/serviceplanner/serviceplanner_test.go
@@ -60,6 +60,18 @@
 		Expect(serviceplanner.Plan(state)).To(BeEmpty())
 	})
 
+	// Guards against requests that a server refuses since its model is just being unloaded.
+	It("says which unloads are of models that requests may be on their way for", func() {
+		state := serviceplanner.State{
+			Engine:  engine(4, 0),
+			Servers: []serviceplanner.Server{server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m2")},
+			Demand:  map[string]float64{"m1": 9, "m2": 9}, Waiting: map[string]int{"m3": 1}, ColdLoads: 5,
+		}
+		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Model", "m0"), HaveField("Requested", false))))
+		state.Demand["m0"] = 1
+		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Model", "m0"), HaveField("Requested", true))))
+	})
+
 	// Guards against one replica of a hot model for a whole day, while nearly all memory holds
 	// the last replicas of models that nobody requests.
 	It("unloads the last replica of an idle model for one in demand", func() {
