Log what each order is based on, and how long loads take

Each order that is sent now says its order count, the loaded models, where both come from, the models that need no weight store, whether it counts as cold and how many loads count. A completed load says how long it took beside the time of a cold one. One line an order, no change of logic.

--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -36,6 +36,10 @@
 	cached []string
 	engine *matcher.Engine
 	server registrar.Server
+	// basis names where the order count and the loaded models come from, for the log.
+	basis string
+	// acceptedAt is when the server last accepted an order.
+	acceptedAt time.Time
 }
 
 func (x *execution) run(ctx context.Context) {
@@ -156,12 +160,7 @@
 			x.coldLoad.Sent(x.Clock.Now())
 			x.mu.Unlock()
 		}
-		if x.order.Op == serviceplanner.Load && x.order.Adapter == "" {
-			x.mu.Lock()
-			loaded := slices.Sorted(maps.Keys(x.state.loaded))
-			x.mu.Unlock()
-			x.Log.Info("orders: load is sent", zap.String("server", x.server.ID), zap.String("model", x.order.Model), zap.Int64("expected", expected), zap.Strings("loaded", loaded))
-		}
+		x.logSend(expected)
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := x.OrderSender.Send(call, x.server, Order{
 			Order: x.order, ExpectedOrders: expected, Holder: x.lease.self.Machine, Fence: x.lease.Fence(),
@@ -169,7 +168,7 @@
 		cancel()
 		switch out {
 		case Accepted:
-			x.unsettled, x.expected = true, expected
+			x.unsettled, x.expected, x.acceptedAt, x.basis = true, expected, x.Clock.Now(), "own order"
 			x.mu.Lock()
 			x.state.orderCount = expected + 1
 			x.mu.Unlock()
@@ -216,6 +215,26 @@
 	return false
 }
 
+// logSend logs what an order that is sent now is based on.
+func (x *execution) logSend(expected int64) {
+	x.mu.Lock()
+	loaded := slices.Sorted(maps.Keys(x.state.loaded))
+	loads := x.coldLoadCounter(x.server.Service).Count(x.Clock.Now())
+	x.mu.Unlock()
+	x.Log.Info("orders: sent", zap.String("server", x.server.ID), zap.Stringer("op", x.order.Op), zap.String("key", balancer.Key(x.order.Model, x.order.Adapter)),
+		zap.Int64("expected", expected), zap.Strings("loaded", loaded), zap.String("basis", x.basis), zap.Bool("cold", x.order.Cold), zap.Strings("cached", x.cached), zap.Int("cold_loads", loads))
+}
+
+// logLoadTime logs how long the load of a model took: one that did not count as cold but
+// took as long as a cold one was counted wrongly.
+func (x *execution) logLoadTime() {
+	if x.order.Op != serviceplanner.Load || x.order.Adapter != "" {
+		return
+	}
+	x.Log.Info("orders: loaded", zap.String("server", x.server.ID), zap.String("model", x.order.Model), zap.Bool("cold", x.order.Cold),
+		zap.Duration("took", x.Clock.Since(x.acceptedAt)), zap.Duration("cold_time", x.engine.Models[x.order.Model].ColdLoadTime))
+}
+
 // withinColdLoads reports whether the load may be sent. The weights that the
 // registry named may be gone: the load then counts as one from the weight store, if
 // that accepts another one.
@@ -241,6 +260,7 @@
 func (x *execution) syncState(ctx context.Context) bool {
 	s, ok := x.fetchReport(ctx)
 	if ok {
+		x.basis = "report"
 		x.updateState(s)
 	}
 	return ok
@@ -262,6 +282,7 @@
 		case s.Busy:
 			idleOrders = -1
 		case x.knowsOrders(s.Orders) || s.Orders == idleOrders && now.Sub(idleSince) >= reportSettleTime:
+			x.basis = "report while idle"
 			x.updateState(s)
 			x.cached = s.Cached
 			return true
@@ -333,6 +354,7 @@
 			continue
 		}
 		if satisfied(loadedModels(s.Loaded), x.order) {
+			x.logLoadTime()
 			return true
 		}
 	}
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -198,7 +198,7 @@
 	r.Meter.Add(MetricOrders, 1)
 	r.Log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
 		zap.String("key", balancer.Key(o.Model, o.Adapter)), zap.Int64("expected", state.orderCount), zap.Bool("cold", o.Cold), zap.String("why", o.Reason))
-	x := &execution{reconciler: r, state: state, order: o, engine: e, server: state.registration, backoff: replanDelay}
+	x := &execution{reconciler: r, state: state, order: o, engine: e, server: state.registration, backoff: replanDelay, basis: "earlier order"}
 	if o.Cold || o.Next != nil && o.Next.Cold {
 		r.Meter.Add(MetricColdLoads, 1)
 		x.coldLoad = r.coldLoadCounter(service).Plan()
