Count a load from the weight store until the window after it has begun at the latest

More loads from the weight store began than it allows (CEILING). A load counted for a window from when its order was sent; the store counts it from when it begins. An order that got no answer may begin its load seconds later, when it had ceased to count here, and one whose answer takes long begins later than it was sent.

Now a load counts until the window after the answer has passed; without one, until the window after the time in which late orders may be carried out, or after the server is seen to have passed the order by.

That this was the users' case is not shown.

--- a/coordinator/coldload_test.go
+++ b/coordinator/coldload_test.go
@@ -18,7 +18,7 @@
 		c := coordinator.NewColdLoadCounter(5 * time.Second)
 		load := c.Plan()
 		Expect(c.Count(at(7 * time.Second))).To(Equal(1))
-		load.Sent(at(7 * time.Second))
+		load.BeginsBy(at(7 * time.Second))
 		load.Finish()
 		Expect(c.Count(at(11 * time.Second))).To(Equal(1))
 		Expect(c.Count(at(13 * time.Second))).To(BeZero())
@@ -27,8 +27,9 @@
 	It("counts a load whose order is sent again from the last order", func() {
 		c := coordinator.NewColdLoadCounter(5 * time.Second)
 		l := c.Plan()
-		l.Sent(at(0))
-		l.Sent(at(4 * time.Second))
+		l.BeginsBy(at(0))
+		l.BeginsBy(at(4 * time.Second))
+		l.Finish()
 		Expect(c.Count(at(8 * time.Second))).To(Equal(1))
 	})
 
--- a/coordinator/confirmation.go
+++ b/coordinator/confirmation.go
@@ -94,6 +94,7 @@
 	if x.state.orderCount != expected {
 		// An earlier attempt was executed or never will be.
 		x.unsettled = false
+		x.loadBeginsBy(x.Clock.Now())
 	}
 	return satisfied(x.state.loaded, x.order), sameLoaded(before, x.state.loaded)
 }
--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -152,11 +152,6 @@
 		if !x.lease.MayOrder() {
 			return false
 		}
-		if x.order.Cold {
-			x.mu.Lock()
-			x.coldLoad.Sent(x.Clock.Now())
-			x.mu.Unlock()
-		}
 		x.logSend(expected)
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := x.OrderSender.Send(call, x.server, Order{
@@ -190,7 +185,9 @@
 		case Unknown:
 			x.unsettled, x.expected = true, expected
 			x.mu.Lock()
-			x.unanswered[x.server.ID] = x.Clock.Now()
+			now := x.Clock.Now()
+			x.unanswered[x.server.ID] = now
+			x.loadBeginsBy(now.Add(lateOrderWindow))
 			x.mu.Unlock()
 			x.Log.Info("orders: no answer", zap.String("server", x.server.ID), zap.Int64("expected", expected), zap.Error(err))
 		}
@@ -210,6 +207,15 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.state.orderCount, x.basis = expected+1, "own order"
+	x.loadBeginsBy(x.Clock.Now())
+}
+
+// loadBeginsBy records when the current order begins a load from the weight store at the latest,
+// if it does. x.mu must be held.
+func (x *execution) loadBeginsBy(t time.Time) {
+	if x.order.Cold {
+		x.coldLoad.BeginsBy(t)
+	}
 }
 
 // logSend logs what an order that is sent now is based on.
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -95,7 +95,7 @@
 		}
 		c := r.coldLoadCounter(name)
 		for range coldLoadLimit(s.Engine, r.ColdLoadWindow, r.ColdLoadOverage) {
-			c.Plan().Sent(lastOrder)
+			c.Add(lastOrder)
 		}
 	}
 }
--- a/coordinator/trouble_test.go
+++ b/coordinator/trouble_test.go
@@ -11,14 +11,17 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"primrosehook/balancer"
 )
 
 // trouble is what happens to the machines of a world, and how often.
 type trouble struct {
 	name string
 	size worldSize
-	// kills, outages of the log for the holder, late orders and late registrations happen if set.
-	kills, losesLease, lateOrders, lateRegistrations bool
+	// kills, outages of the log for the holder, late orders, late registrations and restarts of all
+	// servers happen if set.
+	kills, losesLease, lateOrders, lateRegistrations, restarts bool
 }
 
 // play lets the trouble happen to two machines, drawn by the world's seed.
@@ -29,7 +32,9 @@
 	running := map[string]*worldInstance{}
 	machines := []string{"1", "2"}
 	for _, m := range machines {
+		mu.Lock()
 		running[m] = w.start(m, 0)
+		mu.Unlock()
 		work.Go(func() {
 			w.demand(ctx, func() *worldInstance {
 				mu.Lock()
@@ -39,22 +44,27 @@
 		})
 	}
 	work.Go(func() { w.runBeats(ctx) })
-	for number := 1; time.Since(worldStart(w)) < worldFor; number++ {
+	began := time.Now()
+	for number := 1; time.Since(began) < worldFor; number++ {
 		time.Sleep(2*time.Second + w.delay(5*time.Second))
 		w.mu.Lock()
 		w.lateShare, w.registryLag = 0, 300*time.Millisecond
 		if c.lateOrders && w.random.IntN(2) == 0 {
-			w.lateShare = 0.5
+			w.lateShare = []float64{0.5, 1}[w.random.IntN(2)]
 		}
 		if c.lateRegistrations && w.random.IntN(2) == 0 {
 			w.registryLag = 5 * time.Second
 		}
+		restart := c.restarts && w.random.IntN(2) == 0
 		kill := c.kills && w.random.IntN(3) > 0
 		lose := c.losesLease && w.random.IntN(2) == 0
 		both := w.random.IntN(2) == 0
 		machine := machines[w.random.IntN(2)]
 		down := time.Duration(w.random.Int64N(int64(time.Second)))
 		w.mu.Unlock()
+		if restart {
+			w.restart()
+		}
 		if lose {
 			w.log.mu.Lock()
 			w.log.lostUntil[machine] = time.Now().Add(time.Second + 4*down)
@@ -71,8 +81,7 @@
 			i := running[m]
 			running[m] = nil
 			mu.Unlock()
-			i.stop()
-			i.ended.Wait()
+			i.end()
 		}
 		w.mu.Lock()
 		w.killedAt = time.Now()
@@ -88,22 +97,20 @@
 	}
 	cancel()
 	for _, i := range running {
-		i.stop()
-		i.ended.Wait()
+		i.end()
 	}
 	work.Wait()
 	// Late orders arrive.
 	time.Sleep(15 * time.Second)
 }
 
-// worldStart returns when the world began.
-func worldStart(w *world) time.Time { return w.servers["s0"].history[0].at }
-
 // Guards against orders that a server has no room for, and against more loads from the weight
 // store than it allows, by what the lease holder believes after a start, a hand-over or a lapse.
 func TestOrdersInTrouble(t *testing.T) {
 	small := worldSize{serverCount: 6, models: 14, copies: 5, shift: 2 * time.Second}
 	full := worldSize{serverCount: 30, models: 80, copies: 3, shift: time.Second}
+	slow := full
+	slow.transit = 200 * time.Millisecond
 	cases := []trouble{
 		{name: "calm", size: small},
 		{name: "processes are killed", size: small, kills: true},
@@ -113,6 +120,7 @@
 		{name: "all at once", size: small, kills: true, losesLease: true, lateOrders: true, lateRegistrations: true},
 		{name: "the weight store has no more to give", size: full},
 		{name: "orders to a full weight store are late", size: full, lateOrders: true},
+		{name: "orders take long to arrive", size: slow},
 		{name: "all at once at a full weight store", size: full, kills: true, losesLease: true, lateOrders: true, lateRegistrations: true},
 	}
 	first, runs := 1, 6
@@ -147,3 +155,35 @@
 		})
 	}
 }
+
+// Guards against loads beyond the rate of the weight store, when those whose orders got no answer
+// begin after they have ceased to count.
+func TestLateLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, worldSize{serverCount: 14, models: 60, copies: 3, resident: 2}, 1)
+		w.engine.ColdLoadsPerSecond = 0.4
+		for name, m := range w.engine.Models {
+			m.Adapters = 0
+			w.engine.Models[name] = m
+		}
+		w.lateShare, w.lateBy = 1, 11*time.Second
+		i := w.start("1", 0)
+		defer i.end()
+		for began := time.Now(); time.Since(began) < 30*time.Second; time.Sleep(100 * time.Millisecond) {
+			for m := 43; m < 60; m++ {
+				i.fleet.RecordArrival("llm", balancer.Request{Model: fmt.Sprint("m", m)})
+			}
+			if time.Since(began) > 6*time.Second {
+				w.answerAll()
+				// The servers whose orders are late are busier than the others.
+				for _, m := range []string{"m0", "m3", "m30", "m33"} {
+					i.fleet.RecordArrival("llm", balancer.Request{Model: m})
+				}
+			}
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		NewWithT(t).Expect(w.broken).To(BeEmpty())
+		NewWithT(t).Expect(len(w.begun)).To(BeNumerically(">", 5))
+	})
+}
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"primrosehook/balancer"
@@ -31,9 +33,7 @@
 	worldLoadRate     = 2.0
 	worldWindow       = 5 * time.Second
 	worldOverage      = 1.1
-	// maxWorldLoads is how many loads from the weight store may begin in a window.
-	maxWorldLoads = int(worldLoadRate*5*worldOverage) + 3
-	worldFor      = 50 * time.Second
+	worldFor          = 50 * time.Second
 	// worldReportLag is how old each value of a report may be.
 	worldReportLag = 200 * time.Millisecond
 )
@@ -64,10 +64,13 @@
 }
 
 // worldSize is how many servers and models a world has. The copies that a server keeps on its
-// disk are of so many models, and what is in demand moves on every shift.
+// disk are of so many models, what is in demand moves on every shift, and an order takes up to
+// transit to its server.
 type worldSize struct {
 	serverCount, models, copies int
-	shift                       time.Duration
+	// resident is how many models a server has loaded at the start, three if it is zero.
+	resident       int
+	shift, transit time.Duration
 }
 
 // world is what the instances share. It records the broken rules.
@@ -85,8 +88,12 @@
 	broken     []string
 	orders     int
 	log        *worldLog
-	// lateShare is the share of orders that get no answer and are carried out later.
+	// lateShare is the share of orders that get no answer and are carried out later, after lateBy
+	// or, if that is zero, at random.
 	lateShare float64
+	lateBy    time.Duration
+	// unloadTime is how long an unload takes at least.
+	unloadTime time.Duration
 	// registryLag is how far the registry lags behind the servers.
 	registryLag time.Duration
 	// firstOrders are when each term's first order was accepted, since the kill before.
@@ -107,6 +114,16 @@
 	return time.Now().Before(l.lostUntil[machine])
 }
 
+// add appends an entry of another holder.
+func (l *worldLog) add(e coordinator.Entry) error {
+	raw, err := msgpack.Marshal(e)
+	if err != nil {
+		return err
+	}
+	_, end, _ := l.sharedLog.Read(context.Background(), 0, 0) // never fails
+	return l.sharedLog.Append(context.Background(), raw, end)
+}
+
 // machineLog is the log as a machine reaches it.
 type machineLog struct {
 	*worldLog
@@ -146,7 +163,7 @@
 	w.holdsFirst = w.random.IntN(2) == 0
 	for i := range size.serverCount {
 		s := &worldServer{id: fmt.Sprint("s", i), loaded: map[string][]string{}, copies: size.copies}
-		for j := range 3 {
+		for j := range cmp.Or(size.resident, 3) {
 			m := fmt.Sprint("m", (3*i+j)%size.models)
 			s.loaded[m] = nil
 			s.cache(m)
@@ -158,6 +175,19 @@
 	return w
 }
 
+// restart replaces all servers by new ones, which have nothing loaded and the copies on their disks.
+func (w *world) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, old := range w.servers {
+		delete(w.servers, id)
+		s := &worldServer{id: id + "+", loaded: map[string][]string{}, copies: old.copies, onDisk: old.onDisk}
+		w.servers[s.id] = s
+		w.record(s)
+		w.beat(s)
+	}
+}
+
 // cache moves a model's copies to the end of those that are evicted.
 func (s *worldServer) cache(m string) {
 	keep := func(list []string, most int) []string {
@@ -257,7 +287,7 @@
 		})
 	case o.Op == serviceplanner.Unload:
 		s.busy = true
-		w.after(time.Duration(w.random.Int64N(int64(600*time.Millisecond))), func() {
+		w.after(w.unloadTime+time.Duration(w.random.Int64N(int64(600*time.Millisecond))), func() {
 			delete(s.loaded, o.Model)
 			s.busy = false
 			w.record(s)
@@ -282,8 +312,8 @@
 		now := time.Now()
 		w.begun = append(w.begun, now)
 		n := len(slices.DeleteFunc(slices.Clone(w.begun), func(at time.Time) bool { return now.Sub(at) > worldWindow }))
-		if n > maxWorldLoads {
-			w.broken = append(w.broken, fmt.Sprintf("CEILING: %d loads of %d", n, maxWorldLoads))
+		if most := int(w.engine.ColdLoadsPerSecond*worldWindow.Seconds()*worldOverage) + 3; n > most {
+			w.broken = append(w.broken, fmt.Sprintf("CEILING: %d loads of %d", n, most))
 		}
 	}
 	s.loaded[m], s.busy, s.arriving = nil, true, m
@@ -310,6 +340,32 @@
 	})
 }
 
+// unloading reports whether a server is unloading a model.
+func (w *world) unloading() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		if s.busy && s.arriving == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// answerAll ends late orders.
+func (w *world) answerAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateShare = 0
+}
+
+// loads returns how many loads from the weight store have begun.
+func (w *world) loads() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.begun)
+}
+
 func (w *world) delay(most time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -321,12 +377,18 @@
 	if !guard() || ctx.Err() != nil {
 		return coordinator.Rejected, errUnavailable
 	}
-	time.Sleep(w.delay(20 * time.Millisecond))
+	time.Sleep(w.delay(max(w.transit, 20*time.Millisecond)))
 	w.mu.Lock()
-	server := w.servers[s.ID]
+	server, ok := w.servers[s.ID]
 	late := w.random.Float64() < w.lateShare
 	lateBy := 2*time.Second + time.Duration(w.random.Int64N(int64(9*time.Second)))
+	if w.lateBy > 0 {
+		lateBy = w.lateBy
+	}
 	w.mu.Unlock()
+	if !ok {
+		return coordinator.NotSent, errNoAnswer
+	}
 	if late {
 		time.AfterFunc(lateBy, func() { w.accept(server, o) })
 		<-ctx.Done()
@@ -345,7 +407,10 @@
 	time.Sleep(w.delay(5 * time.Millisecond))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	server := w.servers[s.ID]
+	server, ok := w.servers[s.ID]
+	if !ok {
+		return coordinator.ServerReport{}, errNoAnswer
+	}
 	return coordinator.ServerReport{Orders: w.past(server).orders, Busy: w.past(server).busy, Loaded: w.past(server).loaded, Cached: w.past(server).cached}, ctx.Err()
 }
 
@@ -380,6 +445,12 @@
 	ended sync.WaitGroup
 }
 
+// end kills the process.
+func (i *worldInstance) end() {
+	i.stop()
+	i.ended.Wait()
+}
+
 // start starts a process on a machine.
 func (w *world) start(machine string, number int) *worldInstance {
 	clock := clockwork.NewRealClock()
