Count a load as warm only by a report from after the last load

More loads from the weight store began than it allows (CEILING). A load counted as one from the server's own copies if the last report named the model. A load evicts copies; right after one a report may still name those that are gone.

Now the copies that a server has are known from a report that was made after its last load, or must be asked for once that is certain. This is asked before an unload that makes room, not after it: a replica is no longer given up for a load that the weight store then does not allow. A load that was planned as cold and is not no longer counts.

--- a/coordinator/confirmation.go
+++ b/coordinator/confirmation.go
@@ -71,6 +71,28 @@
 	}
 }
 
+// updateCached learns from a report which weights the server has copies of, unless that is known:
+// each load may have evicted some.
+func (x *execution) updateCached(ctx context.Context) bool {
+	x.mu.Lock()
+	known := x.state.cachedKnown
+	wait := reportSettleTime - x.Clock.Since(x.state.loadedAt)
+	x.mu.Unlock()
+	if known {
+		return true
+	}
+	if wait > 0 && !x.sleep(ctx, wait) {
+		return false
+	}
+	r, ok := x.fetchReport(ctx)
+	if ok {
+		x.mu.Lock()
+		x.state.cached, x.state.cachedKnown = r.Cached, true
+		x.mu.Unlock()
+	}
+	return ok
+}
+
 // resolveConflict learns why the server has refused an order with an expected order count. done
 // is set if the order was executed, or need not be. Otherwise ok is set if it may be sent again.
 func (x *execution) resolveConflict(ctx context.Context, expected int64) (done, ok bool) {
--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -31,11 +31,8 @@
 	// or it was accepted. expected is the order count that it was last sent with.
 	unsettled bool
 	expected  int64
-	// cached are the models that the server can load without the weight store,
-	// according to its last report while it was idle.
-	cached []string
-	engine *matcher.Engine
-	server registrar.Server
+	engine    *matcher.Engine
+	server    registrar.Server
 	// assumed is what the plan took the server to have loaded, nil if that was confirmed.
 	assumed map[string][]string
 	// basis names where the order count and the loaded models come from, for the log.
@@ -45,7 +42,7 @@
 }
 
 func (x *execution) run(ctx context.Context) {
-	done := x.execute(ctx)
+	done := x.prepare(ctx) && x.execute(ctx)
 	for done && x.order.Next != nil {
 		x.order, x.assumed = *x.order.Next, nil
 		done = x.execute(ctx)
@@ -71,6 +68,21 @@
 	x.cluster.triggerPlan()
 }
 
+// prepare learns what the orders are based on, before the first of them is sent: without the load
+// that follows it, an unload gains nothing.
+func (x *execution) prepare(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if !x.confirmState(ctx) {
+		return false
+	}
+	load := &x.order
+	if x.order.Next != nil {
+		load = x.order.Next
+	}
+	return !loadsModel(*load) || x.updateCached(ctx) && x.withinColdLoads(load)
+}
+
 // execute sends the current order, waits until it is completed, and reports
 // whether it was. Overlays mark what an unload names as unloaded before the order
 // is sent, and as loaded again if the order fails. They mark what a load names as
@@ -83,9 +95,6 @@
 	x.state.pending = &order
 	x.mu.Unlock()
 	x.unsettled = false
-	if !x.confirmState(ctx) {
-		return false
-	}
 	if x.order.Op == serviceplanner.Unload {
 		x.publishOverlays(false)
 	}
@@ -97,6 +106,9 @@
 		x.mu.Lock()
 		x.order.Apply(x.state.loaded)
 		x.state.changedAt = x.Clock.Now()
+		if loadsModel(x.order) {
+			x.state.loadedAt = x.state.changedAt
+		}
 		x.mu.Unlock()
 	}
 	if !done && x.unsettled && x.order.Op == serviceplanner.Unload {
@@ -136,9 +148,6 @@
 // reports whether it was. An order whose reply was lost is sent again with the same expected
 // order count: the server accepts the one that arrives first and refuses the other.
 func (x *execution) send(ctx context.Context) bool {
-	if x.loadsModel() && (!x.fetchCached(ctx) || !x.withinColdLoads()) {
-		return false
-	}
 	unsent := 0
 	for range maxOrderAttempts {
 		x.mu.Lock()
@@ -198,8 +207,8 @@
 	return false
 }
 
-func (x *execution) loadsModel() bool {
-	return x.order.Op == serviceplanner.Load && x.order.Adapter == ""
+func loadsModel(o serviceplanner.Order) bool {
+	return o.Op == serviceplanner.Load && o.Adapter == ""
 }
 
 // countOrder records that the server has accepted one order more than expected.
@@ -207,6 +216,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.state.orderCount, x.basis = expected+1, "own order"
+	if loadsModel(x.order) {
+		x.state.cachedKnown = false
+	}
 	x.loadBeginsBy(x.Clock.Now())
 }
 
@@ -222,10 +234,11 @@
 func (x *execution) logSend(expected int64) {
 	x.mu.Lock()
 	loaded := slices.Sorted(maps.Keys(x.state.loaded))
+	cached := x.state.cached
 	loads := x.coldLoadCounter(x.server.Service).Count(x.Clock.Now())
 	x.mu.Unlock()
 	x.Log.Info("orders: sent", zap.String("server", x.server.ID), zap.Stringer("op", x.order.Op), zap.String("key", balancer.Key(x.order.Model, x.order.Adapter)),
-		zap.Int64("expected", expected), zap.Strings("loaded", loaded), zap.String("basis", x.basis), zap.Bool("cold", x.order.Cold), zap.Strings("cached", x.cached), zap.Int("cold_loads", loads))
+		zap.Int64("expected", expected), zap.Strings("loaded", loaded), zap.String("basis", x.basis), zap.Bool("cold", x.order.Cold), zap.Strings("cached", cached), zap.Int("cold_loads", loads))
 }
 
 // logLoadTime logs how long the load of a model took: one that did not count as cold but
@@ -238,34 +251,29 @@
 		zap.Duration("took", x.Clock.Since(x.acceptedAt)), zap.Duration("cold_time", x.engine.Models[x.order.Model].ColdLoadTime))
 }
 
-// withinColdLoads reports whether the load may be sent. The weights that the
-// registry named may be gone: the load then counts as one from the weight store, if
-// that accepts another one.
-func (x *execution) withinColdLoads() bool {
-	if x.order.Cold || slices.Contains(x.cached, x.order.Model) {
-		return true
-	}
+// withinColdLoads reports whether a load may be ordered. It counts as one from the weight store
+// unless the server has a copy of the weights; the registration may be wrong about that.
+func (x *execution) withinColdLoads(load *serviceplanner.Order) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	counter := x.coldLoadCounter(x.server.Service)
-	if counter.Count(x.Clock.Now()) >= coldLoadLimit(x.engine, x.ColdLoadWindow, x.ColdLoadOverage) {
-		x.Log.Info("orders: server no longer has the weights at hand", zap.String("server", x.server.ID), zap.String("model", x.order.Model))
-		return false
-	}
-	x.order.Cold = true
-	if x.coldLoad == nil {
+	cold := !slices.Contains(x.state.cached, load.Model)
+	switch {
+	case cold == load.Cold:
+	case cold:
+		counter := x.coldLoadCounter(x.server.Service)
+		if counter.Count(x.Clock.Now()) >= coldLoadLimit(x.engine, x.ColdLoadWindow, x.ColdLoadOverage) {
+			x.Log.Info("orders: server no longer has the weights at hand", zap.String("server", x.server.ID), zap.String("model", load.Model))
+			return false
+		}
 		x.coldLoad = counter.Plan()
+	default:
+		x.coldLoad.Finish()
+		x.coldLoad = nil
 	}
+	load.Cold = cold
 	return true
 }
 
-// fetchCached updates the models that the server can load without the weight store.
-func (x *execution) fetchCached(ctx context.Context) bool {
-	r, ok := x.fetchReport(ctx)
-	x.cached = r.Cached
-	return ok
-}
-
 func (x *execution) fetchReport(ctx context.Context) (ServerReport, bool) {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -288,7 +296,7 @@
 		// not been loaded yet.
 		expected = maxReportAge
 	}
-	if x.loadsModel() {
+	if loadsModel(x.order) {
 		expected = x.engine.Models[x.order.Model].HostLoadTime
 		if x.order.Cold {
 			expected = x.engine.Models[x.order.Model].ColdLoadTime
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -18,6 +18,11 @@
 	// be wrong, and no order is sent then.
 	loaded     map[string][]string
 	orderCount int64
+	// cached are the models whose weights the server has copies of, if cachedKnown is set, loadedAt
+	// is when the last load of a model was completed.
+	cached      []string
+	cachedKnown bool
+	loadedAt    time.Time
 	// changedAt is when an order or the server's reports last changed loaded. Registrations that
 	// may be older are passed over.
 	changedAt time.Time
@@ -62,11 +67,12 @@
 func (s *serverState) confirm(now time.Time, r ServerReport) {
 	s.settle(r)
 	s.orderCount, s.changedAt = r.Orders, now
+	s.cached, s.cachedKnown = r.Cached, true
 	s.setLoaded(r.Loaded)
 }
 
 // invalidate makes the next order wait for the server's reports.
-func (s *serverState) invalidate() { s.orderCount = -1 }
+func (s *serverState) invalidate() { s.orderCount, s.cachedKnown = -1, false }
 
 // updateRegistration applies a registration. One that was written after the last change and shows
 // something else loaded means that an unknown order was executed, so the reports are asked.
--- a/coordinator/trouble_test.go
+++ b/coordinator/trouble_test.go
@@ -109,8 +109,8 @@
 func TestOrdersInTrouble(t *testing.T) {
 	small := worldSize{serverCount: 6, models: 14, copies: 5, shift: 2 * time.Second}
 	full := worldSize{serverCount: 30, models: 80, copies: 3, shift: time.Second}
-	slow := full
-	slow.transit = 200 * time.Millisecond
+	slow, scarce := full, full
+	slow.transit, scarce.copies = 200*time.Millisecond, 2
 	cases := []trouble{
 		{name: "calm", size: small},
 		{name: "processes are killed", size: small, kills: true},
@@ -121,6 +121,7 @@
 		{name: "the weight store has no more to give", size: full},
 		{name: "orders to a full weight store are late", size: full, lateOrders: true},
 		{name: "orders take long to arrive", size: slow},
+		{name: "servers are restarted", size: scarce, restarts: true},
 		{name: "all at once at a full weight store", size: full, kills: true, losesLease: true, lateOrders: true, lateRegistrations: true},
 	}
 	first, runs := 1, 6
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -120,8 +120,8 @@
 	if err != nil {
 		return err
 	}
-	_, end, _ := l.sharedLog.Read(context.Background(), 0, 0) // never fails
-	return l.sharedLog.Append(context.Background(), raw, end)
+	_, end, _ := l.Read(context.Background(), 0, 0) // never fails
+	return l.Append(context.Background(), raw, end)
 }
 
 // machineLog is the log as a machine reaches it.
