End what an earlier term of the lease holder has planned

More loads from the weight store began than it allows (CEILING), after a lease was lost and taken again while another instance held it in between. Loads that the earlier term had planned to follow an unload were still sent, by the new term's right: what another holder may have loaded meanwhile filled the count, and they no longer had a place in it. The count was also begun anew with each term.

Now a new term ends the executions of the earlier one, an order is sent only in the term that planned it, and loads of this instance go on to count.

TestOrdersOfAnEarlierTerm, with unloads of four seconds and another holder for one, had two loads within the five seconds in which the other holder's count; now none, and they are planned again later.

--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -20,6 +20,7 @@
 // execution executes one order, and the orders that follow it on the server.
 type execution struct {
 	*reconciler
+	term  int
 	state *serverState
 	order serviceplanner.Order
 	// coldLoad counts the execution's load from the weight store, nil if it has
@@ -49,6 +50,8 @@
 	}
 	x.mu.Lock()
 	now := x.Clock.Now()
+	x.running[x]()
+	delete(x.running, x)
 	if x.coldLoad != nil {
 		x.coldLoad.Finish()
 	}
@@ -158,14 +161,14 @@
 			x.Log.Info("orders: server has no room", zap.String("server", x.server.ID))
 			return false
 		}
-		if !x.lease.MayOrder() {
+		if !x.mayOrder(x.term) {
 			return false
 		}
 		x.logSend(expected)
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := x.OrderSender.Send(call, x.server, Order{
 			Order: x.order, ExpectedOrders: expected, Holder: x.lease.self.Machine, Fence: x.lease.Fence(),
-		}, x.lease.MayOrder)
+		}, func() bool { return x.mayOrder(x.term) })
 		cancel()
 		switch out {
 		case Accepted:
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -68,21 +68,27 @@
 	mu        sync.Mutex
 	servers   map[string]*serverState
 	coldLoads map[string]*ColdLoadCounter
+	// term counts the terms of this instance, running are the executions and what ends them.
+	term    int
+	running map[*execution]context.CancelFunc
 	// unanswered is when an order to a server, by its ID, last got no reply.
 	unanswered map[string]time.Time
 }
 
 func newReconciler(c *Coordinator) *reconciler {
-	return &reconciler{Coordinator: c, servers: map[string]*serverState{}, coldLoads: map[string]*ColdLoadCounter{}, unanswered: map[string]time.Time{}}
+	return &reconciler{Coordinator: c, servers: map[string]*serverState{}, coldLoads: map[string]*ColdLoadCounter{}, unanswered: map[string]time.Time{}, running: map[*execution]context.CancelFunc{}}
 }
 
-// startTerm counts the loads that a previous lease holder may have started, the last of them
-// when it last may have sent an order, and drops the state that an earlier term of this
-// instance assumed.
+// startTerm ends the executions of an earlier term of this instance, drops the state that they
+// assumed, and counts the loads that other lease holders may have started, the last of them when it
+// last may have sent an order. Loads of this instance go on to count.
 func (r *reconciler) startTerm(h Handover) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	clear(r.coldLoads)
+	r.term++
+	for _, end := range r.running {
+		end()
+	}
 	clear(r.servers)
 	table := r.Table()
 	if table == nil || !h.HadHolder {
@@ -100,6 +106,17 @@
 	}
 }
 
+// mayOrder reports whether an order of a term may be sent now.
+func (r *reconciler) mayOrder(term int) bool {
+	// The lease comes first: a new term starts before it allows orders again.
+	if !r.lease.MayOrder() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.term == term
+}
+
 // coldLoadCounter returns the counter of a service's loads from the weight store.
 func (r *reconciler) coldLoadCounter(service string) *ColdLoadCounter {
 	c, ok := r.coldLoads[service]
@@ -194,7 +211,7 @@
 	r.Meter.Add(MetricOrders, 1)
 	r.Log.Info("orders: give", zap.String("server", o.Server), zap.Stringer("op", o.Op),
 		zap.String("key", balancer.Key(o.Model, o.Adapter)), zap.Int64("expected", state.orderCount), zap.Bool("cold", o.Cold), zap.String("why", o.Reason))
-	x := &execution{reconciler: r, state: state, order: o, engine: e, server: state.registration, backoff: replanDelay, basis: "earlier order"}
+	x := &execution{reconciler: r, term: r.term, state: state, order: o, engine: e, server: state.registration, backoff: replanDelay, basis: "earlier order"}
 	if !state.confirmed() {
 		x.assumed = maps.Clone(state.loaded)
 	}
@@ -202,5 +219,6 @@
 		r.Meter.Add(MetricColdLoads, 1)
 		x.coldLoad = r.coldLoadCounter(service).Plan()
 	}
+	ctx, r.running[x] = context.WithCancel(ctx)
 	r.executions.Go(func() { x.run(ctx) })
 }
--- a/coordinator/trouble_test.go
+++ b/coordinator/trouble_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"primrosehook/balancer"
+	"primrosehook/coordinator"
 )
 
 // trouble is what happens to the machines of a world, and how often.
@@ -157,6 +158,35 @@
 	}
 }
 
+// Guards against loads beyond the rate of the weight store that an earlier term of the lease holder
+// has planned, while the loads of the holder between count.
+func TestOrdersOfAnEarlierTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, worldSize{serverCount: 6, models: 14, copies: 3}, 1)
+		w.unloadTime = 4 * time.Second
+		i := w.start("1", 0)
+		defer i.end()
+		time.Sleep(1500 * time.Millisecond)
+		for !w.unloading() {
+			i.fleet.RecordArrival("llm", balancer.Request{Model: "m5"})
+			time.Sleep(10 * time.Millisecond)
+		}
+		other := coordinator.Entry{Instance: "2-0", Machine: "2", Address: "127.0.0.1:2"}
+		g.Expect(w.log.add(other)).To(Succeed())
+		time.Sleep(time.Second)
+		other.Release, other.Clear = true, true
+		g.Expect(w.log.add(other)).To(Succeed())
+		time.Sleep(worldWindow - 10*time.Millisecond)
+		g.Expect(w.loads()).To(BeZero())
+		// They may be planned again.
+		for began := time.Now(); w.loads() == 0 && time.Since(began) < 30*time.Second; time.Sleep(10 * time.Millisecond) {
+			i.fleet.RecordArrival("llm", balancer.Request{Model: "m5"})
+		}
+		g.Expect(w.loads()).ToNot(BeZero())
+	})
+}
+
 // Guards against loads beyond the rate of the weight store, when those whose orders got no answer
 // begin after they have ceased to count.
 func TestLateLoads(t *testing.T) {
