Do not take an earlier refusal without an ID for the answer to a later request

Clients were told 'not run, try again' for a request that its server ran (REFUSED), or it ran at a second server (TWICE), as other operators report: a faulty server wrote an earlier refusal once more on a kept connection.

Cause: a refusal without a request ID was taken for the answer to whatever request was sent last. On a connection that has carried no other request it can be nothing else; on a kept one it may be an earlier one. It is passed over there now, as answers with another ID were before: the answer that follows counts, and without one the request may have run.

The same request never goes to one server twice, so that a refusal of itself can't come again on its connection. Orders to servers read no ID; a wrong answer there changes the expected count, and the next order is refused and asks for reports.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -91,8 +91,9 @@
 	pool *Pool
 }
 
-// AnswerMatcher reports whether an answer belongs to the request that was sent.
-type AnswerMatcher func(status int, h http.Header) bool
+// AnswerMatcher reports whether an answer belongs to the request that was sent. reused tells
+// whether the connection has carried other requests before, whose answers may come once more.
+type AnswerMatcher func(h http.Header, reused bool) bool
 
 // Pool keeps the idle connections to one upstream. It is safe for concurrent
 // use.
@@ -340,8 +341,10 @@
 	source *headLimiter
 	reader *bufio.Reader
 	// openedAt is when the connection was opened, idleSince when it last became idle.
-	openedAt     time.Time
-	idleSince    time.Time
+	openedAt  time.Time
+	idleSince time.Time
+	// used is set once a request was answered.
+	used         bool
 	stopWatching func() bool
 	once         sync.Once
 	// bodyWritten is closed when a body that is written concurrently has been
@@ -436,7 +439,8 @@
 		}
 		switch {
 		case r.StatusCode < http.StatusOK:
-		case matches(r.StatusCode, r.Header):
+		case matches(r.Header, c.used):
+			c.used = true
 			return &Answer{Response: r, conn: c}, nil
 		default:
 			// A late answer to an earlier request.
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -82,7 +82,7 @@
 		DeferCleanup(p.Close)
 		return p
 	}
-	own := func(_ int, h http.Header) bool { return h.Get("Id") == "q" }
+	own := func(h http.Header, _ bool) bool { return h.Get("Id") == "q" }
 	get := connector.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}
 	fetch := func(p *connector.Pool, q connector.Request) (string, error) {
 		a, err := p.Do(context.Background(), q, own)
@@ -179,10 +179,10 @@
 			return false
 		}))
 		post := connector.Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 16<<20))}
-		a, err := p.Do(context.Background(), post, func(status int, h http.Header) bool {
+		a, err := p.Do(context.Background(), post, func(h http.Header, reused bool) bool {
 			<-closed
 			time.Sleep(50 * time.Millisecond) // until the write has failed
-			return own(status, h)
+			return own(h, reused)
 		})
 		Expect(err).NotTo(HaveOccurred())
 		body, err := io.ReadAll(a.Body)
@@ -263,7 +263,7 @@
 		a, err := p.Do(context.Background(), connector.Request{
 			Method: "GET", Target: "/", Host: "h", Header: http.Header{"A": {"1"}},
 			LateHeader: func() http.Header { return http.Header{"Passed": {time.Since(begin).String()}} },
-		}, func(int, http.Header) bool { return true })
+		}, func(http.Header, bool) bool { return true })
 		Expect(err).NotTo(HaveOccurred())
 		a.Close(false)
 		h := <-heads
--- a/connector/endless_test.go
+++ b/connector/endless_test.go
@@ -40,7 +40,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
 			p := connector.NewPool(u.Addr().String(), clockwork.NewRealClock(), &connector.DialCounter{})
-			_, err := p.Do(ctx, connector.Request{Method: http.MethodGet, Target: "/", Host: "h"}, func(_ int, h http.Header) bool { return h.Get("Id") == "q" })
+			_, err := p.Do(ctx, connector.Request{Method: http.MethodGet, Target: "/", Host: "h"}, func(h http.Header, _ bool) bool { return h.Get("Id") == "q" })
 			Expect(judge.Of(err)).To(Equal(judge.MayHaveRun))
 			// The sockets' buffers hold some of it.
 			Expect(sent.Load()).To(BeNumerically("<", 32<<20))
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -208,10 +208,10 @@
 }
 
 // ownsAnswer reports whether an answer belongs to this request: it has the
-// request's ID, or has none and refuses a request.
-func (x *exchange) ownsAnswer(_ int, h http.Header) bool {
+// request's ID, or has none, refuses a request and the connection has carried no other one.
+func (x *exchange) ownsAnswer(h http.Header, reused bool) bool {
 	info := x.codec.ParseAnswer(http.StatusOK, h)
-	return info.ID == x.meta.ID || info.ID == "" && info.Refused
+	return info.ID == x.meta.ID || info.ID == "" && info.Refused && !reused
 }
 
 // isStream reports whether the answer is a stream whose events are forwarded as
