End a stream at bytes that are no event of it

What stands between two empty lines was taken for an event.

Now, once events have a numeric id, what has none ends the stream there, unless it is a comment: the stream goes on at another server after the last event, or breaks off for the client too. On the platform all events have increasing ids.

--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -19,6 +19,10 @@
 // ErrLarge is returned when an incomplete event exceeds maxEventBytes.
 var ErrLarge = eris.New("an event of the stream is too large")
 
+// ErrForeign is returned for bytes that are no event of the stream: they have no numeric id,
+// although the events before have one.
+var ErrForeign = eris.New("bytes in the stream are no event of it")
+
 // Splitter splits the bytes of one stream, which may be resumed at another
 // server.
 type Splitter struct {
@@ -50,8 +54,8 @@
 func (s *Splitter) Partial() []byte { return s.partial }
 
 // Push appends bytes to the stream and returns those of the events that are now
-// complete, without the events that were already returned. The error is ErrGap
-// or ErrLarge.
+// complete, without the events that were already returned. The error is ErrGap,
+// ErrLarge or ErrForeign.
 func (s *Splitter) Push(b []byte) ([]byte, error) {
 	data := b
 	if len(s.partial) > 0 {
@@ -74,9 +78,14 @@
 		next := start + firstEventLen(complete[start:])
 		event := complete[start:next]
 		id, ok := eventID(event)
+		if !ok && s.hasLastID && !isComment(event) {
+			return nil, ErrForeign
+		}
 		if ok {
 			n, err := strconv.ParseInt(id, 10, 64)
 			switch {
+			case err != nil && s.hasLastID:
+				return nil, ErrForeign
 			case err != nil:
 			case s.hasLastID && n <= s.lastID:
 				if !copying {
@@ -126,6 +135,16 @@
 	return end
 }
 
+// isComment reports whether an event has comments and empty lines only.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if line = bytes.TrimRight(line, "\r"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 func eventID(event []byte) (string, bool) {
 	for len(event) > 0 {
 		line, rest, _ := bytes.Cut(event, []byte("\n"))
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -54,4 +54,23 @@
 		s := streamer.NewSplitterAfter("")
 		Expect(push(s, ": note\n\n"+tokenEvent(1))).To(Equal(": note\n\n" + tokenEvent(1)))
 	})
+
+	// Guards against an error's text or head that is passed on as events.
+	DescribeTable("reports bytes among events that have no id", func(text string, foreign bool) {
+		s := streamer.NewSplitterAfter("")
+		_, err := s.Push([]byte("id: 1\ndata: x\n\n"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Push([]byte(text))
+		if foreign {
+			Expect(err).To(MatchError(streamer.ErrForeign))
+		} else {
+			Expect(err).NotTo(HaveOccurred())
+		}
+	},
+		Entry("a head", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", true),
+		Entry("a text", "error: no such run\n\n", true),
+		Entry("an id that is no number", "id: x\ndata: x\n\n", true),
+		Entry("a comment", ": still there\n\n", false),
+		Entry("an event with further fields", "weights: 7\nid: 2\ndata: x\n\n", false),
+	)
 })
