Bound the loads from the weight store that may begin late, and count as many after a hand-over

More loads from the weight store began than it allows (CEILING), when a lease holder was killed whose orders had no answer yet: they may be carried out seconds later, and its successor does not know of them. It counts as many loads as may start in a window, but only until the window after the holder's last order.

Now a holder has few loads from the weight store under way whose orders are not answered, an eighth of those that a window allows and two at least, and its successor counts as many until they can no longer begin. A load is settled by the server's answer, by a later count of its orders, or by its end. Neither a message nor the lease's entry changes; a successor of a holder from before this build counts too few if more than these were unanswered.

TestLateLoadsOfAFormerHolder, 13 unanswered orders of a killed holder carried out after seven seconds, had up to 26 loads within five seconds before, where 14 are allowed; it passes now.

--- a/coordinator/coldload.go
+++ b/coordinator/coldload.go
@@ -8,12 +8,20 @@
 // ColdLoad is one load from the weight store.
 type ColdLoad struct {
 	planned bool
-	// beginsBy is when the load has begun at the latest, zero if it has not and will not.
+	// unanswered is set once the load was ordered, until it is known whether it has begun.
+	unanswered bool
+	// beginsBy is when the load begins at the latest, zero if it does not.
 	beginsBy time.Time
 }
 
+// Order records that the load is ordered, and may begin until a time.
+func (c *ColdLoad) Order(until time.Time) { c.unanswered, c.beginsBy = true, until }
+
 // BeginsBy records that the load has begun, or else never will, at a time.
-func (c *ColdLoad) BeginsBy(t time.Time) { c.beginsBy = t }
+func (c *ColdLoad) BeginsBy(t time.Time) { c.unanswered, c.beginsBy = false, t }
+
+// Refuse records that the load was refused.
+func (c *ColdLoad) Refuse() { c.BeginsBy(time.Time{}) }
 
 // Finish records that the load will not be ordered again.
 func (c *ColdLoad) Finish() { c.planned = false }
@@ -48,3 +56,14 @@
 	c.loads = slices.DeleteFunc(c.loads, func(l *ColdLoad) bool { return !l.planned && now.Sub(l.beginsBy) > c.window })
 	return len(c.loads)
 }
+
+// Unanswered returns the number of loads that were ordered and may begin now or later.
+func (c *ColdLoadCounter) Unanswered(now time.Time) int {
+	n := 0
+	for _, l := range c.loads {
+		if l.unanswered && now.Before(l.beginsBy) {
+			n++
+		}
+	}
+	return n
+}
--- a/coordinator/coldload_test.go
+++ b/coordinator/coldload_test.go
@@ -38,4 +38,23 @@
 		c.Plan().Finish()
 		Expect(c.Count(at(0))).To(BeZero())
 	})
+
+	// A successor of the lease holder counts a fixed number of loads that may begin late, so that
+	// no more may be under way.
+	It("tells how many ordered loads are not known to have begun", func() {
+		c := coordinator.NewColdLoadCounter(5 * time.Second)
+		begun, refused, late := c.Plan(), c.Plan(), c.Plan()
+		for _, l := range []*coordinator.ColdLoad{begun, refused, late} {
+			l.Order(at(12 * time.Second))
+			l.Finish()
+		}
+		Expect(c.Unanswered(at(0))).To(Equal(3))
+		begun.BeginsBy(at(time.Second))
+		refused.Refuse()
+		Expect(c.Unanswered(at(time.Second))).To(Equal(1))
+		Expect(c.Count(at(7 * time.Second))).To(Equal(1))
+		Expect(c.Unanswered(at(13 * time.Second))).To(BeZero())
+		Expect(c.Count(at(16 * time.Second))).To(Equal(1))
+		Expect(c.Count(at(18 * time.Second))).To(BeZero())
+	})
 })
--- a/coordinator/confirmation.go
+++ b/coordinator/confirmation.go
@@ -115,8 +115,10 @@
 	defer x.mu.Unlock()
 	if x.state.orderCount != expected {
 		// An earlier attempt was executed or never will be.
+		if x.unsettled {
+			x.loadBeginsBy(x.Clock.Now())
+		}
 		x.unsettled = false
-		x.loadBeginsBy(x.Clock.Now())
 	}
 	return satisfied(x.state.loaded, x.order), sameLoaded(before, x.state.loaded)
 }
--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -52,6 +52,10 @@
 	now := x.Clock.Now()
 	x.running[x]()
 	delete(x.running, x)
+	late := x.coldLoad != nil && x.coldLoad.unanswered && x.unsettled
+	if x.coldLoad != nil && x.coldLoad.unanswered && !late {
+		x.coldLoad.Refuse()
+	}
 	if x.coldLoad != nil {
 		x.coldLoad.Finish()
 	}
@@ -60,6 +64,9 @@
 	}
 	if !done && x.unsettled {
 		x.state.invalidate()
+		if late {
+			x.state.lateLoads = append(x.state.lateLoads, lateLoad{x.coldLoad, x.expected})
+		}
 	}
 	x.state.pending = nil
 	x.mu.Unlock()
@@ -151,6 +158,9 @@
 // reports whether it was. An order whose reply was lost is sent again with the same expected
 // order count: the server accepts the one that arrives first and refuses the other.
 func (x *execution) send(ctx context.Context) bool {
+	if x.order.Cold && !x.awaitAnswers(ctx) {
+		return false
+	}
 	unsent := 0
 	for range maxOrderAttempts {
 		x.mu.Lock()
@@ -165,6 +175,7 @@
 			return false
 		}
 		x.logSend(expected)
+		x.beginOrder()
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := x.OrderSender.Send(call, x.server, Order{
 			Order: x.order, ExpectedOrders: expected, Holder: x.lease.self.Machine, Fence: x.lease.Fence(),
@@ -185,10 +196,12 @@
 				return done
 			}
 		case Rejected:
+			x.refuseLoad()
 			x.backoff = serverBackoff
 			x.Log.Info("orders: rejected", zap.String("server", x.server.ID), zap.Error(err))
 			return false
 		case NotSent:
+			x.refuseLoad()
 			if unsent++; unsent >= maxUnsentAttempts {
 				x.backoff = serverBackoff
 				x.Log.Info("orders: server takes no connection", zap.String("server", x.server.ID), zap.Error(err))
@@ -199,7 +212,6 @@
 			x.mu.Lock()
 			late := x.Clock.Now().Add(lateOrderWindow)
 			x.unanswered[x.server.ID] = unansweredOrder{x.server.Incarnation, late}
-			x.loadBeginsBy(late)
 			x.mu.Unlock()
 			x.Log.Info("orders: no answer", zap.String("server", x.server.ID), zap.Int64("expected", expected), zap.Error(err))
 		}
@@ -225,6 +237,45 @@
 	x.loadBeginsBy(x.Clock.Now())
 }
 
+// awaitAnswers waits until few enough loads from the weight store are unanswered for one more,
+// which it adds.
+func (x *execution) awaitAnswers(ctx context.Context) bool {
+	limit := unansweredLoadLimit(coldLoadLimit(x.engine, x.ColdLoadWindow, x.ColdLoadOverage))
+	for {
+		x.mu.Lock()
+		now := x.Clock.Now()
+		free := x.coldLoadCounter(x.server.Service).Unanswered(now) < limit
+		if free {
+			x.coldLoad.Order(now.Add(orderTimeout + lateOrderWindow))
+		}
+		x.mu.Unlock()
+		if free {
+			return true
+		}
+		if !x.sleep(ctx, answerCheckInterval) {
+			return false
+		}
+	}
+}
+
+// beginOrder records that the current order is sent now, perhaps not for the first time.
+func (x *execution) beginOrder() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.order.Cold {
+		x.coldLoad.Order(x.Clock.Now().Add(orderTimeout + lateOrderWindow))
+	}
+}
+
+// refuseLoad records that the last attempt began no load, and an earlier one neither.
+func (x *execution) refuseLoad() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.order.Cold && !x.unsettled {
+		x.coldLoad.Refuse()
+	}
+}
+
 // loadBeginsBy records when the current order begins a load from the weight store at the latest,
 // if it does. x.mu must be held.
 func (x *execution) loadBeginsBy(t time.Time) {
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	// completed, checkTimeout the time after which an order is given up.
 	checkInterval = 100 * time.Millisecond
 	checkTimeout  = 15 * time.Second
+	// answerCheckInterval is the pause between checks whether another load may be ordered.
+	answerCheckInterval = 10 * time.Millisecond
 	// maxReportAge is how old a server's report may be.
 	maxReportAge = 200 * time.Millisecond
 	// reportSettleTime is how long after a change the loaded models of a report show it for
@@ -50,6 +53,11 @@
 	// coldLoadSlack is how many loads the weight store accepts in a window
 	// beyond its rate: three, less one that may be under way.
 	coldLoadSlack = 2
+	// unansweredLoadShare is the share, and minUnansweredLoads the least number, of the loads from
+	// the weight store in a window whose orders may be unanswered. Two: one server that does not
+	// answer must not keep all others from loading.
+	unansweredLoadShare = 8
+	minUnansweredLoads  = 2
 	// maxRegistryLag is how long the registry may take to show what an order
 	// has changed: a heartbeat, and reads of the registry.
 	maxRegistryLag = 3 * time.Second
@@ -106,7 +114,12 @@
 			continue
 		}
 		c := r.coldLoadCounter(name)
-		for range coldLoadLimit(s.Engine, r.ColdLoadWindow, r.ColdLoadOverage) {
+		limit := coldLoadLimit(s.Engine, r.ColdLoadWindow, r.ColdLoadOverage)
+		late := unansweredLoadLimit(limit)
+		for range late {
+			c.Add(lastOrder.Add(lateOrderWindow))
+		}
+		for range limit - late {
 			c.Add(lastOrder)
 		}
 	}
@@ -191,6 +204,9 @@
 		seen[s.ID] = true
 		state, ok := r.servers[s.ID]
 		if !ok || state.registration.Incarnation != s.Incarnation {
+			if ok {
+				state.settleLoads(r.Clock.Now(), math.MaxInt64)
+			}
 			state = &serverState{orderCount: -1}
 			if u := r.unanswered[s.ID]; u.incarnation != s.Incarnation {
 				// An order to the former incarnation may arrive late and match the
@@ -204,7 +220,20 @@
 	}
 	now := r.Clock.Now()
 	maps.DeleteFunc(r.unanswered, func(_ string, u unansweredOrder) bool { return now.After(u.until) })
-	maps.DeleteFunc(r.servers, func(id string, known *serverState) bool { return !seen[id] && known.pending == nil })
+	maps.DeleteFunc(r.servers, func(id string, known *serverState) bool {
+		gone := !seen[id] && known.pending == nil
+		if gone {
+			known.settleLoads(now, math.MaxInt64)
+		}
+		return gone
+	})
+}
+
+// unansweredLoadLimit returns how many loads from the weight store may be unanswered, if so many
+// may start in a window. A successor of the lease holder does not know which they are, and counts
+// as many until they can no longer begin.
+func unansweredLoadLimit(coldLoads int) int {
+	return max(coldLoads/unansweredLoadShare, minUnansweredLoads)
 }
 
 // coldLoadLimit returns how many loads from the weight store may start in a window.
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -32,6 +32,26 @@
 	busyUntil time.Time
 	// unsettled are the unloads that were given up and may still be executed.
 	unsettled []unsettledUnload
+	// lateLoads are the loads from the weight store that were given up and may still begin.
+	lateLoads []lateLoad
+}
+
+// lateLoad is a load that may begin as long as the server has not accepted more than expected
+// orders.
+type lateLoad struct {
+	load     *ColdLoad
+	expected int64
+}
+
+// settleLoads settles the late loads that a server with a number of accepted orders has begun or
+// never will.
+func (s *serverState) settleLoads(now time.Time, orders int64) {
+	s.lateLoads = slices.DeleteFunc(s.lateLoads, func(l lateLoad) bool {
+		if orders > l.expected {
+			l.load.BeginsBy(now)
+		}
+		return orders > l.expected
+	})
 }
 
 // unsettledUnload is an unload that may be executed until a time, as long as the
@@ -66,6 +86,7 @@
 // confirm records the state that a server's reports have shown.
 func (s *serverState) confirm(now time.Time, r ServerReport) {
 	s.settle(r)
+	s.settleLoads(now, r.Orders)
 	s.orderCount, s.changedAt = r.Orders, now
 	s.cached, s.cachedKnown = r.Cached, true
 	s.setLoaded(r.Loaded)
--- a/coordinator/trouble_test.go
+++ b/coordinator/trouble_test.go
@@ -134,6 +134,10 @@
 		runs, _ = strconv.Atoi(s)
 	}
 	for _, c := range cases {
+		runs := runs
+		if c.size.serverCount > small.serverCount {
+			runs = max(runs/2, 1)
+		}
 		t.Run(c.name, func(t *testing.T) {
 			var orders, loads int
 			var after time.Duration
@@ -217,6 +221,34 @@
 	})
 }
 
+// Guards against loads beyond the rate of the weight store that begin late, after the holder that
+// ordered them has been killed: its successor does not know of them.
+func TestLateLoadsOfAFormerHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, worldSize{serverCount: 30, models: 110, copies: 3, resident: 2}, 1)
+		w.removeAdapters()
+		w.lateShare, w.lateBy = 1, 7*time.Second
+		i := w.start("1", 0)
+		time.Sleep(2 * time.Second)
+		i.end()
+		w.answerAll()
+		i = w.start("1", 1)
+		defer i.end()
+		for began := time.Now(); time.Since(began) < 15*time.Second; time.Sleep(100 * time.Millisecond) {
+			for m := 91; m < 110; m++ {
+				i.fleet.RecordArrival("llm", balancer.Request{Model: fmt.Sprint("m", m)})
+			}
+			// The servers whose orders are late are busier than the others.
+			for _, server := range []int{0, 1, 2, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19} {
+				i.fleet.RecordArrival("llm", balancer.Request{Model: fmt.Sprint("m", 3*server)})
+			}
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		NewWithT(t).Expect(w.broken).To(BeEmpty())
+	})
+}
+
 // Guards against an order to a former process of a server that arrives late at the next one, and
 // loads more than that has room for: both have accepted as many orders.
 func TestLateOrderToAFormerProcess(t *testing.T) {
