--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -158,9 +158,6 @@
 // reports whether it was. An order whose reply was lost is sent again with the same expected
 // order count: the server accepts the one that arrives first and refuses the other.
 func (x *execution) send(ctx context.Context) bool {
-	if x.order.Cold && !x.awaitAnswers(ctx) {
-		return false
-	}
 	unsent := 0
 	for range maxOrderAttempts {
 		x.mu.Lock()
@@ -171,11 +168,10 @@
 			x.Log.Info("orders: server has no room", zap.String("server", x.server.ID))
 			return false
 		}
-		if !x.mayOrder(x.term) {
+		if x.order.Cold && !x.awaitAnswers(ctx) || !x.mayOrder(x.term) {
 			return false
 		}
 		x.logSend(expected)
-		x.beginOrder()
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := x.OrderSender.Send(call, x.server, Order{
 			Order: x.order, ExpectedOrders: expected, Holder: x.lease.self.Machine, Fence: x.lease.Fence(),
@@ -237,36 +233,24 @@
 	x.loadBeginsBy(x.Clock.Now())
 }
 
-// awaitAnswers waits until few enough loads from the weight store are unanswered for one more,
-// which it adds.
+// awaitAnswers waits until few enough loads from the weight store are unanswered for the current
+// order, which it adds unless an earlier attempt has.
 func (x *execution) awaitAnswers(ctx context.Context) bool {
 	limit := unansweredLoadLimit(coldLoadLimit(x.engine, x.ColdLoadWindow, x.ColdLoadOverage))
 	for {
 		x.mu.Lock()
 		now := x.Clock.Now()
-		free := x.coldLoadCounter(x.server.Service).Unanswered(now) < limit
+		free := x.coldLoad.unanswered || x.coldLoadCounter(x.server.Service).Unanswered(now) < limit
 		if free {
 			x.coldLoad.Order(now.Add(orderTimeout + lateOrderWindow))
 		}
 		x.mu.Unlock()
-		if free {
-			return true
-		}
-		if !x.sleep(ctx, answerCheckInterval) {
-			return false
+		if free || !x.sleep(ctx, answerCheckInterval) {
+			return free
 		}
 	}
 }
 
-// beginOrder records that the current order is sent now, perhaps not for the first time.
-func (x *execution) beginOrder() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.order.Cold {
-		x.coldLoad.Order(x.Clock.Now().Add(orderTimeout + lateOrderWindow))
-	}
-}
-
 // refuseLoad records that the last attempt began no load, and an earlier one neither.
 func (x *execution) refuseLoad() {
 	x.mu.Lock()
