--- a/coordinator/trouble_test.go
+++ b/coordinator/trouble_test.go
@@ -145,7 +145,7 @@
 			for seed := range runs {
 				t.Run(fmt.Sprint("seed ", first+seed), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
-						w := newWorld(t, c.size, uint64(first+seed))
+						w := newWorld(c.size, uint64(first+seed))
 						c.play(w)
 						w.mu.Lock()
 						defer w.mu.Unlock()
@@ -168,7 +168,7 @@
 func TestOrdersOfAnEarlierTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		w := newWorld(t, worldSize{serverCount: 6, models: 14, copies: 3}, 1)
+		w := newWorld(worldSize{serverCount: 6, models: 14, copies: 3}, 1)
 		w.unloadTime = 4 * time.Second
 		i := w.start("1", 0)
 		defer i.end()
@@ -196,7 +196,7 @@
 // begin after they have ceased to count.
 func TestLateLoads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, worldSize{serverCount: 14, models: 60, copies: 3, resident: 2}, 1)
+		w := newWorld(worldSize{serverCount: 14, models: 60, copies: 3, resident: 2}, 1)
 		w.engine.ColdLoadsPerSecond = 0.4
 		w.removeAdapters()
 		w.lateShare, w.lateBy = 1, 11*time.Second
@@ -225,7 +225,7 @@
 // ordered them has been killed: its successor does not know of them.
 func TestLateLoadsOfAFormerHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, worldSize{serverCount: 30, models: 110, copies: 3, resident: 2}, 1)
+		w := newWorld(worldSize{serverCount: 30, models: 110, copies: 3, resident: 2}, 1)
 		w.removeAdapters()
 		w.lateShare, w.lateBy = 1, 7*time.Second
 		i := w.start("1", 0)
@@ -254,7 +254,7 @@
 func TestLateOrderToAFormerProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		w := newWorld(t, worldSize{serverCount: 1, models: 4, copies: 4, resident: 2}, 1)
+		w := newWorld(worldSize{serverCount: 1, models: 4, copies: 4, resident: 2}, 1)
 		w.removeAdapters()
 		w.lateShare, w.lateBy = 1, time.Minute
 		i := w.start("1", 0)
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -9,21 +9,12 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-	"github.com/vmihailenco/msgpack/v5"
-	"go.uber.org/zap"
-
-	"primrosehook/balancer"
 	"primrosehook/coordinator"
 	"primrosehook/matcher"
-	"primrosehook/messenger"
-	"primrosehook/quarantiner"
 	"primrosehook/registrar"
 	"primrosehook/serviceplanner"
-	"primrosehook/tailer"
 )
 
 // The world of a weight store, servers and machines, in the time of a synctest bubble.
@@ -51,16 +42,18 @@
 
 // worldServer is a server as it is.
 type worldServer struct {
-	id       string
-	orders   int64
-	busy     bool
-	loaded   map[string][]string
+	id     string
+	orders int64
+	busy   bool
+	loaded map[string][]string
+	// arriving is the model that is being loaded, empty for none.
 	arriving string
 	// inMemory and onDisk are the copies of weights, the least recently used first.
 	inMemory, onDisk []string
 	copies           int
-	history          []serverSnapshot
-	beats            []registrar.Server
+	// history are the snapshots after each change, beats the registrations.
+	history []serverSnapshot
+	beats   []registrar.Server
 }
 
 // worldSize is how many servers and models a world has. The copies that a server keeps on its
@@ -76,7 +69,6 @@
 // world is what the instances share. It records the broken rules.
 type world struct {
 	worldSize
-	t      *testing.T
 	mu     sync.Mutex
 	random *rand.Rand
 	engine *matcher.Engine
@@ -84,10 +76,12 @@
 	// expected count of orders.
 	holdsFirst bool
 	servers    map[string]*worldServer
-	begun      []time.Time
-	broken     []string
-	orders     int
-	log        *worldLog
+	// begun are when loads from the weight store began, broken the rules that were broken, orders
+	// is how many orders were accepted.
+	begun  []time.Time
+	broken []string
+	orders int
+	log    *worldLog
 	// lateShare is the share of orders that get no answer and are carried out later, after lateBy
 	// or, if that is zero, at random.
 	lateShare float64
@@ -101,56 +95,7 @@
 	firstOrders []time.Duration
 }
 
-// worldLog is the log of the lease, which a machine may lose.
-type worldLog struct {
-	sharedLog
-	mu        sync.Mutex
-	lostUntil map[string]time.Time
-}
-
-func (l *worldLog) lost(machine string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Now().Before(l.lostUntil[machine])
-}
-
-// add appends an entry of another holder.
-func (l *worldLog) add(e coordinator.Entry) error {
-	raw, err := msgpack.Marshal(e)
-	if err != nil {
-		return err
-	}
-	_, end, _ := l.Read(context.Background(), 0, 0) // never fails
-	return l.Append(context.Background(), raw, end)
-}
-
-// machineLog is the log as a machine reaches it.
-type machineLog struct {
-	*worldLog
-	machine string
-}
-
-func (l machineLog) Read(ctx context.Context, from int64, wait time.Duration) ([]coordinator.LogRecord, int64, error) {
-	for end := time.Now().Add(wait); ; time.Sleep(20 * time.Millisecond) {
-		if l.lost(l.machine) {
-			return nil, from, errUnavailable
-		}
-		list, next, err := l.sharedLog.Read(ctx, from, 0)
-		if len(list) > 0 || err != nil || time.Now().After(end) || ctx.Err() != nil {
-			return list, next, err
-		}
-	}
-}
-
-func (l machineLog) Append(ctx context.Context, value []byte, at int64) error {
-	time.Sleep(5 * time.Millisecond)
-	if l.lost(l.machine) {
-		return errUnavailable
-	}
-	return l.sharedLog.Append(ctx, value, at)
-}
-
-func newWorld(t *testing.T, size worldSize, seed uint64) *world {
+func newWorld(size worldSize, seed uint64) *world {
 	e := &matcher.Engine{MemoryMB: 230, AdapterSlots: worldAdapterSlots, ColdLoadsPerSecond: worldLoadRate, Models: map[string]matcher.Model{}}
 	for i := range size.models {
 		m := matcher.Model{Name: fmt.Sprint("m", i), SizeMB: 72, AdapterSizeMB: 0.5, ColdLoadTime: 1200 * time.Millisecond, DiskLoadTime: 820 * time.Millisecond, HostLoadTime: 630 * time.Millisecond}
@@ -159,7 +104,7 @@
 		}
 		e.Models[m.Name] = m
 	}
-	w := &world{worldSize: size, t: t, random: rand.New(rand.NewPCG(seed, 38)), engine: e, servers: map[string]*worldServer{}, log: &worldLog{lostUntil: map[string]time.Time{}}, registryLag: 300 * time.Millisecond}
+	w := &world{worldSize: size, random: rand.New(rand.NewPCG(seed, 38)), engine: e, servers: map[string]*worldServer{}, log: &worldLog{lostUntil: map[string]time.Time{}}, registryLag: 300 * time.Millisecond}
 	w.holdsFirst = w.random.IntN(2) == 0
 	for i := range size.serverCount {
 		s := &worldServer{id: fmt.Sprint("s", i), loaded: map[string][]string{}, copies: size.copies}
@@ -453,76 +398,3 @@
 	}
 	return list
 }
-
-// bootClock reads the time of the bubble.
-type bootClock struct{}
-
-func (bootClock) Now() time.Time { return time.Now() }
-
-// worldInstance is a process on a machine.
-type worldInstance struct {
-	fleet *balancer.Fleet
-	stop  context.CancelFunc
-	ended sync.WaitGroup
-}
-
-// end kills the process.
-func (i *worldInstance) end() {
-	i.stop()
-	i.ended.Wait()
-}
-
-// start starts a process on a machine.
-func (w *world) start(machine string, number int) *worldInstance {
-	clock := clockwork.NewRealClock()
-	table := &matcher.Table{Services: map[string]matcher.Service{"llm": {Engine: w.engine}}}
-	i := &worldInstance{fleet: balancer.NewFleet("z", 1, clock)}
-	stream := tailer.New("stream", &countingSource{}, discard{}, clock, zap.NewNop())
-	c := coordinator.New(coordinator.Dependencies{
-		Instance: fmt.Sprint(machine, "-", number), Machine: machine, Address: "127.0.0.1:" + machine, OrderGap: time.Second, ColdLoadWindow: worldWindow, ColdLoadOverage: worldOverage,
-		LeaseLog: machineLog{w.log, machine}, OrderSender: w, Fleet: i.fleet, Suspects: quarantiner.NewGuard(clock, quarantiner.DefaultOptions()),
-		Registry: stream, Config: stream, Meter: discard{}, Table: func() *matcher.Table { return table }, Clock: clock, Boot: bootClock{},
-		Log: zap.NewNop(), Peers: messenger.NewClient(clock), OnMembers: func([]string) {},
-	})
-	ctx, stop := context.WithCancel(context.Background())
-	i.stop = stop
-	i.ended.Go(func() { c.Run(ctx) })
-	i.ended.Go(func() {
-		for ctx.Err() == nil {
-			c.UpdateRegistry(nil, w.registry())
-			time.Sleep(100 * time.Millisecond)
-		}
-	})
-	return i
-}
-
-// demand lets requests arrive at an instance until the context ends. What is in demand moves on.
-func (w *world) demand(ctx context.Context, instance func() *worldInstance) {
-	began := time.Now()
-	for ctx.Err() == nil {
-		w.mu.Lock()
-		first := int(time.Since(began)/w.shift)*(w.serverCount/2) + w.random.IntN((w.serverCount/2)+1)
-		m := fmt.Sprint("m", first%w.models)
-		r := balancer.Request{Model: m}
-		if n := w.engine.Models[m].Adapters; n > 0 && w.random.IntN(2) == 0 {
-			r.Adapter = fmt.Sprint("a", 1+w.random.IntN(n))
-		}
-		w.mu.Unlock()
-		if i := instance(); i != nil {
-			i.fleet.RecordArrival("llm", r)
-		}
-		time.Sleep(w.delay(40 * time.Millisecond))
-	}
-}
-
-// beats lets all servers write their registrations until the context ends.
-func (w *world) runBeats(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.mu.Lock()
-		for _, s := range w.servers {
-			w.beat(s)
-		}
-		w.mu.Unlock()
-		time.Sleep(700 * time.Millisecond)
-	}
-}
