--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -52,21 +52,14 @@
 	now := x.Clock.Now()
 	x.running[x]()
 	delete(x.running, x)
-	late := x.coldLoad != nil && x.coldLoad.unanswered && x.unsettled
-	if x.coldLoad != nil && x.coldLoad.unanswered && !late {
-		x.coldLoad.Refuse()
-	}
 	if x.coldLoad != nil {
-		x.coldLoad.Finish()
+		x.finishLoad()
 	}
 	if !done {
 		x.state.busyUntil = now.Add(x.backoff)
 	}
 	if !done && x.unsettled {
 		x.state.invalidate()
-		if late {
-			x.state.lateLoads = append(x.state.lateLoads, lateLoad{x.coldLoad, x.expected})
-		}
 	}
 	x.state.pending = nil
 	x.mu.Unlock()
@@ -78,6 +71,19 @@
 	x.cluster.triggerPlan()
 }
 
+// finishLoad records that the load from the weight store is not ordered any more. x.mu must be
+// held.
+func (x *execution) finishLoad() {
+	x.coldLoad.Finish()
+	switch {
+	case !x.coldLoad.unanswered:
+	case x.unsettled:
+		x.state.unsettledLoads = append(x.state.unsettledLoads, unsettledLoad{x.coldLoad, x.expected})
+	default:
+		x.coldLoad.Refuse()
+	}
+}
+
 // prepare learns what the orders are based on, before the first of them is sent: without the load
 // that follows it, an unload gains nothing.
 func (x *execution) prepare(ctx context.Context) bool {
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -32,21 +32,21 @@
 	busyUntil time.Time
 	// unsettled are the unloads that were given up and may still be executed.
 	unsettled []unsettledUnload
-	// lateLoads are the loads from the weight store that were given up and may still begin.
-	lateLoads []lateLoad
+	// unsettledLoads are the loads from the weight store that were given up and may still begin.
+	unsettledLoads []unsettledLoad
 }
 
-// lateLoad is a load that may begin as long as the server has not accepted more than expected
+// unsettledLoad is a load that may begin as long as the server has not accepted more than expected
 // orders.
-type lateLoad struct {
+type unsettledLoad struct {
 	load     *ColdLoad
 	expected int64
 }
 
-// settleLoads settles the late loads that a server with a number of accepted orders has begun or
+// settleLoads settles the loads that a server with a number of accepted orders has begun or
 // never will.
 func (s *serverState) settleLoads(now time.Time, orders int64) {
-	s.lateLoads = slices.DeleteFunc(s.lateLoads, func(l lateLoad) bool {
+	s.unsettledLoads = slices.DeleteFunc(s.unsettledLoads, func(l unsettledLoad) bool {
 		if orders > l.expected {
 			l.load.BeginsBy(now)
 		}
