--- a/review/_standin/case_flap.go
+++ b/review/_standin/case_flap.go
@@ -18,8 +18,8 @@
 
 const (
 	// flapServers servers stand behind flapInstances instances, which get flapRate writes a second.
-	flapServers, flapInstances, flapRate = 140, 12, 1200
-	flapLength                           = 95 * time.Second
+	flapServers, flapInstances, flapRate = 150, 18, 1800
+	flapLength                           = 103 * time.Second
 	// hangTime is for how long an instance answers nothing before the case is over.
 	hangTime = 10 * time.Second
 )
--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-
 	"time"
 )
 
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -65,6 +65,7 @@
 	record, err := os.Create(os.Getenv("RECORD"))
 	must(err)
 	f := &fleet{dir: dir, repository: repository, keep: keep, instances: instances, started: time.Now(), record: record, processes: map[string]*process{}}
+	current = f
 	f.network = freeNetwork()
 	f.launch("store", func() *exec.Cmd {
 		return f.standin("store", "-listen", f.storeAddress(), "-keep", keep.String())
@@ -73,11 +74,23 @@
 	return f
 }
 
+// current is the fleet of this case, nil before it starts.
+var current *fleet
+
+// must ends the case, and all that it has started, after an error.
 func must(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "case can't run:", err)
-		os.Exit(exitNotRun)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "case can't run:", err)
+	if current != nil {
+		for _, p := range current.processes {
+			if p.cmd != nil && p.cmd.Process != nil {
+				_ = p.cmd.Process.Kill()
+			}
+		}
 	}
+	os.Exit(exitNotRun)
 }
 
 // freeNetwork returns the first three numbers of loopback addresses whose ports are free.
@@ -86,7 +99,7 @@
 		network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))
 		free := true
 		for _, port := range []int{frontPort, readyPort, controlPort, metricsPort, storePort, serverPort} {
-			for _, host := range []int{1, 11, 12, 13, 22, 101, 102, 103, 104, 240} {
+			for _, host := range []int{1, 11, 12, 13, 28, 101, 102, 103, 104, 250} {
 				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, host, port))
 				if err != nil {
 					free = false
