--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -137,7 +137,7 @@
 	_, _ = e.journal.WriteString(line + "\n")
 }
 
-// stateJSON returns the models and the fields that reports and registrations share. e.mu must be
+// stateFields returns the fields that reports and registrations share. e.mu must be
 // held.
 func (e *engine) stateFields() map[string]any {
 	type model struct {
