--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,7 +11,7 @@
 func main() {
 	commands := map[string]func(args []string) int{
 		"store": runStore, "engine": runEngine, "farm": runFarm, "flap": runFlap,
-		"drill": runDrill, "outage": runOutage, "late-order": runLateOrder, "uploads": runUploads,
+		"drill": runDrill, "outage": runOutage, "late-order": runLateOrder,
 	}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin store|engine|CASE [flags]")
