Log and count requests whose client had left when they were to be sent

Neither logs nor metrics could tell whether a request was sent late because its client's leaving was not looked for, because a wait had ended for that reason, or because its bytes lay on the way.

Package peeker looks at the client's connection itself: 200 of 200 clients that closed before they were accepted are found at the start of the handler, where the request's context has not ended for any of them (peeker_test.go). Before each send the log line "relay: client left before the request was sent" tells for how long that was known, whether only the connection showed it, and what the request had waited for; sends_after_client_left and client_left_before_send_ms count the same. No decision changes.

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -27,6 +27,7 @@
 	"primrosehook/exporter"
 	"primrosehook/messenger"
 	"primrosehook/pacer"
+	"primrosehook/peeker"
 	"primrosehook/pinner"
 	"primrosehook/platform"
 	"primrosehook/quarantiner"
@@ -249,7 +250,7 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clientServer := &http.Server{
-		Handler: http.HandlerFunc(e.front), ConnContext: withConn, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(e.front), ConnContext: peeker.WithClient, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(e.log),
 	}
 	checks := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout}
--- a/entryassembler/front.go
+++ b/entryassembler/front.go
@@ -1,10 +1,13 @@
 package entryassembler
 
 import (
-	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
+
+	"primrosehook/peeker"
 )
 
 // clientConn is a client's connection that records whether this side closed it.
@@ -19,6 +22,15 @@
 	return c.Conn.Close()
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn()
+}
+
 // clientListener accepts client connections as clientConn.
 type clientListener struct{ net.Listener }
 
@@ -31,20 +43,13 @@
 	return &clientConn{Conn: c}, nil
 }
 
-// connKey is the context key of a request's clientConn.
-type connKey struct{}
-
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // front handles clients' requests. While the instance stops, each answer has
 // the header Connection: close; idle connections stay open, since a request may
 // already be on its way on them.
 func (e *Entry) front(w http.ResponseWriter, q *http.Request) {
 	// At the end of a stop the HTTP server closes idle connections, possibly
 	// while it reads a request. The answer could not be delivered.
-	if c, ok := q.Context().Value(connKey{}).(*clientConn); ok && c.closed.Load() {
+	if c, ok := peeker.Client(q.Context()); ok && c.(*clientConn).closed.Load() {
 		panic(http.ErrAbortHandler)
 	}
 	if e.stopping.Load() {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -45,7 +45,9 @@
 	// resumeAfter is the ID of the last event that the client had when the
 	// request was sent, empty for none.
 	resumeAfter string
-	sent        bool
+	// sent is set once the attempt was asked to send the request, sendBegan is when.
+	sent      bool
+	sendBegan time.Time
 	// answer is the server's answer, nil if there is none because of err.
 	answer *connector.Answer
 	info   AnswerInfo
@@ -93,7 +95,7 @@
 
 // send sends the request and reads the head of the answer.
 func (t *attempt) send() {
-	t.sent = true
+	t.sent, t.sendBegan = true, t.clock.Now()
 	if t.continuesStream() && !t.assignment.Prove(t.attemptContext) {
 		t.err = errUnproven
 		return
@@ -122,6 +124,9 @@
 
 // proceed returns an error if the server wants no request any more.
 func (t *attempt) proceed() error {
+	if !t.lookForClient() {
+		t.logDeparture(t.assignment.ID, t.clock.Since(t.sendBegan))
+	}
 	if t.assignment.Paused() {
 		return errPaused
 	}
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -209,6 +209,8 @@
 	}
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(deadlineGrace))
 	defer cancel()
+	x.departure.presentAt = x.started
+	defer context.AfterFunc(x.request.Context(), x.recordDeparture)()
 	ctx, span := x.tracer.Start(tracer.Extract(ctx, x.request.Header), "relay")
 	defer span.End()
 	x.context = ctx
@@ -305,6 +307,7 @@
 	if !x.mayCrash() {
 		return true
 	}
+	defer x.recordDelay(waitTurn, x.clock.Now())
 	turn, wait, ok := x.sequence.Acquire(x.context, x.suspects.Key(x.identity))
 	x.turn, x.backlog = turn, wait
 	return ok
@@ -337,8 +340,11 @@
 	ctx, cancel := context.WithCancel(x.context)
 	defer cancel()
 	defer context.AfterFunc(x.waits, cancel)()
+	x.delays = nil
 	for {
+		began := x.clock.Now()
 		assignment, status := x.fleet.Await(ctx, x.service, x.query)
+		x.recordDelay(waitServer, began)
 		if assignment == nil || x.waitForSlot(assignment) && x.withinRateLimit(assignment) && x.admitted(assignment) {
 			return assignment, status
 		}
@@ -353,6 +359,7 @@
 		assignment.RateLimit(wait)
 		return false
 	}
+	defer x.recordDelay(waitRate, x.clock.Now())
 	wait, ok := x.throttle.Acquire(x.context, assignment.Incarnation)
 	if !ok {
 		x.meter.Add(MetricRateLimited, 1)
@@ -364,6 +371,7 @@
 // admitted reports whether the request may be sent to its server, if that is brittle. If it is
 // not, the assignment is cancelled.
 func (x *exchange) admitted(assignment *balancer.Assignment) bool {
+	defer x.recordDelay(waitAdmission, x.clock.Now())
 	for range maxAdmissions {
 		pass, wait, ok := x.sparer.Admit(x.context, x.service, assignment.Incarnation)
 		if ok {
@@ -392,6 +400,7 @@
 	if !x.query.NeedsReservation {
 		return true
 	}
+	defer x.recordDelay(waitSlot, x.clock.Now())
 	reservation, err := x.pacer.Reserve(x.context, assignment.Incarnation, x.query.PrefillTokens(), x.route.MaxEventGap, assignment.EngineLoad())
 	if err != nil {
 		// Without a reply the request is sent at once: the server was chosen by
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -102,23 +102,27 @@
 // underscore is a prefix: the kind of the route or the reason of a refusal
 // follows.
 const (
-	MetricArrived         = "requests_arrived"
-	MetricAnswered        = "requests_answered"
-	MetricRefused         = "requests_refused_"
-	MetricFailed          = "requests_failed"
-	MetricClientLeft      = "requests_left_by_client"
-	MetricUnmatched       = "requests_without_route"
-	MetricRetried         = "attempts_repeated"
-	MetricBudgetExhausted = "retry_budget_used_up"
-	MetricResumed         = "streams_resumed"
-	MetricTakenUp         = "streams_taken_up"
-	MetricRateLimited     = "sends_held_by_rate_limit"
-	MetricSpared          = "sends_held_for_brittle_servers"
-	MetricTurnTaken       = "sends_held_for_another_suspect"
-	MetricWait            = "wait_for_server_ms_"
-	MetricFirst           = "first_byte_ms_"
-	MetricTotal           = "whole_answer_ms_"
-	MetricPause           = "longest_pause_ms"
+	MetricArrived    = "requests_arrived"
+	MetricAnswered   = "requests_answered"
+	MetricRefused    = "requests_refused_"
+	MetricFailed     = "requests_failed"
+	MetricClientLeft = "requests_left_by_client"
+	// MetricLeftBeforeSend counts requests whose client had left when they were to be sent,
+	// MetricLeftBeforeSendFor is for how long it was known then.
+	MetricLeftBeforeSend    = "sends_after_client_left"
+	MetricLeftBeforeSendFor = "client_left_before_send_ms"
+	MetricUnmatched         = "requests_without_route"
+	MetricRetried           = "attempts_repeated"
+	MetricBudgetExhausted   = "retry_budget_used_up"
+	MetricResumed           = "streams_resumed"
+	MetricTakenUp           = "streams_taken_up"
+	MetricRateLimited       = "sends_held_by_rate_limit"
+	MetricSpared            = "sends_held_for_brittle_servers"
+	MetricTurnTaken         = "sends_held_for_another_suspect"
+	MetricWait              = "wait_for_server_ms_"
+	MetricFirst             = "first_byte_ms_"
+	MetricTotal             = "whole_answer_ms_"
+	MetricPause             = "longest_pause_ms"
 )
 
 // Relayer is the http.Handler for the requests of clients.
@@ -385,6 +389,11 @@
 	turn   *sequencer.Turn
 	cutOff bool
 
+	// departure is what is known of the client's leaving, delays are the waits before the next
+	// attempt.
+	departure departure
+	delays    delays
+
 	// backlog is the estimated time until a server is free, for a request that
 	// got none.
 	backlog time.Duration
