--- a/entryassembler/partition_test.go
+++ b/entryassembler/partition_test.go
@@ -110,15 +110,20 @@
 	// unsent is what was written while the links hang, timer breaks the connection.
 	unsent []byte
 	timer  *time.Timer
+	// lingering is set while the connection is closed and the kernel still has to send unsent.
+	lingering bool
 }
 
 // breakOff ends the connection with an error. The lock of the links must be held.
 func (c *cutConn) breakOff(err error) {
-	if c.err != nil {
+	switch {
+	case c.err == nil:
+		c.err = err
+		close(c.ended)
+	case !c.lingering:
 		return
 	}
-	c.err = err
-	close(c.ended)
+	c.lingering = false
 	_ = c.TCPConn.Close()
 	delete(c.links.conns, c)
 	if c.timer != nil {
@@ -149,6 +154,9 @@
 		_, _ = c.TCPConn.Write(c.unsent)
 		c.unsent = nil
 	}
+	if c.lingering {
+		c.breakOff(nil)
+	}
 }
 
 func (c *cutConn) endError() error {
@@ -194,6 +202,21 @@
 func (c *cutConn) Close() error {
 	c.links.mu.Lock()
 	defer c.links.mu.Unlock()
+	if c.err == nil && c.links.kind == hangs && len(c.unsent) > 0 {
+		c.err, c.lingering = net.ErrClosed, true
+		close(c.ended)
+		return nil
+	}
+	c.breakOff(net.ErrClosed)
+	return nil
+}
+
+// Reset implements resetter.Resetter.
+func (c *cutConn) Reset() error {
+	c.links.mu.Lock()
+	defer c.links.mu.Unlock()
+	c.unsent = nil
+	_ = c.TCPConn.SetLinger(0)
 	c.breakOff(net.ErrClosed)
 	return nil
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -21,6 +22,7 @@
 	"primrosehook/balancer"
 	"primrosehook/connector"
 	"primrosehook/matcher"
+	"primrosehook/peeker"
 	"primrosehook/quarantiner"
 	"primrosehook/registrar"
 	"primrosehook/relayer"
@@ -177,11 +179,22 @@
 		route("/read/", matcher.Idempotent, 2, false), route("/write/", matcher.NonIdempotent, 2, false),
 		route("/chat/", matcher.Streaming, 2, true), route("/once/", matcher.Streaming, 2, false),
 	}, []matcher.Service{{Name: "svc"}}, matcher.Limits{MaxBodyBytes: 1 << 20}))
-	w.proxy = httptest.NewServer(w.relay)
-	DeferCleanup(w.proxy.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	w.proxy = w.serve(l)
 	return w
 }
 
+// serve accepts clients on a listener.
+func (w *fixture) serve(l net.Listener) *httptest.Server {
+	s := httptest.NewUnstartedServer(w.relay)
+	Expect(s.Listener.Close()).To(Succeed())
+	s.Listener, s.Config.ConnContext = l, peeker.WithClient
+	s.Start()
+	DeferCleanup(s.Close)
+	return s
+}
+
 // addServers starts upstreams and registers them. The first one of all is in the
 // instance's zone, so that it is tried first.
 func (w *fixture) addServers(handlers ...handler) {
