Look for the client right before each write of its request

Cause: nothing looked between the choice of a server and the write. The context was taken for the client, but it ends later than the client leaves; and a connection that is idle was written to at once while a goroutine was about to close it, since the context had ended.

The connector now asks last, when the connection is there and the request is encoded, whether the context has ended and whether the client is there (Request.Wanted), before each 64 KiB of a large body again. The relayer looks at the client's connection for that, and ends everything that is done for a client that is found to have left. A request that is given up so has not run, and says nothing of its server: it is taken neither for failed nor for unreachable. The same holds for the deadline.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -51,6 +51,8 @@
 	// answer is read. A larger one is written concurrently, since the upstream
 	// may answer before it has read it all.
 	maxInlineBody = 8 << 10
+	// bodyPartBytes is how much of a larger body is written at a time, in bytes.
+	bodyPartBytes = 64 << 10
 	// readerBytes is the buffer size of a connection's reader: room for several
 	// events.
 	readerBytes = 2 << 10
@@ -77,7 +79,10 @@
 	// Proceed, if set, is asked once there is a connection. If it returns an error, nothing is
 	// sent.
 	Proceed func() error
-	Body    []byte
+	// Wanted, if set, is asked right before each write. Once it reports false, nothing more is
+	// written.
+	Wanted func() bool
+	Body   []byte
 	// OpenedBefore allows only connections that were opened before a time, zero for any:
 	// their peer is the process that took connections then.
 	OpenedBefore time.Time
@@ -167,6 +172,10 @@
 	p.mu.Unlock()
 }
 
+// ErrGivenUp means that the request was given up before it was sent: its context had ended, or
+// it was not wanted any more.
+var ErrGivenUp = errors.New("the request was given up before it was sent")
+
 // Do sends a request and reads the head of its answer, skipping answers that
 // matches rejects. The connection is closed when the context ends before the
 // answer is closed. The error is a judge.Refusal: NotRun if there was no
@@ -183,6 +192,9 @@
 
 // exchange sends a request on one connection, and reports whether that had been idle.
 func (p *Pool) exchange(ctx context.Context, q Request, matches AnswerMatcher) (answer *Answer, reused bool, err error) {
+	if ctx.Err() != nil {
+		return nil, false, unsentError(ErrGivenUp)
+	}
 	c, reused, err := p.acquire(ctx, q.OpenedBefore)
 	if err != nil {
 		return nil, false, &judge.Refusal{Verdict: judge.NotRun, Status: http.StatusServiceUnavailable, Code: "unreachable", Reason: "the upstream takes no connection", Cause: err}
@@ -190,11 +202,17 @@
 	if q.Proceed != nil {
 		if err := q.Proceed(); err != nil {
 			p.putIdle(c)
-			return nil, false, &judge.Refusal{Verdict: judge.NotRun, Status: http.StatusServiceUnavailable, Code: "held", Reason: "the request is not sent", Cause: err}
+			return nil, false, unsentError(err)
 		}
 	}
+	head := q.encode()
+	// Bytes that are written go on their way whatever happens next, so this is asked last.
+	if ctx.Err() != nil || !q.wanted() {
+		p.putIdle(c)
+		return nil, false, unsentError(ErrGivenUp)
+	}
 	c.stopWatching = context.AfterFunc(ctx, c.close)
-	a, err := c.roundTrip(q, matches)
+	a, err := c.roundTrip(q, head, matches)
 	if err != nil {
 		c.stopWatching()
 		c.close()
@@ -204,6 +222,13 @@
 	return a, reused, nil
 }
 
+// unsentError returns the error of a request that was not sent, for a cause on this side.
+func unsentError(cause error) error {
+	return &judge.Refusal{Verdict: judge.NotRun, Status: http.StatusServiceUnavailable, Code: "held", Reason: "the request is not sent", Cause: cause}
+}
+
+func (q Request) wanted() bool { return q.Wanted == nil || q.Wanted() }
+
 // ErrNoneOpen means that no connection is open that was opened early enough.
 var ErrNoneOpen = errors.New("no connection that is old enough")
 
@@ -383,8 +408,8 @@
 	return err == nil && empty
 }
 
-// roundTrip writes the request and reads the head of its answer.
-func (c *connection) roundTrip(q Request, matches AnswerMatcher) (*Answer, error) {
+// encode returns the head of the request, and its body unless it is written separately.
+func (q Request) encode() []byte {
 	var b bytes.Buffer
 	b.Grow(1<<10 + min(len(q.Body), maxInlineBody))
 	b.WriteString(q.Method + " " + q.Target + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
@@ -396,36 +421,50 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	separate := len(q.Body) > maxInlineBody
-	if !separate {
+	if !q.separate() {
 		b.Write(q.Body)
 	}
-	if n, err := c.conn.Write(b.Bytes()); err != nil {
+	return b.Bytes()
+}
+
+// separate reports whether the body is written while the answer is awaited.
+func (q Request) separate() bool { return len(q.Body) > maxInlineBody }
+
+// roundTrip writes the request and reads the head of its answer.
+func (c *connection) roundTrip(q Request, head []byte, matches AnswerMatcher) (*Answer, error) {
+	if n, err := c.conn.Write(head); err != nil {
 		return nil, brokenError(err, n == 0)
 	}
 	c.bodyWritten, c.bodyFailed = nil, false
-	if separate {
+	if q.separate() {
 		c.bodyWritten = make(chan struct{})
-		go c.runBodyWrite(q.Body)
+		go c.runBodyWrite(q)
 	}
 	return c.readHead(q.Method, matches)
 }
 
 // runBodyWrite writes a large body while the answer is awaited.
-func (c *connection) runBodyWrite(body []byte) {
+func (c *connection) runBodyWrite(q Request) {
 	defer close(c.bodyWritten)
-	_, err := c.conn.Write(body)
-	if err == nil {
-		return
-	}
-	c.bodyFailed = true
-	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		// The upstream closed the connection. An answer that it sent before can
+	for part := range slices.Chunk(q.Body, bodyPartBytes) {
+		if !q.wanted() {
+			c.bodyFailed = true
+			c.close()
+			return
+		}
+		_, err := c.conn.Write(part)
+		if err == nil {
+			continue
+		}
+		c.bodyFailed = true
+		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+			// The reader of the answer reports the failure.
+			c.close()
+		}
+		// Otherwise the upstream closed the connection. An answer that it sent before can
 		// still be read, and the reader then finds the end of the connection.
 		return
 	}
-	// The reader of the answer reports the failure.
-	c.close()
 }
 
 // readHead reads answers until one matches the request.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -107,6 +107,7 @@
 		}),
 		LateHeader:   func() http.Header { return t.codec.TimeLeftHeader(t.deadline.Sub(t.clock.Now())) },
 		Proceed:      t.proceed,
+		Wanted:       t.wanted,
 		OpenedBefore: t.assignment.OpenedBefore(),
 	}, t.ownsAnswer)
 	if t.err != nil {
@@ -124,15 +125,21 @@
 
 // proceed returns an error if the server wants no request any more.
 func (t *attempt) proceed() error {
-	if !t.lookForClient() {
-		t.logDeparture(t.assignment.ID, t.clock.Since(t.sendBegan))
-	}
 	if t.assignment.Paused() {
 		return errPaused
 	}
 	return nil
 }
 
+// wanted reports whether the client is still there.
+func (t *attempt) wanted() bool {
+	if t.lookForClient() {
+		return true
+	}
+	t.logDeparture(t.assignment.ID, t.clock.Since(t.sendBegan))
+	return false
+}
+
 // observeRateLimit records whether the server names a rate limit. An answer that may
 // be another server's, or damaged, is passed over.
 func (t *attempt) observeRateLimit() {
@@ -268,9 +275,6 @@
 	return !t.info.Refused && !t.failed()
 }
 
-// clientGone reports whether the client has closed its connection.
-func (x *exchange) clientGone() bool { return x.request.Context().Err() != nil }
-
 // recordFailure records why the attempt has no answer for the client: in the
 // log record, for the choice of servers and for the search of requests that
 // crash servers. It changes no state of the exchange.
@@ -313,7 +317,7 @@
 	verdict := judge.Of(t.err)
 	t.reached = verdict != judge.NotRun
 	t.ran = t.reached
-	t.assignment.Done(!t.clientGone() && !errors.Is(t.err, errPaused))
+	t.assignment.Done(!t.clientGone() && !errors.Is(t.err, errPaused) && !errors.Is(t.err, connector.ErrGivenUp))
 	t.record.outcome = verdict.String() + ": " + causeText(t.err)
 	if t.clientGone() {
 		if t.reached {
@@ -321,7 +325,7 @@
 		}
 		return
 	}
-	if !t.reached && !errors.Is(t.err, errUnproven) && !errors.Is(t.err, connector.ErrNoneOpen) && !errors.Is(t.err, errPaused) {
+	if !t.reached && !t.withheld() {
 		t.assignment.MarkUnreachable()
 	}
 	switch {
@@ -334,6 +338,17 @@
 	}
 }
 
+// withheld reports whether the request was not sent for a reason that says nothing of whether
+// the server takes connections.
+func (t *attempt) withheld() bool {
+	for _, reason := range []error{errUnproven, errPaused, connector.ErrNoneOpen, connector.ErrGivenUp} {
+		if errors.Is(t.err, reason) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordRefused records that the server did not run the request.
 func (t *attempt) recordRefused() {
 	t.reached = true
--- a/relayer/departure.go
+++ b/relayer/departure.go
@@ -71,11 +71,24 @@
 // recordDeparture records that the request's context has ended.
 func (x *exchange) recordDeparture() { x.departure.record(x.clock.Now(), false) }
 
-// lookForClient reports whether the client is still connected, by its connection.
+// clientGone reports whether the client is known to have closed its connection.
+func (x *exchange) clientGone() bool {
+	if x.request.Context().Err() != nil {
+		return true
+	}
+	d := &x.departure
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.leftAt.IsZero()
+}
+
+// lookForClient reports whether the client is still connected, by its connection. If it is not,
+// all that is done for the request ends.
 func (x *exchange) lookForClient() bool {
 	now := x.clock.Now()
 	if peeker.ClientLeft(x.request.Context()) {
 		x.departure.record(now, x.request.Context().Err() == nil)
+		x.cancel()
 		return false
 	}
 	d := &x.departure
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -209,6 +209,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(deadlineGrace))
 	defer cancel()
+	x.cancel = cancel
 	x.departure.presentAt = x.started
 	defer context.AfterFunc(x.request.Context(), x.recordDeparture)()
 	ctx, span := x.tracer.Start(tracer.Extract(ctx, x.request.Header), "relay")
@@ -249,6 +250,10 @@
 			return
 		}
 		x.cutOff = x.cutOff || t.broken
+		if x.clientGone() {
+			x.giveUp("client left between attempts")
+			return
+		}
 		if !x.hasKnownOrigin() {
 			x.giveUp("build that began the stream is not known")
 			return
@@ -429,7 +434,7 @@
 	fields = append(fields, zap.String("why", why), zap.Bool("may_have_run", x.mayHaveRun), zap.Duration("after", x.clock.Since(x.started)))
 	x.log.Info("relay: gave up", append(fields, x.decisionFields()...)...)
 	switch {
-	case x.request.Context().Err() != nil:
+	case x.clientGone():
 		x.meter.Add(MetricClientLeft, 1)
 		panic(http.ErrAbortHandler)
 	case x.headerSent:
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -371,7 +371,10 @@
 	sends      int
 	mayHaveRun bool
 	headerSent bool
-	context    context.Context
+	// context ends with the request's, at its deadline, and when its client is found to have
+	// left, for which cancel is called.
+	context context.Context
+	cancel  context.CancelFunc
 	// attempts are the attempts and their outcomes, for the log; firstByte is
 	// when the first bytes of a stream were sent to the client.
 	attempts  []*attemptRecord
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -266,10 +266,10 @@
 }
 
 // reserveOther takes a server of a build that is not excluded, and a retry from the budget.
-// It returns nil, and takes neither, if either is unavailable, the request is
-// quarantined or marked by a crash, the server names a rate limit or is brittle.
+// It returns nil, and takes neither, if either is unavailable, the client has left, the request
+// is quarantined or marked by a crash, the server names a rate limit or is brittle.
 func (x *exchange) reserveOther(excluded []string, build string) *balancer.Assignment {
-	if x.trial || x.isQuarantined() || x.isMarked() {
+	if !x.lookForClient() || x.trial || x.isQuarantined() || x.isMarked() {
 		return nil
 	}
 	q := x.query
