End waits of requests whose clients have left, instead of going on

Cause: waits ended at the request's context as if they had succeeded. A reservation without a reply counts as granted, a pause before a slot or an admission was over when the context was, and a server that was granted while the context ended was used. takeServer tried again and again, without an end, for a request whose context had ended while it waited at a brittle server. Class: a wait whose result does not say why it ended.

Fleet.Await returns the status "ended" and no server once the context has ended; the wait for a server at a planned stop is a channel of its own now, since requests that need not wait go on then. Each wait of the relayer cancels its assignment once the context has ended, and takeServer returns "ended". A request that gave up since its client left says so in its log line, with what it waited for.

Test: "grants no server to a request whose context has ended" fails without the change; the relayer's tests of waits pass through the check before the write already.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -135,11 +135,13 @@
 	RateLimited
 	// NoBuild means that no server is known to run the build that the request needs.
 	NoBuild
+	// Ended means that the request's context has ended.
+	Ended
 )
 
 // String returns the name of the status for logs.
 func (s Status) String() string {
-	return [...]string{"found", "absent", "full", "spent", "empty", "rate limited", "no build"}[s]
+	return [...]string{"found", "absent", "full", "spent", "empty", "rate limited", "no build", "ended"}[s]
 }
 
 // Overlay is a change that an order made at a server, reported before the
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -293,7 +293,7 @@
 		fleet.Update([]registrar.Server{server("a", "z1", "m1")})
 		got := make(chan balancer.Status, 1)
 		go func() {
-			_, status := fleet.Await(context.Background(), "llm", q())
+			_, status := fleet.Await(context.Background(), nil, "llm", q())
 			got <- status
 		}()
 		Eventually(fleet.NoReplica()).Should(Receive())
@@ -307,7 +307,7 @@
 		fleet.Update([]registrar.Server{server("a", "z1", "m1")})
 		got := make(chan balancer.Status, 1)
 		go func() {
-			_, status := fleet.Await(context.Background(), "llm", q())
+			_, status := fleet.Await(context.Background(), nil, "llm", q())
 			got <- status
 		}()
 		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
@@ -327,7 +327,7 @@
 		request.MaxWait = 500 * time.Millisecond
 		waiting := make(chan balancer.Status, 10)
 		await := func() {
-			_, status := fleet.Await(context.Background(), "llm", request)
+			_, status := fleet.Await(context.Background(), nil, "llm", request)
 			waiting <- status
 		}
 		for range 4 {
@@ -349,11 +349,11 @@
 		withReservation := q()
 		withReservation.NeedsReservation, withReservation.MaxWait, withReservation.Deadline = true, time.Second, clock.Now().Add(10*time.Second)
 		fleet.Update([]registrar.Server{server("a", "z1", "m0")})
-		first, status := fleet.Await(context.Background(), "llm", withReservation)
+		first, status := fleet.Await(context.Background(), nil, "llm", withReservation)
 		Expect(status).To(Equal(balancer.Found))
 		second := make(chan *balancer.Assignment, 1)
 		go func() {
-			assigned, _ := fleet.Await(context.Background(), "llm", withReservation)
+			assigned, _ := fleet.Await(context.Background(), nil, "llm", withReservation)
 			second <- assigned
 		}()
 		Eventually(fleet.QueueLen).Should(Equal(1))
@@ -364,7 +364,7 @@
 		assigned.Postpone(100 * time.Millisecond)
 		third := make(chan *balancer.Assignment, 1)
 		go func() {
-			assigned, _ := fleet.Await(context.Background(), "llm", withReservation)
+			assigned, _ := fleet.Await(context.Background(), nil, "llm", withReservation)
 			third <- assigned
 		}()
 		Eventually(fleet.QueueLen).Should(Equal(1))
@@ -373,6 +373,38 @@
 		Eventually(third).Should(Receive())
 	})
 
+	// Guards against sending requests whose clients have left: a server that becomes free while
+	// a wait ends may be granted to it.
+	It("grants no server to a request whose context has ended", func() {
+		s := server("a", "z1", "m0")
+		s.Slots = 1
+		fleet.Update([]registrar.Server{s})
+		request := q()
+		request.MaxWait = time.Second
+		for range 50 {
+			holder, status := fleet.Await(context.Background(), nil, "llm", request)
+			Expect(status).To(Equal(balancer.Found))
+			ctx, cancel := context.WithCancel(context.Background())
+			type result struct {
+				assigned *balancer.Assignment
+				status   balancer.Status
+			}
+			waited := make(chan result, 1)
+			go func() {
+				assigned, status := fleet.Await(ctx, nil, "llm", request)
+				waited <- result{assigned, status}
+			}()
+			Eventually(fleet.QueueLen).Should(Equal(1))
+			cancel()
+			holder.Done(false)
+			Eventually(waited).Should(Receive(Equal(result{nil, balancer.Ended})))
+			assigned, status := fleet.Await(ctx, nil, "llm", request)
+			Expect(assigned).To(BeNil())
+			Expect(status).To(Equal(balancer.Ended))
+			Expect(fleet.OwnInFlight()["a"].Requests).To(BeZero())
+		}
+	})
+
 	It("takes a cancelled request off the in-flight counts", func() {
 		fleet.Update([]registrar.Server{server("a", "z1", "m0")})
 		assigned, status := fleet.Take("llm", q())
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -219,9 +219,12 @@
 }
 
 // Await is like Take, but waits until a server has capacity or has loaded the
-// model. It returns at once if the predicted wait is longer than the request's
-// MaxWait.
-func (f *Fleet) Await(ctx context.Context, service string, q Request) (*Assignment, Status) {
+// model, unless stop is closed. It returns at once if the predicted wait is longer
+// than the request's MaxWait. Once the context has ended it returns no server.
+func (f *Fleet) Await(ctx context.Context, stop <-chan struct{}, service string, q Request) (*Assignment, Status) {
+	if ctx.Err() != nil {
+		return nil, Ended
+	}
 	a, w, status := f.takeOrEnqueue(service, q)
 	if w == nil {
 		return a, status
@@ -232,23 +235,40 @@
 		default:
 		}
 	}
-	timer := f.clock.NewTimer(max(q.Deadline.Sub(f.clock.Now()), 0))
+	a = f.await(ctx, stop, w)
+	if ctx.Err() != nil {
+		if a != nil {
+			a.Cancel()
+		}
+		return nil, Ended
+	}
+	if a == nil {
+		return nil, status
+	}
+	return a, Found
+}
+
+// await waits until a request is granted a server. It returns nil if that did not happen by
+// the request's deadline, or before the context ended or stop was closed.
+func (f *Fleet) await(ctx context.Context, stop <-chan struct{}, w *Waiter) *Assignment {
+	timer := f.clock.NewTimer(max(w.Request.Deadline.Sub(f.clock.Now()), 0))
 	defer timer.Stop()
 	select {
 	case a := <-w.granted:
-		return a, Found
+		return a
 	case <-timer.Chan():
+	case <-stop:
 	case <-ctx.Done():
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.queue(service).Remove(w) {
-		if w.awaitsReplica {
-			f.stopAwaiting(service, q)
-		}
-		return nil, status
+	if !f.queue(w.service).Remove(w) {
+		return <-w.granted
+	}
+	if w.awaitsReplica {
+		f.stopAwaiting(w.service, w.Request)
 	}
-	return <-w.granted, Found
+	return nil
 }
 
 // takeOrEnqueue takes a server if one is free. Otherwise it adds the request to
@@ -282,7 +302,7 @@
 	default:
 		return nil, nil, status
 	}
-	w := &Waiter{Request: q, granted: make(chan *Assignment, 1), awaitsReplica: status != Full}
+	w := &Waiter{Request: q, service: service, granted: make(chan *Assignment, 1), awaitsReplica: status != Full}
 	queue.Add(w)
 	if status != Full {
 		f.awaitingReplica[demandKey{service, q.Key(), q.Build}]++
@@ -382,7 +402,7 @@
 	if status == NotLoaded {
 		return f.loadWait(f.clock.Now(), service, q)
 	}
-	if status == AllExcluded {
+	if status == AllExcluded || status == Ended {
 		return coldLoadTime
 	}
 	if status == RateLimited {
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -22,6 +22,7 @@
 // Waiter is a request that waits for a server.
 type Waiter struct {
 	Request
+	service string
 	granted chan *Assignment
 	// awaitsReplica is set if no replica of the model was available when the
 	// request arrived.
--- a/balancer/queues_test.go
+++ b/balancer/queues_test.go
@@ -40,7 +40,7 @@
 		_, status := fleet.Take("llm", q)
 		Expect(status).To(Equal(balancer.Found))
 		fleet.UpdatePeerQueues([]balancer.Queue{{Service: "llm", Key: "m0", Waiting: []int{0, 0, 200}, Granted: 8}})
-		_, status = fleet.Await(context.Background(), "llm", q)
+		_, status = fleet.Await(context.Background(), nil, "llm", q)
 		Expect(status).To(Equal(balancer.Full))
 		Expect(fleet.RetryDelay("llm", q, balancer.Full)).To(Equal(24600 * time.Millisecond))
 		// More urgent ones do not wait for these.
@@ -69,7 +69,7 @@
 		}
 		refused := make(chan string, 1)
 		go func() {
-			_, status := fleet.Await(context.Background(), "llm", request())
+			_, status := fleet.Await(context.Background(), nil, "llm", request())
 			refused <- fmt.Sprint(status)
 		}()
 		if want == 0 {
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -97,6 +97,10 @@
 	}
 	x.prepare()
 	if !x.restrictToOrigin(q.Context()) {
+		if x.clientGone() {
+			x.giveUp("client left before its stream was found")
+			return
+		}
 		r.refuse(w, busyRetryAfter, "unknown_build")
 		return
 	}
@@ -222,6 +226,10 @@
 		t := next
 		if t == nil {
 			assignment, status := x.takeServer()
+			if x.clientGone() {
+				x.giveUp("client left before a server was found")
+				return
+			}
 			if assignment == nil {
 				x.backlog = x.fleet.RetryDelay(x.service, x.query, status)
 				x.awaitsLoad = status == balancer.NotLoaded
@@ -238,6 +246,10 @@
 			if !x.takeTurn() {
 				assignment.Cancel()
 				x.pass.End(false)
+				if x.clientGone() {
+					x.giveUp("client left while others like it were in progress")
+					return
+				}
 				x.meter.Add(MetricTurnTaken, 1)
 				x.giveUp("another request like it is in progress", zap.String("digest", digestText(x.identity.Digest)))
 				return
@@ -337,20 +349,24 @@
 }
 
 // takeServer chooses a server. The request waits while all servers are busy or
-// none has its model loaded, as long as an answer in time is still possible.
+// none has its model loaded, as long as an answer in time is still possible. Once
+// the request's context has ended no server is chosen.
 func (x *exchange) takeServer() (*balancer.Assignment, balancer.Status) {
-	if x.context.Err() != nil {
-		return nil, balancer.AllExcluded
-	}
-	ctx, cancel := context.WithCancel(x.context)
-	defer cancel()
-	defer context.AfterFunc(x.waits, cancel)()
 	x.delays = nil
 	for {
 		began := x.clock.Now()
-		assignment, status := x.fleet.Await(ctx, x.service, x.query)
+		assignment, status := x.fleet.Await(x.context, x.waits.Done(), x.service, x.query)
 		x.recordDelay(waitServer, began)
-		if assignment == nil || x.waitForSlot(assignment) && x.withinRateLimit(assignment) && x.admitted(assignment) {
+		if assignment == nil {
+			return nil, status
+		}
+		sendable := x.waitForSlot(assignment) && x.withinRateLimit(assignment) && x.admitted(assignment)
+		switch {
+		case sendable && x.context.Err() != nil:
+			assignment.Cancel()
+			x.pass.End(false)
+			return nil, balancer.Ended
+		case sendable:
 			return assignment, status
 		}
 	}
@@ -366,7 +382,11 @@
 	}
 	defer x.recordDelay(waitRate, x.clock.Now())
 	wait, ok := x.throttle.Acquire(x.context, assignment.Incarnation)
-	if !ok {
+	switch {
+	case ok:
+	case x.context.Err() != nil:
+		assignment.Cancel()
+	default:
 		x.meter.Add(MetricRateLimited, 1)
 		assignment.RateLimit(wait)
 	}
@@ -377,56 +397,69 @@
 // not, the assignment is cancelled.
 func (x *exchange) admitted(assignment *balancer.Assignment) bool {
 	defer x.recordDelay(waitAdmission, x.clock.Now())
+	pause := maxAdmissionWait
 	for range maxAdmissions {
 		pass, wait, ok := x.sparer.Admit(x.context, x.service, assignment.Incarnation)
 		if ok {
 			x.pass = pass
 			return true
 		}
-		if wait > maxAdmissionWait || x.context.Err() != nil {
-			x.meter.Add(MetricSpared, 1)
-			assignment.RateLimit(wait)
-			return false
+		if wait > maxAdmissionWait {
+			pause = wait
+			break
 		}
-		select {
-		case <-x.clock.After(wait):
-		case <-x.context.Done():
+		if !x.sleep(wait) {
+			break
 		}
 	}
+	if x.context.Err() != nil {
+		assignment.Cancel()
+		return false
+	}
 	x.meter.Add(MetricSpared, 1)
-	assignment.RateLimit(maxAdmissionWait)
+	assignment.RateLimit(pause)
 	return false
 }
 
 // waitForSlot reserves a slot in the server's schedule for the prompt and waits
-// for it. It reports false if there is no slot soon enough; the assignment is
-// postponed then.
+// for it. It reports false if there is no slot soon enough, and postpones the
+// assignment, or if the request's context has ended, and cancels it.
 func (x *exchange) waitForSlot(assignment *balancer.Assignment) bool {
 	if !x.query.NeedsReservation {
 		return true
 	}
 	defer x.recordDelay(waitSlot, x.clock.Now())
 	reservation, err := x.pacer.Reserve(x.context, assignment.Incarnation, x.query.PrefillTokens(), x.route.MaxEventGap, assignment.EngineLoad())
-	if err != nil {
+	switch {
+	case x.context.Err() != nil:
+		assignment.Cancel()
+		return false
+	case err != nil:
 		// Without a reply the request is sent at once: the server was chosen by
 		// the in-flight counts known on this instance.
 		assignment.ClearReservation()
 		return true
-	}
-	if !reservation.Reserved {
+	case !reservation.Reserved:
 		assignment.Postpone(reservation.Wait)
 		return false
 	}
 	assignment.RecordReservation(reservation.Wait)
-	if reservation.Wait > 0 {
-		select {
-		case <-x.clock.After(reservation.Wait):
-		case <-x.context.Done():
-		}
+	if reservation.Wait > 0 && !x.sleep(reservation.Wait) {
+		assignment.Cancel()
+		return false
 	}
 	return true
 }
 
+// sleep waits for a time. It reports false if the request's context has ended by then.
+func (x *exchange) sleep(d time.Duration) bool {
+	select {
+	case <-x.clock.After(d):
+	case <-x.context.Done():
+	}
+	return x.context.Err() == nil
+}
+
 // giveUp ends a request that gets no answer from a server, and logs why. If the
 // client has left or the answer has begun it aborts the connection; otherwise it
 // answers 504 or 502 if the request may have run, and refuses it if not.
