Reset the connection of an exchange that is given up

Cause: a request that had been written while the path to the server was silent stays in the kernel. The connection was closed, but a plain close leaves what was written to the kernel, which delivers it, then the end of the connection, once the path works. Class: taking back a decision does not take back its bytes.

The connection of an exchange that ends before its answer is complete is now closed with a reset, which drops what was not sent; idle connections are closed as before. What a server has already got it may still run, until it is told: nothing can reach it over a cut path.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sys/unix"
 
 	"primrosehook/judge"
+	"primrosehook/resetter"
 	"primrosehook/sender"
 )
 
@@ -177,7 +178,7 @@
 var ErrGivenUp = errors.New("the request was given up before it was sent")
 
 // Do sends a request and reads the head of its answer, skipping answers that
-// matches rejects. The connection is closed when the context ends before the
+// matches rejects. The connection is reset when the context ends before the
 // answer is closed. The error is a judge.Refusal: NotRun if there was no
 // connection or nothing was written, MayHaveRun otherwise.
 func (p *Pool) Do(ctx context.Context, q Request, matches AnswerMatcher) (*Answer, error) {
@@ -211,11 +212,11 @@
 		p.putIdle(c)
 		return nil, false, unsentError(ErrGivenUp)
 	}
-	c.stopWatching = context.AfterFunc(ctx, c.close)
+	c.stopWatching = context.AfterFunc(ctx, c.abort)
 	a, err := c.roundTrip(q, head, matches)
 	if err != nil {
 		c.stopWatching()
-		c.close()
+		c.abort()
 		return nil, reused, err
 	}
 	a.pool = p
@@ -381,6 +382,9 @@
 
 func (c *connection) close() { c.once.Do(func() { _ = c.conn.Close() }) }
 
+// abort closes a connection in the middle of an exchange.
+func (c *connection) abort() { c.once.Do(func() { _ = resetter.Reset(c.conn) }) }
+
 // reusable reports whether an idle connection is still open and has received no
 // bytes.
 func (c *connection) reusable() bool {
@@ -449,7 +453,7 @@
 	for part := range slices.Chunk(q.Body, bodyPartBytes) {
 		if !q.wanted() {
 			c.bodyFailed = true
-			c.close()
+			c.abort()
 			return
 		}
 		_, err := c.conn.Write(part)
@@ -459,7 +463,7 @@
 		c.bodyFailed = true
 		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
 			// The reader of the answer reports the failure.
-			c.close()
+			c.abort()
 		}
 		// Otherwise the upstream closed the connection. An answer that it sent before can
 		// still be read, and the reader then finds the end of the connection.
@@ -512,7 +516,11 @@
 			complete = false
 		}
 	}
-	if !complete || a.Response.Close || c.reader.Buffered() > 0 {
+	switch {
+	case !complete:
+		c.abort()
+		return
+	case a.Response.Close || c.reader.Buffered() > 0:
 		c.close()
 		return
 	}
--- a/connector/givenup_test.go
+++ b/connector/givenup_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -103,6 +105,27 @@
 	}
 	large := connector.Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 32<<20))}
 
+	// The kernel goes on to send what was written before a plain close, whenever the path to
+	// the upstream works again.
+	It("takes back what has not reached the upstream", func() {
+		p, accepted := startStalled()
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := p.Do(ctx, large, anyAnswer)
+			ended <- err
+		}()
+		var c *net.TCPConn
+		Eventually(accepted).Should(Receive(&c))
+		defer c.Close()
+		settle()
+		cancel()
+		Eventually(ended).Should(Receive(HaveOccurred()))
+		settle()
+		got, err := io.Copy(io.Discard, c)
+		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v after %d bytes", err, got)
+	})
+
 	It("is written no further once it is not wanted", func() {
 		p, accepted := startStalled()
 		var asked atomic.Int64
