Drop at a peer what its detour's instance has given up

Callers that had left could have their requests run through a peer: the bytes lay in the peer's buffers, or in its kernel while its own path to the server was cut, and were passed on after the instance had closed the detour.

A peer now looks whether the detour is closed before it passes bytes on, and while a write of a long body waits for a server that does not read; it resets the connection to the server if the last bytes were the instance's. An instance resets its end, so that the peer sees that at once. No message has changed.

--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -15,21 +15,28 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"primrosehook/connector"
 	"primrosehook/detourer"
+	"primrosehook/framer"
 	"primrosehook/messenger"
+	"primrosehook/peeker"
+	"primrosehook/resetter"
 )
 
 // links are an instance's links to servers: they work, refuse or hang.
 type links struct {
 	refuse, hang atomic.Bool
-	dials        atomic.Int64
+	// delay is how long a connection takes to open, in nanoseconds.
+	delay atomic.Int64
+	dials atomic.Int64
 }
 
 func (l *links) Dial(ctx context.Context, address string) (net.Conn, error) {
 	l.dials.Add(1)
+	time.Sleep(time.Duration(l.delay.Load()))
 	switch {
 	case l.refuse.Load():
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
@@ -200,6 +207,82 @@
 		Expect(err).To(MatchError(io.EOF))
 	})
 
+	// Guards against requests that lie at the peer, whose process or path is slow, and reach the
+	// server after the instance has given them up.
+	DescribeTable("passes on no bytes once the instance has closed it", func(leave func(c *net.TCPConn)) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		peer := newInstances(1)[0]
+		peer.links.delay.Store(int64(100 * time.Millisecond))
+		c, err := net.Dial("tcp", peer.address)
+		Expect(err).NotTo(HaveOccurred())
+		for _, m := range []struct {
+			kind string
+			body any
+		}{{"detour", map[string]string{"a": l.Addr().String()}}, {"data", []byte("GET / HTTP/1.1\r\n\r\n")}} {
+			body, err := msgpack.Marshal(m.body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(framer.Write(c, framer.Message{ID: 1, Kind: m.kind, Body: body})).To(Succeed())
+		}
+		leave(c.(*net.TCPConn))
+		at, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		defer at.Close()
+		Expect(at.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		got, err := io.ReadAll(at)
+		Expect(got).To(BeEmpty())
+		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse())
+	},
+		Entry("with a close", func(c *net.TCPConn) { _ = c.Close() }),
+		Entry("with a reset", func(c *net.TCPConn) { _, _ = c.SetLinger(0), c.Close() }),
+	)
+
+	// Guards against requests that the peer has written and the server has not got, which the
+	// peer's kernel would deliver once the path works again.
+	It("takes back at the peer what the server has not got of a request", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		list := newInstances(2)
+		list[0].links.refuse.Store(true)
+		c, err := list[0].Dial(ctx, l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		at, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		defer at.Close()
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		Expect(resetter.Reset(c)).To(Succeed())
+		time.Sleep(50 * time.Millisecond)
+		_, err = io.ReadAll(at)
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
+
+	// Guards against a peer that does not see the close since it waits for a server that does not
+	// read a long body.
+	It("ends at a server that does not read once the instance has closed it", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		list := newInstances(2)
+		list[0].links.refuse.Store(true)
+		c, err := list[0].Dial(ctx, l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		at, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		defer at.Close()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = c.Write(make([]byte, 64<<20))
+		}()
+		Consistently(ended, "300ms").ShouldNot(BeClosed())
+		Expect(resetter.Reset(c)).To(Succeed())
+		Eventually(func() bool { return peeker.Closed(at) }).Should(BeTrue())
+	})
+
 	// Guards against circles, and against taking a partition of all instances for crashes of
 	// all servers.
 	It("is opened by no peer that can't reach the server itself", func() {
--- a/detourer/tunnel.go
+++ b/detourer/tunnel.go
@@ -17,6 +17,7 @@
 
 	"primrosehook/judge"
 	"primrosehook/messenger"
+	"primrosehook/resetter"
 )
 
 // kindDetour is the kind of the stream that a detourRequest opens.
@@ -33,6 +34,9 @@
 	// quietTime is how long a detour has transferred nothing, the server's bytes last, when it
 	// is taken for idle.
 	quietTime = 2 * time.Second
+	// watchInterval is the pause between checks whether the peer has closed a detour whose server
+	// does not read.
+	watchInterval = 100 * time.Millisecond
 	// leaveInterval is the pause between checks whether detours are idle.
 	leaveInterval = 50 * time.Millisecond
 )
@@ -152,15 +156,24 @@
 
 // Close implements net.Conn.
 func (c *detourConn) Close() error {
-	c.once.Do(func() {
-		d := c.detourer
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.peer(c.peer).open--
-	})
+	c.once.Do(c.countClosed)
 	return c.Stream.Close()
 }
 
+// Reset implements resetter.Resetter.
+func (c *detourConn) Reset() error {
+	c.once.Do(c.countClosed)
+	return c.Stream.Reset()
+}
+
+// countClosed counts the detour as closed.
+func (c *detourConn) countClosed() {
+	d := c.detourer
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peer(c.peer).open--
+}
+
 // handleDetour opens a connection to a server for a peer.
 func (d *Detourer) handleDetour(ctx context.Context, body msgpack.RawMessage) (func(context.Context, *messenger.Stream), error) {
 	var q detourRequest
@@ -271,6 +284,8 @@
 	// sentAt is when the server last sent bytes, in nanoseconds since 1970, zero if the peer
 	// has sent some since.
 	sentAt atomic.Int64
+	// unanswered is set while the peer's bytes are the last ones.
+	unanswered atomic.Bool
 }
 
 // idle reports whether the detour seems to be between two requests.
@@ -301,6 +316,7 @@
 		n, err := t.server.Read(buffer)
 		if n > 0 {
 			t.sentAt.Store(t.detourer.clock.Now().UnixNano())
+			t.unanswered.Store(false)
 			if _, writeErr := s.Write(buffer[:n]); writeErr != nil {
 				return
 			}
@@ -314,19 +330,31 @@
 	}
 }
 
-// closeServer ends what the server does for the peer. Closing twice is harmless.
-func (t *tunnel) closeServer() { _ = t.server.Close() }
+// closeServer ends what the server does for the peer, and drops what it has not got of a
+// request. Closing twice is harmless.
+func (t *tunnel) closeServer() {
+	if t.unanswered.Load() {
+		_ = resetter.Reset(t.server)
+		return
+	}
+	_ = t.server.Close()
+}
 
 // runUp transfers bytes from the peer to the server. When the peer closes the detour, the
-// connection to the server is closed.
+// connection to the server is closed. Bytes that are read after that are not passed on: the
+// request that they belong to is given up.
 func (t *tunnel) runUp(s *messenger.Stream) {
 	defer t.closeServer()
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := s.Read(buffer)
 		if n > 0 {
+			if s.Closed() {
+				return
+			}
 			t.sentAt.Store(0)
-			if _, writeErr := t.server.Write(buffer[:n]); writeErr != nil {
+			t.unanswered.Store(true)
+			if writeErr := t.pass(s, buffer[:n]); writeErr != nil {
 				return
 			}
 		}
@@ -335,3 +363,30 @@
 		}
 	}
 }
+
+// pass writes bytes from the peer to the server. A write of many waits for a server that does
+// not read them, and the peer's closing is looked for meanwhile.
+func (t *tunnel) pass(s *messenger.Stream, b []byte) error {
+	if len(b) == bufferBytes {
+		done := make(chan struct{})
+		defer close(done)
+		go t.loopWatch(s, done)
+	}
+	_, err := t.server.Write(b)
+	return err
+}
+
+// loopWatch ends the detour if the peer closes it before done is closed.
+func (t *tunnel) loopWatch(s *messenger.Stream, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.detourer.clock.After(watchInterval):
+			if s.Closed() {
+				t.closeServer()
+				return
+			}
+		}
+	}
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -9,10 +9,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -22,6 +24,7 @@
 
 	"primrosehook/framer"
 	"primrosehook/judge"
+	"primrosehook/resetter"
 )
 
 // Defaults of the options, and fixed limits.
@@ -178,6 +181,18 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn.
+func (m *countingConn) SyscallConn() (syscall.RawConn, error) {
+	c, ok := m.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return c.SyscallConn()
+}
+
+// Reset implements resetter.Resetter.
+func (m *countingConn) Reset() error { return resetter.Reset(m.Conn) }
+
 // Write implements net.Conn.
 func (m *countingConn) Write(p []byte) (int, error) {
 	n, err := m.Conn.Write(p)
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -15,6 +15,8 @@
 
 	"primrosehook/framer"
 	"primrosehook/judge"
+	"primrosehook/peeker"
+	"primrosehook/resetter"
 )
 
 // Kinds of the frames of a stream.
@@ -175,6 +177,14 @@
 	return errors.Join(s.send(kindEnd, reason), s.Close())
 }
 
+// Reset closes the stream and drops what was written and not sent yet. The peer drops what it
+// has not passed on.
+func (s *Stream) Reset() error { return resetter.Reset(s.Conn) }
+
+// Closed reports whether the peer has closed the stream, even if bytes from before that are
+// still to be read.
+func (s *Stream) Closed() bool { return peeker.Closed(s.Conn) }
+
 // Leave asks the peer to use the stream for nothing further.
 func (s *Stream) Leave() error { return s.send(kindLeave, nil) }
 
