Own API: send nothing to engines and services for clients that have left

sender.Do asks, for a context of sender.WithWanted, right before each write whether the request is wanted; generations and calls ask for the client's connection. Left out on purpose: writes with an idempotency key go on for their recorded outcome, deferred jobs have no client that waits, and the cancel of a generation is sent because its client has left.

--- a/driver/stream.go
+++ b/driver/stream.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"primrosehook/judge"
+	"primrosehook/sender"
 )
 
 // Limits and sizes of a stream, in bytes. A line is one token.
@@ -131,7 +132,8 @@
 }
 
 func (s *stream) runCancel() {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
+	// Nobody wants the stream any more, but the cancel must be sent.
+	ctx, cancel := context.WithTimeout(sender.WithWanted(context.WithoutCancel(s.ctx), nil), cancelTimeout)
 	defer cancel()
 	// If the cancel is lost the engine only generates some tokens for nothing.
 	_ = s.client.Cancel(ctx, s.id)
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -100,6 +100,9 @@
 	net.Conn
 	writes atomic.Int64
 	meter  *Meter
+	// wanted is asked before each write for the request that uses the connection, nil if it
+	// is wanted in any case.
+	wanted atomic.Pointer[func() bool]
 }
 
 // Read implements net.Conn.
@@ -112,12 +115,27 @@
 // Write implements net.Conn. It counts before it writes, so that an unchanged
 // count after Close means that nothing was written and nothing will be.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if wanted := c.wanted.Load(); wanted != nil && !(*wanted)() {
+		return 0, ErrUnwanted
+	}
 	c.writes.Add(1)
 	n, err := c.Conn.Write(p)
 	c.meter.Sent.Add(int64(n))
 	return n, err
 }
 
+// ErrUnwanted means that nothing more of a request was written, since it was not wanted any more.
+var ErrUnwanted = errors.New("the request is not wanted any more")
+
+// wantedKey is the context key of what WithWanted sets.
+type wantedKey struct{}
+
+// WithWanted returns a context with which Do asks right before each write whether the request is
+// still wanted, nil to ask no more. Once it is not, Do fails with an error that wraps ErrUnwanted.
+func WithWanted(ctx context.Context, wanted func() bool) context.Context {
+	return context.WithValue(ctx, wantedKey{}, wanted)
+}
+
 // Do sends a request at most once. An error is a judge.Refusal with the given
 // code and reason, unless the transport returned a refusal of its own. Its
 // verdict is NotRun if no byte of the request was written, and else MayHaveRun.
@@ -133,6 +151,9 @@
 		}
 	}
 	w := &connTracker{seesAll: supportsTrace(client.Transport)}
+	if wanted, ok := q.Context().Value(wantedKey{}).(func() bool); ok && wanted != nil {
+		w.wanted = &wanted
+	}
 	trace := &httptrace.ClientTrace{GetConn: w.getConn, GotConn: w.gotConn}
 	p, err := client.Do(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err == nil {
@@ -262,6 +283,8 @@
 	// not see.
 	seesAll bool
 	conns   []trackedConn
+	// wanted is asked before each write, nil for none.
+	wanted *func() bool
 }
 
 // trackedConn is a connection with the number of writes on it when the request
@@ -283,6 +306,7 @@
 	u := trackedConn{conn: info.Conn}
 	if c, ok := info.Conn.(*countingConn); ok {
 		u.writesBefore = c.writes.Load()
+		c.wanted.Store(w.wanted)
 	}
 	w.conns = append(w.conns, u)
 }
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -98,6 +98,25 @@
 		})
 	}
 
+	// Guards against requests that are written for clients that have left.
+	It("sends nothing that is not wanted right before it is written", func() {
+		client := sender.NewClient()
+		warm(client)
+		wanted := false
+		q := request(http.MethodPost, server.URL, bytes.NewReader([]byte("x")))
+		ctx := sender.WithWanted(q.Context(), func() bool { return wanted })
+		_, err := sender.Do(client, q.WithContext(ctx), "up", "lost")
+		Expect(err).To(MatchError(sender.ErrUnwanted))
+		Expect(judge.Of(err)).To(Equal(judge.NotRun))
+		Expect(up.requests.Load()).To(BeZero())
+		for _, ctx := range []context.Context{sender.WithWanted(ctx, nil), q.Context()} {
+			p, err := sender.Do(client, request(http.MethodPost, server.URL, bytes.NewReader([]byte("x"))).WithContext(ctx), "up", "lost")
+			Expect(err).NotTo(HaveOccurred())
+			p.Body.Close()
+		}
+		Expect(up.requests.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("returns verdict not run when nothing listens on the address", func() {
 		server.Close()
 		_, err := sender.Do(sender.NewClient(), request(http.MethodPost, server.URL, http.NoBody), "up", "lost")
--- a/server/attempt.go
+++ b/server/attempt.go
@@ -10,6 +10,7 @@
 	"primrosehook/driver"
 	"primrosehook/judge"
 	"primrosehook/lister"
+	"primrosehook/sender"
 )
 
 // Limits of the calls to an engine around a generation.
@@ -129,15 +130,19 @@
 	if a.generation.sent > q.firstOffset {
 		a.generation.server.counters.replayed.Add(1)
 	}
-	return a.engine.Generate(ctx, driver.Request{
+	stream, err := a.engine.Generate(whileClientStays(ctx), driver.Request{
 		ID: a.generationID, Weights: q.weights, Prompt: q.prompt, MaxTokens: q.maxTokens,
 		Priority: a.generation.work.Priority, Seed: q.seed, SkipTokens: a.generation.sent,
 	})
+	if errors.Is(err, sender.ErrUnwanted) {
+		return nil, errClientGone
+	}
+	return stream, err
 }
 
 // resume reopens the stream of the generation on the engine.
 func (a *attempt) resume(ctx context.Context) (driver.Stream, error) {
-	stream, err := a.engine.Resume(ctx, a.generationID, a.generation.sent)
+	stream, err := a.engine.Resume(whileClientStays(ctx), a.generationID, a.generation.sent)
 	if err == nil {
 		a.generation.server.counters.resumed.Add(1)
 	}
--- a/server/call.go
+++ b/server/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"primrosehook/forwarder"
 	"primrosehook/judge"
 	"primrosehook/lister"
+	"primrosehook/sender"
 	"primrosehook/tracer"
 )
 
@@ -78,7 +80,7 @@
 			if c.end(r); r.err == nil {
 				return r.answer, nil
 			}
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || errors.Is(r.err, sender.ErrUnwanted) {
 				return forwarder.Answer{}, errClientGone
 			}
 			if r.attempt != c.attempts[len(c.attempts)-1] {
@@ -169,7 +171,7 @@
 	timer := s.clock.AfterFunc(a.run.timeLimit(), cancel)
 	defer timer.Stop()
 	ctx, span := s.tracer.Start(ctx, "call")
-	answer, err := s.forwarder.Forward(ctx, a.server.Addr, withTraceContext(ctx, sr.call))
+	answer, err := s.forwarder.Forward(whileClientStays(ctx), a.server.Addr, withTraceContext(ctx, sr.call))
 	if err == nil && answer.Status == http.StatusServiceUnavailable {
 		err = judge.Unavailable("server", "server of the service takes no calls now", time.Second)
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -8,6 +8,7 @@
 package server
 
 import (
+	"context"
 	"expvar"
 	"net/http"
 	"sync/atomic"
@@ -21,7 +22,9 @@
 	"primrosehook/explainer"
 	"primrosehook/judge"
 	"primrosehook/lister"
+	"primrosehook/peeker"
 	"primrosehook/ruler"
+	"primrosehook/sender"
 	"primrosehook/tracer"
 )
 
@@ -182,6 +185,7 @@
 func (s *Server) NewHTTPServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
+		ConnContext:       peeker.WithClient,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -189,6 +193,12 @@
 	}
 }
 
+// whileClientStays returns a context with which requests are sent to engines and services only
+// while the client whose request has a context is there.
+func whileClientStays(ctx context.Context) context.Context {
+	return sender.WithWanted(ctx, func() bool { return !peeker.ClientLeft(ctx) })
+}
+
 // Limits of a connection.
 const (
 	headerTimeout  = 5 * time.Second
