Show that an answer whose head broke off is not passed on

Report of another operator: a server stopped in the middle of its answer's head, and clients got a 200 with an empty or short body. It can't happen here: the head is parsed as a whole, and its end without the empty line is an error.

--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"primrosehook/connector"
 	"primrosehook/detourer"
 	"primrosehook/framer"
+	"primrosehook/judge"
 	"primrosehook/messenger"
 	"primrosehook/peeker"
 	"primrosehook/resetter"
@@ -283,6 +285,53 @@
 		Eventually(func() bool { return peeker.Closed(at) }).Should(BeTrue())
 	})
 
+	// Guards against answers that look whole although their server stopped in their head.
+	DescribeTable("carries no answer whose head broke off as a whole one", func(framing string, reset bool) {
+		const body = "0123456789"
+		head := "HTTP/1.1 200 OK\r\nId: q\r\n" + framing + "\r\n"
+		whole := head + body
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		var length atomic.Int64
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, whole[:length.Load()])
+					if reset {
+						// The bytes must arrive before the reset.
+						time.Sleep(5 * time.Millisecond)
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+				}()
+			}
+		}()
+		list := newInstances(2)
+		list[0].links.refuse.Store(true)
+		p := connector.NewPool(l.Addr().String(), clockwork.NewRealClock(), &connector.DialCounter{}, connector.WithDialer(list[0]))
+		defer p.Close()
+		get := connector.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}
+		for n := range len(head) {
+			length.Store(int64(n))
+			_, err := p.Do(ctx, get, func(http.Header, bool) bool { return true })
+			Expect(err).To(HaveOccurred(), "%q", whole[:n])
+			Expect(judge.Of(err)).To(Equal(judge.MayHaveRun), "%q", whole[:n])
+		}
+	},
+		Entry("closed", "Content-Length: 10\r\n", false),
+		Entry("reset", "Content-Length: 10\r\n", true),
+		Entry("closed, a body in chunks", "Transfer-Encoding: chunked\r\n", false),
+		Entry("closed, a body that ends with the connection", "Connection: close\r\n", false),
+	)
+
 	// Guards against circles, and against taking a partition of all instances for crashes of
 	// all servers.
 	It("is opened by no peer that can't reach the server itself", func() {
