Close connections and ask for servers without a lock held

Class: code of another package runs under a lock.

The readiness check takes the fleet's and the detourer's lock, so that an instance that hangs there leaves the rotation after two checks.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -276,6 +277,40 @@
 	})
 })
 
+// closingDialer opens connections that ask a question in another goroutine when they are closed,
+// and report whether it was answered.
+type closingDialer struct {
+	ask    func()
+	closed chan bool
+}
+
+// Dial implements connector.Dialer.
+func (d *closingDialer) Dial(context.Context, string) (net.Conn, error) {
+	c, _ := net.Pipe()
+	return &closingConn{Conn: c, dialer: d}, nil
+}
+
+type closingConn struct {
+	net.Conn
+	dialer *closingDialer
+}
+
+// Close implements net.Conn.
+func (c *closingConn) Close() error {
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		c.dialer.ask()
+	}()
+	select {
+	case <-answered:
+		c.dialer.closed <- true
+	case <-time.After(2 * time.Second):
+		c.dialer.closed <- false
+	}
+	return c.Conn.Close()
+}
+
 var _ = Describe("Fleet", func() {
 	var (
 		clock *clockwork.FakeClock
@@ -373,6 +408,21 @@
 		Eventually(third).Should(Receive())
 	})
 
+	// Guards against a process that hangs: closing a connection may need a lock under which
+	// another goroutine asks whether a server is known.
+	It("closes connections to servers that are gone without its lock", func() {
+		d := &closingDialer{closed: make(chan bool, 1)}
+		fleet := balancer.NewFleet("z1", 1, clock, balancer.WithDialer(d))
+		d.ask = func() { fleet.HasServer("127.0.0.1:1") }
+		fleet.Update([]registrar.Server{server("a", "z1", "m0")})
+		assigned, status := fleet.Take("llm", q())
+		Expect(status).To(Equal(balancer.Found))
+		Expect(assigned.Pool.Probe(context.Background())).To(Succeed())
+		assigned.Done(false)
+		fleet.Update(nil)
+		Expect(d.closed).To(Receive(BeTrue()))
+	})
+
 	// Guards against sending requests whose clients have left: a server that becomes free while
 	// a wait ends may be granted to it.
 	It("grants no server to a request whose context has ended", func() {
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -89,6 +89,15 @@
 
 // Update replaces the servers of all services by those in the registry.
 func (f *Fleet) Update(list []registrar.Server) {
+	// Connections are closed without the lock: one that leads through a peer takes locks of its
+	// own to be closed.
+	for _, p := range f.update(list) {
+		p.Close()
+	}
+}
+
+// update replaces the servers, and returns the pools of those that are gone.
+func (f *Fleet) update(list []registrar.Server) (gone []*connector.Pool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
@@ -105,7 +114,7 @@
 	}
 	for key, p := range f.pools {
 		if pools[key] == nil {
-			p.Close()
+			gone = append(gone, p)
 		}
 	}
 	f.pools = pools
@@ -116,6 +125,7 @@
 		c.Update(now, services[name])
 	}
 	f.dispatchAll()
+	return gone
 }
 
 // HasServer reports whether a server is registered at an address.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -292,20 +292,29 @@
 // none; if a time is given, of those that were opened before it. It closes those that have
 // been idle for too long.
 func (p *Pool) popIdle(openedBefore time.Time) *connection {
+	c, expired := p.takeIdle(openedBefore)
+	for _, e := range expired {
+		e.close()
+	}
+	return c
+}
+
+// takeIdle is popIdle, but returns the connections to close, which is done without the lock.
+func (p *Pool) takeIdle(openedBefore time.Time) (found *connection, expired []*connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	for len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) > p.keepIdle {
-		p.idle[0].close()
+		expired = append(expired, p.idle[0])
 		p.idle = p.idle[1:]
 	}
 	for i, c := range slices.Backward(p.idle) {
 		if openedBefore.IsZero() || c.openedAt.Before(openedBefore) {
 			p.idle = slices.Delete(p.idle, i, i+1)
-			return c
+			return c, expired
 		}
 	}
-	return nil
+	return nil, expired
 }
 
 // HasOpenedBefore reports whether an idle connection is open that was opened before a time.
@@ -316,14 +325,21 @@
 }
 
 func (p *Pool) putIdle(c *connection) {
+	if !p.addIdle(c) {
+		c.close()
+	}
+}
+
+// addIdle reports false if the pool is closed.
+func (p *Pool) addIdle(c *connection) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		c.close()
-		return
+		return false
 	}
 	c.idleSince = p.clock.Now()
 	p.idle = append(p.idle, c)
+	return true
 }
 
 // setUserTimeout makes the kernel close the connection when sent bytes stay
--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -366,13 +367,15 @@
 // duePaths returns the paths that are to be probed now, and drops those to servers that are
 // not known any more.
 func (d *Detourer) duePaths() []string {
+	// known takes locks of its own, under which connections may be closed that need this one.
+	unknown := slices.DeleteFunc(d.addresses(), d.known)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	var due []string
 	for address, p := range d.paths {
 		switch {
-		case !d.known(address), !p.broken && now.After(p.downUntil):
+		case slices.Contains(unknown, address), !p.broken && now.After(p.downUntil):
 			delete(d.paths, address)
 		case p.broken && !p.probing && now.After(p.probeAt):
 			p.probing = true
@@ -382,6 +385,13 @@
 	return due
 }
 
+// addresses returns the addresses of the servers of which something is known.
+func (d *Detourer) addresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Keys(d.paths))
+}
+
 // runProbe finds out whether a path works again.
 func (d *Detourer) runProbe(ctx context.Context, address string) {
 	c, err := d.direct.Dial(ctx, address)
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -262,6 +262,41 @@
 		Expect(err).To(MatchError(syscall.ECONNRESET))
 	})
 
+	// Guards against a process that hangs: whoever answers whether a server is known may wait
+	// for a goroutine that closes a connection.
+	It("can be closed while it is asked whether its server is known", func() {
+		s, list := startServer(), newInstances(2)
+		var open atomic.Pointer[net.Conn]
+		closed := make(chan bool, 1)
+		known := func(string) bool {
+			c := open.Swap(nil)
+			if c == nil {
+				return true
+			}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_ = (*c).Close()
+			}()
+			select {
+			case <-done:
+				closed <- true
+			case <-time.After(2 * time.Second):
+				closed <- false
+			}
+			return true
+		}
+		asks := detourer.New("127.0.0.1:1", []string{list[1].address}, known, clockwork.NewRealClock(), zap.NewNop(), detourer.WithDirect(list[0].links))
+		list[0].links.refuse.Store(true)
+		c, err := asks.Dial(ctx, s.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		open.Store(&c)
+		running, stop := context.WithCancel(ctx)
+		defer stop()
+		go asks.Run(running)
+		Eventually(closed, "4s").Should(Receive(BeTrue()))
+	})
+
 	// Guards against a peer that does not see the close since it waits for a server that does not
 	// read a long body.
 	It("ends at a server that does not read once the instance has closed it", func() {
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -442,6 +442,10 @@
 // ready handles the platform's readiness checks. The instance is ready once it
 // has a configuration and the registry.
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	// These take the locks on the path of each request: an instance that hangs there does not
+	// answer, and gets no clients any more.
+	e.fleet.QueueLen()
+	e.detourer.BrokenPaths()
 	if e.stopping.Load() || e.relayer.Table() == nil || !e.registry.isSynced() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
