--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -261,7 +261,7 @@
 // await waits until a request is granted a server. It returns nil if that did not happen by
 // the request's deadline, or before the context ended or stop was closed.
 func (f *Fleet) await(ctx context.Context, stop <-chan struct{}, w *Waiter) *Assignment {
-	timer := f.clock.NewTimer(max(w.Request.Deadline.Sub(f.clock.Now()), 0))
+	timer := f.clock.NewTimer(max(w.Deadline.Sub(f.clock.Now()), 0))
 	defer timer.Stop()
 	select {
 	case a := <-w.granted:
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -8,14 +8,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -25,7 +23,6 @@
 	"golang.org/x/sys/unix"
 
 	"primrosehook/judge"
-	"primrosehook/resetter"
 	"primrosehook/sender"
 )
 
@@ -352,169 +349,6 @@
 	return errors.Join(err, set)
 }
 
-// headLimiter limits what is read of a connection while a head is awaited.
-type headLimiter struct {
-	source io.Reader
-	// limited is set while a head is awaited, left is how many bytes may be read.
-	limited bool
-	left    int
-}
-
-// Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(p)
-	}
-	if l.left == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.source.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
-var (
-	errHeadTooLarge  = errors.New("the head of the answer is too large")
-	errOtherTooLarge = errors.New("an answer to another request is too large")
-)
-
-type connection struct {
-	conn   net.Conn
-	source *headLimiter
-	reader *bufio.Reader
-	// openedAt is when the connection was opened, idleSince when it last became idle.
-	openedAt  time.Time
-	idleSince time.Time
-	// used is set once a request was answered.
-	used         bool
-	stopWatching func() bool
-	once         sync.Once
-	// bodyWritten is closed when a body that is written concurrently has been
-	// written or its write has failed; nil if there is no such body. bodyFailed
-	// is set before.
-	bodyWritten chan struct{}
-	bodyFailed  bool
-}
-
-func (c *connection) close() { c.once.Do(func() { _ = c.conn.Close() }) }
-
-// abort closes a connection in the middle of an exchange.
-func (c *connection) abort() { c.once.Do(func() { _ = resetter.Reset(c.conn) }) }
-
-// reusable reports whether an idle connection is still open and has received no
-// bytes.
-func (c *connection) reusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	if q, ok := c.conn.(interface{ Quiet() bool }); ok {
-		return q.Quiet()
-	}
-	s, ok := c.conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = n <= 0 && (errors.Is(e, unix.EAGAIN) || errors.Is(e, unix.EWOULDBLOCK))
-		return true
-	})
-	return err == nil && empty
-}
-
-// encode returns the head of the request, and its body unless it is written separately.
-func (q Request) encode() []byte {
-	var b bytes.Buffer
-	b.Grow(1<<10 + min(len(q.Body), maxInlineBody))
-	b.WriteString(q.Method + " " + q.Target + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
-	_ = q.Header.Write(&b) // writes to a bytes.Buffer do not fail
-	if q.LateHeader != nil {
-		_ = q.LateHeader().Write(&b)
-	}
-	if len(q.Body) > 0 || q.Method == http.MethodPost || q.Method == http.MethodPut {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	if !q.separate() {
-		b.Write(q.Body)
-	}
-	return b.Bytes()
-}
-
-// separate reports whether the body is written while the answer is awaited.
-func (q Request) separate() bool { return len(q.Body) > maxInlineBody }
-
-// roundTrip writes the request and reads the head of its answer.
-func (c *connection) roundTrip(q Request, head []byte, matches AnswerMatcher) (*Answer, error) {
-	if n, err := c.conn.Write(head); err != nil {
-		return nil, brokenError(err, n == 0)
-	}
-	c.bodyWritten, c.bodyFailed = nil, false
-	if q.separate() {
-		c.bodyWritten = make(chan struct{})
-		go c.runBodyWrite(q)
-	}
-	return c.readHead(q.Method, matches)
-}
-
-// runBodyWrite writes a large body while the answer is awaited.
-func (c *connection) runBodyWrite(q Request) {
-	defer close(c.bodyWritten)
-	for part := range slices.Chunk(q.Body, bodyPartBytes) {
-		if !q.wanted() {
-			c.bodyFailed = true
-			c.abort()
-			return
-		}
-		_, err := c.conn.Write(part)
-		if err == nil {
-			continue
-		}
-		c.bodyFailed = true
-		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
-			// The reader of the answer reports the failure.
-			c.abort()
-		}
-		// Otherwise the upstream closed the connection. An answer that it sent before can
-		// still be read, and the reader then finds the end of the connection.
-		return
-	}
-}
-
-// readHead reads answers until one matches the request.
-func (c *connection) readHead(method string, matches AnswerMatcher) (*Answer, error) {
-	for range maxAnswerHeads {
-		c.source.limited, c.source.left = true, maxHeadBytes
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		c.source.limited = false
-		if err != nil {
-			return nil, brokenError(err, false)
-		}
-		switch {
-		case r.StatusCode < http.StatusOK:
-		case matches(r.Header, c.used):
-			c.used = true
-			return &Answer{Response: r, conn: c}, nil
-		default:
-			// A late answer to an earlier request.
-			n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxOtherBody))
-			if err == nil && n == maxOtherBody {
-				err = errOtherTooLarge
-			}
-			if err != nil {
-				return nil, brokenError(err, false)
-			}
-		}
-	}
-	return nil, brokenError(eris.New("answers to other requests"), false)
-}
-
 // Close ends the exchange. complete tells whether the answer was read to its
 // end. The connection is returned to the pool if it was, the request body was
 // written, the upstream keeps the connection open and no bytes follow.
--- a/entryassembler/partition_test.go
+++ b/entryassembler/partition_test.go
@@ -216,7 +216,7 @@
 	c.links.mu.Lock()
 	defer c.links.mu.Unlock()
 	c.unsent = nil
-	_ = c.TCPConn.SetLinger(0)
+	_ = c.SetLinger(0)
 	c.breakOff(net.ErrClosed)
 	return nil
 }
