Give back the server of a request whose client leaves as it is chosen

Found by reading the change before: a client that left between the last wait and the check in run kept its server's place in flight for good, and its admission. The log of a send that is withheld does not read the count of sends any more, which another goroutine writes.

In the own API, an attempt whose time limit had passed as it was written would have been taken for one whose client had left, and ended the request: only the client's connection is asked for now.

--- a/relayer/departure.go
+++ b/relayer/departure.go
@@ -109,5 +109,5 @@
 	x.meter.Observe(MetricLeftBeforeSendFor, now.Sub(leftAt))
 	x.log.Info("relay: client left before the request was sent", zap.String("server", server),
 		zap.Duration("left_for", now.Sub(leftAt)), zap.Duration("seen_ago", now.Sub(presentAt)), zap.Bool("at_connection", atConnection),
-		zap.Object("waited_for", x.delays), zap.Duration("connection", took), zap.Duration("after", now.Sub(x.started)), zap.Int("sends", x.sends))
+		zap.Object("waited_for", x.delays), zap.Duration("connection", took), zap.Duration("after", now.Sub(x.started)))
 }
--- a/relayer/departure_seeds_test.go
+++ b/relayer/departure_seeds_test.go
@@ -68,6 +68,7 @@
 		var group sync.WaitGroup
 		problems := make(chan string, 2*clients*int(runs))
 		var logs []*workLog
+		var fixtures []*fixture
 		for seed := first; seed < first+runs; seed++ {
 			log := &workLog{arrived: map[string]time.Time{}, ended: map[string]time.Time{}}
 			others := &runLog{arrivals: map[string]int{}, runs: map[string]int{}}
@@ -114,7 +115,7 @@
 					}
 				}
 			})
-			logs = append(logs, log)
+			logs, fixtures = append(logs, log), append(fixtures, w)
 		}
 		group.Wait()
 		close(problems)
@@ -123,6 +124,14 @@
 			list = append(list, p)
 		}
 		Expect(list).To(BeEmpty())
+		for i, w := range fixtures {
+			Eventually(func() (n int) {
+				for _, f := range w.fleet.OwnInFlight() {
+					n += f.Requests
+				}
+				return n
+			}, "2s").Should(BeZero(), "requests in flight, seed %d", first+uint64(i))
+		}
 		for i, log := range logs {
 			Expect(len(log.arrived)).To(And(BeNumerically(">", clients/8), BeNumerically("<", clients)), "requests at servers, seed %d", first+uint64(i))
 		}
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -237,7 +237,11 @@
 		if t == nil {
 			assignment, status := x.takeServer()
 			if x.clientGone() {
-				x.giveUp("client left before a server was found")
+				if assignment != nil {
+					assignment.Cancel()
+					x.pass.End(false)
+				}
+				x.giveUp("client left before the request was sent", zap.Object("waited_for", x.delays))
 				return
 			}
 			if assignment == nil {
@@ -257,7 +261,7 @@
 				assignment.Cancel()
 				x.pass.End(false)
 				if x.clientGone() {
-					x.giveUp("client left while others like it were in progress")
+					x.giveUp("client left while others like it were in progress", zap.Object("waited_for", x.delays))
 					return
 				}
 				x.meter.Add(MetricTurnTaken, 1)
--- a/server/server.go
+++ b/server/server.go
@@ -196,7 +196,12 @@
 // whileClientStays returns a context with which requests are sent to engines and services only
 // while the client whose request has a context is there.
 func whileClientStays(ctx context.Context) context.Context {
-	return sender.WithWanted(ctx, func() bool { return !peeker.ClientLeft(ctx) })
+	c, ok := peeker.Client(ctx)
+	if !ok {
+		return ctx
+	}
+	// Only the connection is asked for: a context may end for other reasons.
+	return sender.WithWanted(ctx, func() bool { return !peeker.Closed(c) })
 }
 
 // Limits of a connection.
