Keys and priorities of client accounts

The configuration's accounts are decoded one by one, found by the digest of their key and checked before the body is read: 401 for a missing or unknown key unless the route is public. The key is removed and the account's name set where the header for a server is made. An account's priority takes precedence over the route's. Relayer takes credit of the account's cap when a request arrives, takes it again when the request has waited for more than a second, and refunds it for requests that have certainly not run; nothing keeps caps yet.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -19,6 +19,8 @@
 type Request struct {
 	Model   string
 	Adapter string
+	// Account is the name of the client account, empty for none.
+	Account string
 	// PromptTokens is the number of prompt tokens. SharedTokens is how many of
 	// them lie in prefixes that other requests have too.
 	PromptTokens int
--- a/cmd/primrosehook/check.go
+++ b/cmd/primrosehook/check.go
@@ -83,7 +83,11 @@
 	raw, err := os.ReadFile(c.routes)
 	if err == nil {
 		var t *matcher.Table
-		if t, err = platform.DecodeConfig(raw); err == nil {
+		var rejections []platform.Rejection
+		if t, rejections, err = platform.DecodeConfig(raw); err == nil {
+			for _, r := range rejections {
+				_, _ = fmt.Fprintf(c.errs, "warning: %s is left out: %s\n", r.Entry, r.Reason)
+			}
 			_, _ = fmt.Fprintf(c.out, "%s: version %d is good: %d services\n", c.routes, t.Version, len(t.Services))
 			return result
 		}
--- a/entryassembler/sinks.go
+++ b/entryassembler/sinks.go
@@ -32,12 +32,15 @@
 		if list[i].Key != platform.KeyConfig || list[i].Value == nil {
 			continue
 		}
-		t, err := platform.DecodeConfig(list[i].Value)
+		t, rejections, err := platform.DecodeConfig(list[i].Value)
 		if err != nil {
 			c.log.Warn("config: record can't be read, the last version stays", zap.Int64("offset", list[i].Offset), zap.Error(err))
 			continue
 		}
 		if c.relayer.SetTable(t) {
+			for _, x := range rejections {
+				c.log.Warn("config: entry is left out", zap.Int64("version", t.Version), zap.String("entry", x.Entry), zap.String("reason", x.Reason))
+			}
 			c.log.Info("config: in force", zap.Int64("version", t.Version), zap.Int("bytes", len(list[i].Value)))
 			c.onConfig(list[i], t.Version)
 		}
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -68,6 +68,8 @@
 	// Resumable streams can be continued on another server after the last event
 	// that the client has received.
 	Resumable bool
+	// Public routes need no key of a client account.
+	Public bool
 }
 
 // Repeatable reports whether a request that may have run may be sent again.
@@ -162,10 +164,13 @@
 	Services map[string]Service
 	Limits   Limits
 	hosts    map[string][]*Route
+	// accounts are the client accounts by the digests of their keys, nil for a
+	// configuration without accounts.
+	accounts map[KeyDigest]*Account
 }
 
 // NewTable returns a table of routes. It keeps references to routes.
-func NewTable(version int64, routes []Route, services []Service, limits Limits) *Table {
+func NewTable(version int64, routes []Route, services []Service, limits Limits, options ...TableOption) *Table {
 	t := &Table{
 		Version:  version,
 		Services: make(map[string]Service, len(services)),
@@ -183,6 +188,9 @@
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
+	for _, o := range options {
+		o(t)
+	}
 	return t
 }
 
--- /dev/null
+++ b/relayer/accounts_test.go
@@ -0,0 +1,127 @@
+package relayer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"primrosehook/matcher"
+	"primrosehook/relayer"
+)
+
+// countedCap is an Accounts that lets a number of requests through.
+type countedCap struct{ left, refunded, renewed atomic.Int64 }
+
+func (c *countedCap) Acquire(context.Context, *matcher.Account, int64, float64) (relayer.Credit, time.Duration, bool) {
+	if c.left.Add(-1) < 0 {
+		return nil, 2 * time.Second, false
+	}
+	return countedCredit{c}, 0, true
+}
+
+type countedCredit struct{ cap *countedCap }
+
+func (c countedCredit) Renew(context.Context) (time.Duration, bool) {
+	c.cap.renewed.Add(1)
+	return 0, true
+}
+func (c countedCredit) Refund() { c.cap.refunded.Add(1) }
+
+// accountTable returns a table whose accounts have the keys, each named after its key.
+func accountTable(version int64, keys ...string) *matcher.Table {
+	accounts := map[matcher.KeyDigest]*matcher.Account{}
+	for _, k := range keys {
+		accounts[matcher.DigestKey(k)] = &matcher.Account{Name: "account-" + k, RatePerSecond: 10}
+	}
+	route := matcher.Route{Host: "h", Prefix: "/read/", Kind: matcher.Idempotent, Attempts: 2, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond, Splits: []matcher.Split{{Service: "svc", Weight: 1}}}
+	public := route
+	public.Prefix, public.Public = "/open/", true
+	return matcher.NewTable(version, []matcher.Route{route, public}, []matcher.Service{{Name: "svc"}}, matcher.Limits{MaxBodyBytes: 1 << 20}, matcher.WithAccounts(accounts))
+}
+
+var _ = Describe("Requests of client accounts", func() {
+	get := func(w *fixture, path, key string) *http.Response {
+		q, err := http.NewRequest(http.MethodGet, w.proxy.URL+path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		q.Host = "h"
+		q.Header.Set("Id", "1")
+		if key != "" {
+			q.Header.Set("Key", key)
+		}
+		a, err := http.DefaultClient.Do(q)
+		Expect(err).NotTo(HaveOccurred())
+		_ = a.Body.Close()
+		return a
+	}
+
+	It("need a known key unless their route is public, from the version in force on", func() {
+		w := startRelayer(signedAnswer("x"))
+		w.relay.SetTable(accountTable(2, "k1"))
+		Expect(get(w, "/read/1", "").StatusCode).To(Equal(401))
+		Expect(get(w, "/read/1", "k2").StatusCode).To(Equal(401))
+		Expect(get(w, "/read/1", "k1").StatusCode).To(Equal(200))
+		Expect(get(w, "/open/1", "").StatusCode).To(Equal(200))
+		Expect(get(w, "/none/1", "").StatusCode).To(Equal(404))
+		w.relay.SetTable(accountTable(3, "k2"))
+		Expect(get(w, "/read/1", "k1").StatusCode).To(Equal(401))
+		Expect(get(w, "/read/1", "k2").StatusCode).To(Equal(200))
+		// An older version that arrives late does not bring the key back.
+		w.relay.SetTable(accountTable(2, "k1"))
+		Expect(get(w, "/read/1", "k1").StatusCode).To(Equal(401))
+	})
+
+	// Guards against a body that is read, or awaited, although the request is refused.
+	It("are refused before their body is read", func() {
+		w := startRelayer(signedAnswer("x"))
+		w.relay.SetTable(accountTable(2, "k1"))
+		c, err := net.Dial("tcp", w.proxy.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = c.Close() }()
+		_, _ = fmt.Fprint(c, "POST /read/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: wrong\r\nContent-Length: 900000\r\n\r\nbeginning")
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(401))
+	})
+
+	It("over the cap get 429 with the time until they are inside it, and do not run", func() {
+		limit := &countedCap{}
+		limit.left.Store(1)
+		w := startRelayerWith(newGuard(), []handler{signedAnswer("x")}, relayer.WithAccounts(limit))
+		w.relay.SetTable(accountTable(2, "k1"))
+		Expect(get(w, "/read/1", "k1").StatusCode).To(Equal(200))
+		a := get(w, "/read/1", "k1")
+		Expect(a.StatusCode).To(Equal(429))
+		Expect(a.Header.Get("Retry-After")).To(MatchRegexp(`^2\.\d+$`))
+		Expect(w.requestCounts[0].Load()).To(BeEquivalentTo(1))
+		Expect(limit.refunded.Load()).To(BeZero())
+	})
+
+	It("that have certainly not run give their credit back", func() {
+		limit := &countedCap{}
+		limit.left.Store(5)
+		refuse := func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Id", q.Header.Get("Id"))
+			w.Header().Set("Refused", "1")
+			w.WriteHeader(503)
+		}
+		w := startRelayerWith(newGuard(), []handler{refuse}, relayer.WithAccounts(limit))
+		w.relay.SetTable(accountTable(2, "k1"))
+		Expect(get(w, "/read/1", "k1").StatusCode).To(Equal(503))
+		Eventually(limit.refunded.Load).Should(BeEquivalentTo(1))
+	})
+
+	It("without accounts in the configuration need no key", func() {
+		w := startRelayer(signedAnswer("x"))
+		a := get(w, "/read/1", "")
+		Expect(a.StatusCode).To(Equal(200))
+		_, _ = io.Copy(io.Discard, a.Body)
+	})
+})
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -103,7 +103,8 @@
 	t.answer, t.err = t.assignment.Pool.Do(t.attemptContext, connector.Request{
 		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host, Body: t.body,
 		Header: t.codec.RequestHeader(t.request.Header, ForwardInfo{
-			Server: t.assignment.ID, Priority: t.route.Priority, LastEvent: t.resumeAfter,
+			Server: t.assignment.ID, Priority: t.priority, LastEvent: t.resumeAfter,
+			HasAccounts: t.hasAccounts, Account: accountName(t.account),
 		}),
 		LateHeader:   func() http.Header { return t.codec.TimeLeftHeader(t.deadline.Sub(t.clock.Now())) },
 		Proceed:      t.proceed,
--- a/relayer/dependencies.go
+++ b/relayer/dependencies.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primrosehook/balancer"
+	"primrosehook/matcher"
 	"primrosehook/pacer"
 	"primrosehook/pinner"
 	"primrosehook/quarantiner"
@@ -121,6 +122,21 @@
 	Spread(p balancer.Pause, via string)
 }
 
+// Accounts keeps the usage caps of client accounts, together with the other instances.
+type Accounts interface {
+	// Acquire takes an amount of an account's cap, as the version of the configuration states
+	// it. If that is more than the cap allows now, it returns the time until it may be had.
+	Acquire(ctx context.Context, a *matcher.Account, version int64, amount float64) (c Credit, wait time.Duration, ok bool)
+}
+
+// Credit is what a request has taken of an account's cap.
+type Credit interface {
+	// Renew takes the same amount again, as of now, in place of what was taken before.
+	Renew(ctx context.Context) (wait time.Duration, ok bool)
+	// Refund gives it back: the request has certainly not run.
+	Refund()
+}
+
 // Meter receives counts and durations.
 type Meter interface {
 	Add(name string, n int64)
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -86,6 +86,13 @@
 		writeStatus(w, http.StatusNotFound)
 		return
 	}
+	account, ok := r.authenticate(table, route, meta)
+	if !ok {
+		r.meter.Add(MetricUnauthorized, 1)
+		log.Info("relay: key is missing or unknown", zap.Bool("missing", meta.Key == ""), zap.String("route", route.Name), zap.Int64("config", table.Version))
+		writeStatus(w, http.StatusUnauthorized)
+		return
+	}
 	select {
 	case r.inFlight <- struct{}{}:
 		defer func() { <-r.inFlight }()
@@ -96,8 +103,13 @@
 	}
 	x := &exchange{
 		Relayer: r, writer: w, request: q, meta: meta, route: route,
+		account: account, hasAccounts: table.HasAccounts(), priority: priorityOf(account, route),
 		started: r.clock.Now(), log: log, tableVersion: table.Version, startEvent: meta.LastEvent,
 	}
+	if !x.takeCredit(q.Context()) {
+		return
+	}
+	defer x.settleCredit()
 	if x.startEvent != "" {
 		r.meter.Add(MetricTakenUp, 1)
 	}
@@ -152,7 +164,7 @@
 	x.service = x.route.Service(balancer.Hash(x.meta.ID))
 	x.query = balancer.Request{
 		Model: x.meta.Model, Adapter: x.meta.Adapter, PromptTokens: x.meta.PromptTokens, OutputTokens: x.expectedOutput(), MaxOutputTokens: x.meta.MaxOutputTokens,
-		Priority: x.route.Priority, TargetTime: x.started.Add(x.route.LatencyTarget), Deadline: x.waitDeadline(),
+		Account: accountName(x.account), Priority: x.priority, TargetTime: x.started.Add(x.route.LatencyTarget), Deadline: x.waitDeadline(),
 		MaxWait:          max(time.Duration(targetWaitShare*float64(x.route.LatencyTarget)), minWait),
 		NeedsReservation: x.pacer != nil && x.meta.Model != "" && x.route.MaxEventGap > 0,
 	}
@@ -268,6 +280,13 @@
 				x.giveUp("another request like it is in progress", zap.String("digest", digestText(x.identity.Digest)))
 				return
 			}
+			if wait, ok := x.renewCredit(); !ok {
+				assignment.Cancel()
+				x.pass.End(false)
+				x.turn.End(false)
+				x.refuseOverCap(wait, x.account.Usage(x.meta.PromptTokens+x.meta.MaxOutputTokens))
+				return
+			}
 			t = x.newAttempt(assignment, x.meta.LastEvent)
 		}
 		x.attempts = append(x.attempts, t.record)
@@ -413,9 +432,14 @@
 // refuseFrom is refuse for clients that come back from earliest times retryAfter on.
 func (r *Relayer) refuseFrom(w http.ResponseWriter, retryAfter time.Duration, earliest float64, why string) {
 	r.meter.Add(MetricRefused+why, 1)
+	setRetryAfter(w, retryAfter, earliest)
+	writeStatus(w, http.StatusServiceUnavailable)
+}
+
+// setRetryAfter sets the time after which clients come back, from earliest times retryAfter on.
+func setRetryAfter(w http.ResponseWriter, retryAfter time.Duration, earliest float64) {
 	jittered := retryAfter.Seconds() * (earliest + (latestRetry-earliest)*rand.Float64())
 	w.Header().Set("Retry-After", strconv.FormatFloat(jittered, 'f', 3, 64))
-	writeStatus(w, http.StatusServiceUnavailable)
 }
 
 // writeStatus sends an answer without a body.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -47,6 +47,9 @@
 	// for none. Resumes is the ID of the request whose answer brought the first one.
 	LastEvent string
 	Resumes   string
+	// Key is the key of the client's account, empty if there is not exactly one. It must not
+	// leave the instance.
+	Key string
 }
 
 // ForwardInfo is what is sent to a server in headers, besides the client's own.
@@ -54,6 +57,10 @@
 	// Server is the ID of the server that must answer.
 	Server   string
 	Priority int
+	// HasAccounts is set if the configuration has client accounts, Account is the name of the
+	// client's one, empty if it has none.
+	HasAccounts bool
+	Account     string
 	// LastEvent is the ID of the last event that the client has received, empty
 	// for none.
 	LastEvent string
@@ -112,6 +119,8 @@
 	MetricLeftBeforeSend    = "sends_after_client_left"
 	MetricLeftBeforeSendFor = "client_left_before_send_ms"
 	MetricUnmatched         = "requests_without_route"
+	MetricUnauthorized      = "requests_without_valid_key"
+	MetricOverCap           = "requests_over_account_cap"
 	MetricRetried           = "attempts_repeated"
 	MetricBudgetExhausted   = "retry_budget_used_up"
 	MetricResumed           = "streams_resumed"
@@ -137,6 +146,7 @@
 	sparer   Sparer
 	sequence Sequencer
 	pauses   Pauses
+	accounts Accounts
 	clock    clockwork.Clock
 	log      *zap.Logger
 	table    atomic.Pointer[matcher.Table]
@@ -269,7 +279,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, options ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, sequence: unordered{}, pauses: keptPauses{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
+		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, sequence: unordered{}, pauses: keptPauses{}, accounts: uncapped{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
 	}
 	r.waits, r.endWaits = context.WithCancel(context.Background())
 	r.requests, r.endRequests = context.WithCancel(context.Background())
@@ -358,16 +368,23 @@
 // exchange is the state of one client request.
 type exchange struct {
 	*Relayer
-	writer   http.ResponseWriter
-	request  *http.Request
-	meta     Meta
-	route    *matcher.Route
-	service  string
-	body     []byte
-	started  time.Time
-	deadline time.Time
-	query    balancer.Request
-	identity quarantiner.Identity
+	writer  http.ResponseWriter
+	request *http.Request
+	meta    Meta
+	route   *matcher.Route
+	// account is the client's account, nil for none. credit is what was taken of its cap, nil
+	// if nothing is to be refunded or renewed. priority is the account's or the route's.
+	account     *matcher.Account
+	hasAccounts bool
+	credit      Credit
+	creditAt    time.Time
+	priority    int
+	service     string
+	body        []byte
+	started     time.Time
+	deadline    time.Time
+	query       balancer.Request
+	identity    quarantiner.Identity
 	// prefix are the hashes of the parts of the prompt that other requests may share.
 	// trial is set if the request is sent although one of them is quarantined.
 	prefix       []uint64
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -32,7 +32,7 @@
 type plainCodec struct{}
 
 func (plainCodec) Request(h http.Header) (relayer.Meta, bool) {
-	return relayer.Meta{ID: h.Get("Id"), Model: h.Get("Model"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}, h.Get("Id") != ""
+	return relayer.Meta{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}, h.Get("Id") != ""
 }
 
 func (plainCodec) RequestHeader(h http.Header, s relayer.ForwardInfo) http.Header {
