Usage caps of client accounts over all instances

Each instance is entitled to a fraction of every cap, which the lease holder assigns with its replies and which expires; it delegates the fraction to the instance that answers its reports, and takes credit there for each request. The fractions add up to one at most, so the caps hold under partitions without agreement and without the store. An instance that does not know the message, or a silent arbiter, leaves a part of the tolerance for half a window.

--- /dev/null
+++ b/allotter/allotter.go
@@ -0,0 +1,524 @@
+// Package allotter keeps the usage caps of client accounts, for all instances together.
+//
+// Each instance is entitled to a fraction of every cap. The lease holder assigns the fractions
+// with its replies to reports (Shares); they add up to one at most and expire. An instance
+// delegates its fraction to its arbiter, the one that answers its reports: the lease holder, or
+// a deputy. The arbiter grants credit from a bucket whose rate is the cap times the sum of the
+// fractions that it has (Arbiter). An instance without an arbiter uses its own fraction. So the
+// sum of what is granted stays within the cap whichever instances reach each other, without
+// agreement between arbiters and without calls to the store.
+package allotter
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"primrosehook/clocker"
+	"primrosehook/decayer"
+	"primrosehook/matcher"
+	"primrosehook/messenger"
+)
+
+const (
+	// kindAllot is the kind of the message that carries an AllotRequest.
+	kindAllot = "allot"
+	// allotTimeout bounds a call to the arbiter: some tens of crossings between availability
+	// zones, and the turn of a process on a small share of a core.
+	allotTimeout = 100 * time.Millisecond
+	// callInterval times the number of members is the least time between two calls of an
+	// instance, so that an arbiter serves some two thousand a second at most.
+	callInterval = 500 * time.Microsecond
+	// longestWait is how long a request waits for credit that is about to come.
+	longestWait = 100 * time.Millisecond
+	// aheadTime is for how long credit is asked for ahead, aheadTTL how long it may be used.
+	aheadTime = 100 * time.Millisecond
+	aheadTTL  = 500 * time.Millisecond
+	// usageHalfLife is the half-life of the usage of an account at this instance.
+	usageHalfLife = time.Second
+	// toleranceShare is the share of the caps' tolerance, as a time, whose usage an instance may
+	// go on with while its arbiter is silent, once in a term. The rest covers credit that is
+	// used later than it was granted.
+	toleranceShare = 0.5
+	// defaultTolerance is by how much usage may exceed a cap.
+	defaultTolerance = 0.1
+	// oldBuildBackoff is how long an instance that does not know entitlements gets none
+	// delegated.
+	oldBuildBackoff = 10 * time.Second
+	// noArbiterWait is when a request is told to come back that no arbiter could answer: a
+	// delegation has lapsed by then.
+	noArbiterWait = 500 * time.Millisecond
+	// maxCaches bounds the accounts whose usage at this instance is kept.
+	maxCaches = 4096
+)
+
+// AllotRequest asks the arbiter for credit.
+type AllotRequest struct {
+	Instance string `msgpack:"i"`
+	Items    []Item `msgpack:"x"`
+}
+
+// AllotReply answers an AllotRequest. NotArbiter is set if the instance has no valid delegation
+// at the one that replies.
+type AllotReply struct {
+	NotArbiter bool    `msgpack:"n,omitempty"`
+	Grants     []Grant `msgpack:"g"`
+}
+
+// Peers calls other instances.
+type Peers interface {
+	Call(ctx context.Context, address, kind string, request, reply any) error
+}
+
+// Meter counts events by the name of their metric.
+type Meter interface{ Add(name string, n int64) }
+
+type discardMeter struct{}
+
+func (discardMeter) Add(string, int64) {}
+
+// Allotter takes credit for the requests of this instance and, while others report to it,
+// grants credit to them. It is safe for concurrent use.
+type Allotter struct {
+	instance, self string
+	peers          Peers
+	clock          clockwork.Clock
+	boot           clocker.Clock
+	log            *zap.Logger
+	meter          Meter
+	names          labels
+
+	// term is how long entitlements are valid, grace the time whose usage is let through while the
+	// arbiter is silent.
+	term, grace time.Duration
+
+	mu      sync.Mutex
+	shares  *Shares
+	holding Holding
+	// role grants from what others delegate to this instance, own from its own fraction.
+	role, own *Arbiter
+	// replied is the instance that answered the last report, silent one that did not answer
+	// a call since.
+	replied, silent string
+	// oldBuilds are the instances that do not know entitlements, and until when they are taken for
+	// such.
+	oldBuilds map[string]time.Time
+	members   int
+	usages    map[string]*usage
+	// next is the call that collects items while one is under way.
+	next     *call
+	calling  bool
+	lastCall time.Time
+}
+
+// usage is what this instance uses of an account's cap.
+type usage struct {
+	rate decayer.Counter
+	// ahead is unused credit that may be used until aheadUntil; back is to be given back.
+	ahead, back float64
+	aheadUntil  time.Time
+	// grace is what may be used without an answer of the arbiter, as of graceAt.
+	grace   float64
+	graceAt time.Time
+}
+
+// call is one message to an arbiter.
+type call struct {
+	items     []Item
+	abandoned []bool
+	done      chan struct{}
+	grants    []Grant
+}
+
+// Option sets an option of an Allotter.
+type Option func(*Allotter)
+
+// WithMeter sets the receiver of counts.
+func WithMeter(m Meter) Option { return func(a *Allotter) { a.meter = m } }
+
+// WithTolerance sets the window in which usage is counted and the part by which it may exceed a cap
+// there.
+func WithTolerance(window time.Duration, overage float64) Option {
+	return func(a *Allotter) { a.setTolerance(window, overage) }
+}
+
+func (a *Allotter) setTolerance(window time.Duration, overage float64) {
+	if window > 0 {
+		a.term = window
+	}
+	a.grace = time.Duration(toleranceShare * max(overage, 0) * float64(a.term))
+}
+
+// New returns the allotter of an instance, a name that no other process has, which peers reach at
+// the address self.
+func New(instance, self string, peers Peers, clock clockwork.Clock, boot clocker.Clock, log *zap.Logger, options ...Option) *Allotter {
+	a := &Allotter{
+		instance: instance, self: self, peers: peers, clock: clock, boot: boot, log: log, meter: discardMeter{},
+		role: NewArbiter(), own: NewArbiter(), usages: map[string]*usage{}, oldBuilds: map[string]time.Time{}, term: defaultTerm,
+	}
+	a.setTolerance(0, defaultTolerance)
+	for _, o := range options {
+		o(a)
+	}
+	a.shares = NewShares(a.term)
+	return a
+}
+
+// Serve registers the handler for the requests of peers.
+func (a *Allotter) Serve(s *messenger.Server) { s.Handle(kindAllot, a.handleAllot) }
+
+func (a *Allotter) handleAllot(_ context.Context, body msgpack.RawMessage) (any, error) {
+	var q AllotRequest
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, eris.Wrap(err, "decode request for credit")
+	}
+	return a.Grant(q), nil
+}
+
+// Grant answers a request of a peer.
+func (a *Allotter) Grant(q AllotRequest) AllotReply {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	grants, ok := a.role.Grant(a.boot.Now(), q.Instance, q.Items)
+	return AllotReply{NotArbiter: !ok, Grants: grants}
+}
+
+// Statement is what a report says of the entitlement of its instance.
+type Statement struct {
+	Held      Entitlement `msgpack:"h"`
+	Delegated Entitlement `msgpack:"d"`
+}
+
+// State returns the statement for a report that is sent now to an instance, whose answer counts
+// for a time.
+func (a *Allotter) State(receiver string, ttl time.Duration) Statement {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.boot.Now()
+	s := Statement{Held: a.holding.Held(now)}
+	if now.Before(a.oldBuilds[receiver]) {
+		return s
+	}
+	if s.Delegated = a.holding.Delegate(now, receiver, ttl); s.Delegated.Left > 0 {
+		// What this instance may use itself begins anew when the delegation has lapsed.
+		a.own = NewArbiter()
+	}
+	return s
+}
+
+// Now returns the time by which entitlements are counted.
+func (a *Allotter) Now() time.Time { return a.boot.Now() }
+
+// Replied records the answer of the lease holder or of a deputy to a report that was sent at a
+// time, as Now tells it, as one of a number of instances. The entitlement is nil if the sender does
+// not know entitlements: this instance is then entitled to its part by that number.
+func (a *Allotter) Replied(sent time.Time, sender string, e *Entitlement, holdsLease bool, members int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e == nil {
+		a.oldBuilds[sender] = a.boot.Now().Add(oldBuildBackoff)
+		if holdsLease {
+			a.holding.Assigned(sent, Entitlement{Fraction: 1 / float64(max(members, 1)), Left: a.term})
+		}
+		a.replied = ""
+		return
+	}
+	a.holding.Assigned(sent, *e)
+	if sender != a.replied {
+		a.log.Info("allot: arbiter", zap.String("member", sender), zap.Float64("fraction", a.holding.fraction))
+	}
+	a.replied, a.members = sender, members
+	if a.silent == sender {
+		a.silent = ""
+	}
+}
+
+// BeginTerm begins a term of this instance as the lease holder.
+func (a *Allotter) BeginTerm(hadHolder bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shares.Begin(a.boot.Now(), hadHolder)
+}
+
+// Reported applies the statement of an instance that reports to this one. The lease holder
+// assigns an entitlement, a deputy none.
+func (a *Allotter) Reported(instance string, s Statement, holdsLease bool, instances int) Entitlement {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.boot.Now()
+	a.role.Delegate(now, instance, s.Delegated)
+	if !holdsLease {
+		return Entitlement{}
+	}
+	return a.shares.Assign(now, instance, s.Held, instances)
+}
+
+// Status is what operators see of the entitlement and the role of this instance.
+type Status struct {
+	// Fraction is this instance's part of every cap, for Left. Arbiter answers its requests for
+	// credit, empty while none does.
+	Fraction float64
+	Left     time.Duration
+	Arbiter  string
+	// Members is how many instances delegate to this one, Delegated the sum of their fractions.
+	Members   int
+	Delegated float64
+}
+
+// Status returns the present status.
+func (a *Allotter) Status() Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.boot.Now()
+	held := a.holding.Held(now)
+	s := Status{Fraction: held.Fraction, Left: held.Left, Arbiter: a.arbiter(now)}
+	s.Members, s.Delegated = a.role.Members(now)
+	return s
+}
+
+// arbiter returns the instance that the entitlement is delegated to and that answers, empty if
+// there is none. a.mu must be held.
+func (a *Allotter) arbiter(now time.Time) string {
+	if a.replied == "" || a.replied != a.holding.arbiter || !now.Before(a.holding.lapses) || a.silent == a.replied {
+		return ""
+	}
+	return a.replied
+}
+
+// Credit is what a request has taken of an account's cap.
+type Credit struct {
+	allotter *Allotter
+	account  *matcher.Account
+	version  int64
+	amount   float64
+}
+
+// Acquire takes an amount of the account's cap as a version of the configuration states it. If
+// that is more than the cap allows, it returns the time until it may be had.
+func (a *Allotter) Acquire(ctx context.Context, account *matcher.Account, version int64, amount float64) (*Credit, time.Duration, bool) {
+	wait, ok := a.acquire(ctx, account, version, amount, 0)
+	if !ok {
+		a.meter.Add(MetricRefused+a.names.label(account.Name), 1)
+		return nil, wait, false
+	}
+	a.meter.Add(MetricAdmitted+a.names.label(account.Name), 1)
+	return &Credit{allotter: a, account: account, version: version, amount: amount}, 0, true
+}
+
+// Renew takes the amount again, as of now, and gives back what was taken before.
+func (c *Credit) Renew(ctx context.Context) (time.Duration, bool) {
+	return c.allotter.acquire(ctx, c.account, c.version, c.amount, c.amount)
+}
+
+// Refund gives the amount back: its request has certainly not run.
+func (c *Credit) Refund() {
+	a := c.allotter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.usage(a.boot.Now(), c.account.Name).back += c.amount
+}
+
+// acquire takes an amount and gives another one back.
+func (a *Allotter) acquire(ctx context.Context, account *matcher.Account, version int64, amount, back float64) (time.Duration, bool) {
+	item := Item{Account: account.Name, Version: version, Rate: account.RatePerSecond, Burst: account.Burst, Need: amount, Back: back}
+	deadline := a.clock.Now().Add(longestWait)
+	for {
+		wait, ok := a.take(ctx, item)
+		if ok || ctx.Err() != nil || a.clock.Now().Add(wait).After(deadline) {
+			return wait, ok
+		}
+		item.Back = 0
+		select {
+		case <-a.clock.After(wait):
+		case <-ctx.Done():
+			return wait, false
+		}
+	}
+}
+
+// take takes an amount where this instance gets its credit from.
+func (a *Allotter) take(ctx context.Context, item Item) (time.Duration, bool) {
+	a.mu.Lock()
+	now := a.boot.Now()
+	u := a.usage(now, item.Account)
+	if u.ahead >= item.Need && item.Back == 0 {
+		defer a.mu.Unlock()
+		u.ahead -= item.Need
+		u.rate.Add(now, usageHalfLife, item.Need)
+		return 0, true
+	}
+	item.Back += u.back
+	u.back = 0
+	switch target := a.arbiter(now); target {
+	case a.self, "":
+		defer a.mu.Unlock()
+		from := a.role
+		if target == "" {
+			from = a.own
+			from.Delegate(now, a.instance, a.holding.Own(now))
+		}
+		grants, ok := from.Grant(now, a.instance, []Item{item})
+		if !ok {
+			return a.takeGrace(now, u, item.Need)
+		}
+		return a.settle(now, u, item.Need, grants[0])
+	default:
+		item.Ahead = a.wantedAhead(now, u, item.Need)
+		a.mu.Unlock()
+		return a.ask(ctx, item)
+	}
+}
+
+// wantedAhead returns what to ask for ahead: what is used in aheadTime, if that is more than one
+// request. a.mu must be held.
+func (a *Allotter) wantedAhead(now time.Time, u *usage, need float64) float64 {
+	if n := u.rate.Rate(now, usageHalfLife) * aheadTime.Seconds(); n >= need {
+		return n
+	}
+	return 0
+}
+
+// settle applies the answer to a request for an amount. a.mu must be held.
+func (a *Allotter) settle(now time.Time, u *usage, need float64, g Grant) (time.Duration, bool) {
+	if g.Amount < need {
+		return max(g.Wait, minWait), false
+	}
+	if rest := g.Amount - need; rest > 0 {
+		u.ahead, u.aheadUntil = u.ahead+rest, now.Add(aheadTTL)
+	}
+	u.rate.Add(now, usageHalfLife, need)
+	return 0, true
+}
+
+// takeGrace takes an amount of what may be used while no arbiter answers. An instance whose
+// usage in that time is less than a request lets one through with that probability.
+// a.mu must be held.
+func (a *Allotter) takeGrace(now time.Time, u *usage, need float64) (time.Duration, bool) {
+	if now.Sub(u.graceAt) > a.term {
+		u.grace, u.graceAt = u.rate.Rate(now, usageHalfLife)*a.grace.Seconds(), now
+	}
+	if u.grace <= 0 || rand.Float64()*need >= u.grace {
+		return noArbiterWait, false
+	}
+	u.grace = max(u.grace-need, 0)
+	return 0, true
+}
+
+// usage returns what is kept of an account. a.mu must be held.
+func (a *Allotter) usage(now time.Time, account string) *usage {
+	u, ok := a.usages[account]
+	if !ok {
+		if len(a.usages) >= maxCaches {
+			clear(a.usages)
+		}
+		u = &usage{}
+		a.usages[account] = u
+	}
+	if u.ahead > 0 && !now.Before(u.aheadUntil) {
+		u.back, u.ahead = u.back+u.ahead, 0
+	}
+	return u
+}
+
+// ask asks the arbiter, together with what else is asked for meanwhile.
+func (a *Allotter) ask(ctx context.Context, item Item) (time.Duration, bool) {
+	a.mu.Lock()
+	if a.next == nil {
+		a.next = &call{done: make(chan struct{})}
+	}
+	c, i := a.next, len(a.next.items)
+	c.items, c.abandoned = append(c.items, item), append(c.abandoned, false)
+	if !a.calling {
+		a.calling = true
+		go a.runCalls()
+	}
+	a.mu.Unlock()
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if c.grants == nil {
+			c.abandoned[i] = true
+			return 0, false
+		}
+		a.usage(a.boot.Now(), item.Account).back += c.grants[i].Amount
+		return 0, false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.boot.Now()
+	u := a.usage(now, item.Account)
+	if len(c.grants) == 0 {
+		return a.takeGrace(now, u, item.Need)
+	}
+	return a.settle(now, u, item.Need, c.grants[i])
+}
+
+// runCalls calls the arbiter until nothing is asked for.
+func (a *Allotter) runCalls() {
+	for {
+		a.mu.Lock()
+		if a.next == nil {
+			a.calling = false
+			a.mu.Unlock()
+			return
+		}
+		pause := a.lastCall.Add(time.Duration(a.members) * callInterval).Sub(a.boot.Now())
+		a.mu.Unlock()
+		if pause > 0 {
+			a.clock.Sleep(min(pause, longestWait))
+		}
+		a.call()
+	}
+}
+
+// call makes one call with all that is asked for.
+func (a *Allotter) call() {
+	a.mu.Lock()
+	now := a.boot.Now()
+	c, target := a.next, a.arbiter(now)
+	a.next, a.lastCall = nil, now
+	a.mu.Unlock()
+	var reply AllotReply
+	if target != "" && target != a.self {
+		ctx, cancel := context.WithTimeout(context.Background(), allotTimeout)
+		err := a.peers.Call(ctx, target, kindAllot, AllotRequest{Instance: a.instance, Items: c.items}, &reply)
+		cancel()
+		if err != nil {
+			a.recordSilence(target, err)
+		}
+	}
+	if len(reply.Grants) != len(c.items) {
+		reply.Grants = nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.grants = reply.Grants
+	if c.grants != nil {
+		for i, gone := range c.abandoned {
+			if gone {
+				a.usage(a.boot.Now(), c.items[i].Account).back += c.grants[i].Amount
+			}
+		}
+	}
+	close(c.done)
+}
+
+// recordSilence records that an arbiter did not answer. It is asked again once it has answered a
+// report.
+func (a *Allotter) recordSilence(arbiter string, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.meter.Add(MetricUnanswered, 1)
+	if a.silent != arbiter {
+		a.log.Info("allot: arbiter does not answer", zap.String("member", arbiter), zap.Bool("unknown_kind", messenger.IsUnknownKind(err)), zap.Error(err))
+	}
+	a.silent = arbiter
+}
--- /dev/null
+++ b/allotter/arbiter.go
@@ -0,0 +1,211 @@
+package allotter
+
+import (
+	"math"
+	"time"
+
+	"primrosehook/decayer"
+)
+
+const (
+	// maxBuckets bounds the accounts that are told apart; beyond it idle buckets are dropped.
+	maxBuckets = 4096
+	// idleAfter is how long after its last use a bucket is as good as a new one.
+	idleAfter = time.Minute
+	// steadyRise is the part of the delegated sum by which it may grow without a new bucket
+	// being taken for emptier: fractions are adjusted by little all the time.
+	steadyRise = 0.05
+	// refusedHalfLife is the half-life of what was refused, which is assumed to be asked for
+	// again.
+	refusedHalfLife = 500 * time.Millisecond
+	// minWait and maxWait bound the time after which a refused request is told to come back.
+	minWait = 50 * time.Millisecond
+	maxWait = 30 * time.Second
+)
+
+// Item asks for a part of an account's cap. It is encoded as an array of its fields.
+type Item struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by reflection
+	Account  string
+	// Rate and Burst are the whole cap according to a version of the configuration.
+	Version     int64
+	Rate, Burst float64
+	// Need is what one request needs, Ahead what would be used next, and Back what was
+	// granted before and is not used.
+	Need, Ahead, Back float64
+}
+
+// valid reports whether the numbers can be reckoned with.
+func (i Item) valid() bool {
+	for _, v := range []float64{i.Rate, i.Burst, i.Need, i.Ahead, i.Back} {
+		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Grant answers an Item. It is encoded as an array of its fields.
+type Grant struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by reflection
+	// Amount is at least what the request needs, or zero; Wait is then the time until it
+	// could be granted.
+	Amount float64
+	Wait   time.Duration
+}
+
+// delegation is the fraction of an instance that an arbiter may use until a time.
+type delegation struct {
+	fraction float64
+	until    time.Time
+}
+
+// bucket is the credit of an account at an arbiter.
+type bucket struct {
+	version     int64
+	rate, burst float64
+	// level is the credit as of at, when the sum of the delegated fractions was sum. It is
+	// negative after a request that is larger than the capacity.
+	level, sum float64
+	at         time.Time
+	refused    decayer.Counter
+}
+
+// Arbiter grants credit from the fractions that instances delegate to it. Its grants stay within
+// the cap times the sum of the fractions: at most rate times the window plus the burst in any
+// window, beyond which there is one request. It is not safe for concurrent use.
+type Arbiter struct {
+	members map[string]delegation
+	buckets map[string]*bucket
+	// sum is the sum of the fractions as of sumAt. highest is the sum since risen.
+	sum, highest float64
+	sumAt        time.Time
+	risen        time.Time
+}
+
+// NewArbiter returns an arbiter without delegations.
+func NewArbiter() *Arbiter {
+	return &Arbiter{members: map[string]delegation{}, buckets: map[string]*bucket{}}
+}
+
+// Delegate applies the delegation in a report of an instance.
+func (a *Arbiter) Delegate(now time.Time, instance string, e Entitlement) {
+	if !e.valid() {
+		return
+	}
+	if a.refresh(now); a.sum == 0 && len(a.members) == 0 {
+		// What was granted before the delegations lapsed does not count any more, and
+		// neither does the credit of that time.
+		clear(a.buckets)
+		a.highest, a.risen = 0, now
+	}
+	if e.Left == 0 {
+		delete(a.members, instance)
+	} else {
+		a.members[instance] = delegation{e.Fraction, now.Add(e.Left)}
+	}
+	a.refresh(now)
+}
+
+// Members returns how many instances delegate to the arbiter, and the sum of their fractions.
+func (a *Arbiter) Members(now time.Time) (int, float64) {
+	a.refresh(now)
+	return len(a.members), a.sum
+}
+
+// refresh computes the sum of the valid delegations.
+func (a *Arbiter) refresh(now time.Time) {
+	sum := 0.0
+	for name, d := range a.members {
+		if !now.Before(d.until) {
+			delete(a.members, name)
+			continue
+		}
+		sum += d.fraction
+	}
+	a.sum, a.sumAt = min(sum, 1), now
+	if a.sum > a.highest*(1+steadyRise) {
+		a.risen = now
+	}
+	a.highest = a.sum
+}
+
+// sumRefresh is how long the sum of the fractions is used before it is computed again: at
+// hundreds of members that costs more than a grant.
+const sumRefresh = 20 * time.Millisecond
+
+// Grant answers what an instance asks. It reports false if the instance does not delegate to
+// this arbiter.
+func (a *Arbiter) Grant(now time.Time, instance string, items []Item) ([]Grant, bool) {
+	if d, ok := a.members[instance]; !ok || !now.Before(d.until) {
+		return nil, false
+	}
+	if now.Sub(a.sumAt) > sumRefresh {
+		a.refresh(now)
+	}
+	grants := make([]Grant, len(items))
+	for i, x := range items {
+		grants[i] = a.grant(now, x)
+	}
+	return grants, true
+}
+
+func (a *Arbiter) grant(now time.Time, x Item) Grant {
+	if !x.valid() || x.Rate == 0 {
+		return Grant{Wait: maxWait}
+	}
+	b := a.bucket(now, x)
+	capacity := b.advance(now, a.sum)
+	b.level = min(b.level+x.Back, capacity)
+	if x.Need == 0 && x.Ahead == 0 {
+		return Grant{}
+	}
+	// A request that is larger than the capacity would never be granted otherwise.
+	if need := min(x.Need, max(capacity, 0)); b.level < need || capacity == 0 {
+		wait := maxWait
+		if perSecond := b.rate * a.sum; perSecond > 0 {
+			missing := need - b.level + b.refused.Value(now, refusedHalfLife)
+			wait = time.Duration(min(missing/perSecond, maxWait.Seconds()) * float64(time.Second))
+		}
+		b.refused.Add(now, refusedHalfLife, x.Need)
+		return Grant{Wait: max(wait, minWait)}
+	}
+	b.level -= x.Need
+	ahead := min(x.Ahead, max(b.level/2, 0))
+	b.level -= ahead
+	return Grant{Amount: x.Need + ahead}
+}
+
+// bucket returns the bucket of an account, whose cap is that of the newest version that is known.
+func (a *Arbiter) bucket(now time.Time, x Item) *bucket {
+	b, ok := a.buckets[x.Account]
+	if !ok {
+		if len(a.buckets) >= maxBuckets {
+			for name, b := range a.buckets {
+				if now.Sub(b.at) > idleAfter {
+					delete(a.buckets, name)
+				}
+			}
+		}
+		// Nothing was granted of this account here since the sum of the fractions has risen.
+		b = &bucket{version: x.Version, rate: x.Rate, burst: x.Burst, sum: a.sum, at: a.risen}
+		a.buckets[x.Account] = b
+	}
+	if x.Version > b.version {
+		b.advance(now, a.sum)
+		b.version, b.rate, b.burst = x.Version, x.Rate, x.Burst
+	}
+	return b
+}
+
+// advance adds the credit of the time since the last call, and returns the capacity.
+func (b *bucket) advance(now time.Time, sum float64) float64 {
+	if passed := now.Sub(b.at); passed > 0 {
+		b.level += b.rate * min(sum, b.sum) * passed.Seconds()
+		b.at = now
+	}
+	b.sum = sum
+	capacity := b.burst * sum
+	b.level = min(b.level, capacity)
+	return capacity
+}
--- /dev/null
+++ b/allotter/labels.go
@@ -0,0 +1,38 @@
+package allotter
+
+import "sync"
+
+// Names of the metrics. Those that end in an underscore are prefixes; the account follows.
+const (
+	MetricAdmitted   = "account_admitted_"
+	MetricRefused    = "account_refused_for_cap_"
+	MetricUnanswered = "allot_calls_unanswered"
+)
+
+// maxLabels bounds the accounts with metrics of their own.
+const maxLabels = 64
+
+// otherLabel is the label of the accounts beyond maxLabels.
+const otherLabel = "other"
+
+// labels are the accounts with metrics of their own. It is safe for concurrent use.
+type labels struct {
+	mu    sync.Mutex
+	known map[string]bool
+}
+
+func (l *labels) label(account string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known[account] {
+		return account
+	}
+	if len(l.known) >= maxLabels {
+		return otherLabel
+	}
+	if l.known == nil {
+		l.known = map[string]bool{}
+	}
+	l.known[account] = true
+	return account
+}
--- /dev/null
+++ b/allotter/shares.go
@@ -0,0 +1,137 @@
+package allotter
+
+import "time"
+
+// defaultTerm is how long an entitlement is valid after its last renewal, unless the settings name
+// the window in which usage is counted. It is as long as that window: a store that is away for less
+// costs callers nothing, and after the loss of all instances the caps are whole again within a
+// time of that length.
+const defaultTerm = 8 * time.Second
+
+// Entitlement is a fraction of the caps of all accounts, which an instance may use or delegate.
+// It is encoded as an array of its fields.
+type Entitlement struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by reflection
+	Fraction float64
+	// Left is for how long it is valid.
+	Left time.Duration
+}
+
+// valid reports whether the fields are in range: another build, or another process, wrote them.
+func (e Entitlement) valid() bool { return e.Fraction >= 0 && e.Fraction <= 1 && e.Left >= 0 }
+
+// Shares assigns entitlements to the instances that report to the lease holder. The fractions
+// that instances may have add up to one at most at any time, whichever replies are lost. It is
+// not safe for concurrent use.
+type Shares struct {
+	term    time.Duration
+	members map[string]share
+	// inherited is the sum of the fractions, assigned by former holders, that were reported in
+	// this term. The rest of one may still be in use until unknownUntil.
+	inherited    float64
+	unknownUntil time.Time
+}
+
+// share is what an instance may have at most.
+type share struct {
+	fraction float64
+	expires  time.Time
+}
+
+// NewShares returns shares whose entitlements are valid for a term.
+func NewShares(term time.Duration) *Shares { return &Shares{term: term, members: map[string]share{}} }
+
+// Begin begins a term of this instance as the lease holder. Entitlements that an earlier holder
+// assigned may still be valid.
+func (s *Shares) Begin(now time.Time, hadHolder bool) {
+	clear(s.members)
+	s.inherited, s.unknownUntil = 0, time.Time{}
+	if hadHolder {
+		s.unknownUntil = now.Add(s.term)
+	}
+}
+
+// Assign returns the entitlement of an instance that reports the one that it holds, as one of a
+// number of instances.
+func (s *Shares) Assign(now time.Time, instance string, held Entitlement, instances int) Entitlement {
+	if !held.valid() || held.Left == 0 {
+		held = Entitlement{}
+	}
+	if _, known := s.members[instance]; !known {
+		s.inherited = min(s.inherited+held.Fraction, 1)
+	}
+	assigned := s.unknown(now)
+	for name, m := range s.members {
+		switch {
+		case name == instance:
+		case now.Before(m.expires):
+			assigned += m.fraction
+		default:
+			delete(s.members, name)
+		}
+	}
+	next := max(min(1/float64(max(instances, 1)), 1-assigned), 0)
+	// A lower fraction is in force only once the instance reports it: the reply may be lost.
+	s.members[instance] = share{fraction: max(next, held.Fraction), expires: now.Add(s.term)}
+	return Entitlement{Fraction: next, Left: s.term}
+}
+
+// unknown returns how much former holders may have assigned to instances that have not reported.
+func (s *Shares) unknown(now time.Time) float64 {
+	if !now.Before(s.unknownUntil) {
+		return 0
+	}
+	return 1 - s.inherited
+}
+
+// transitMargin is the longest time that a report is under way to the arbiter that counts it.
+// Later ones come from a pause of either process, for which the tolerance of the caps allows.
+const transitMargin = 250 * time.Millisecond
+
+// Holding is the entitlement of this instance, and to whom it is delegated. It is not safe for
+// concurrent use.
+type Holding struct {
+	fraction float64
+	expires  time.Time
+	// arbiter has the fraction until lapses.
+	arbiter string
+	lapses  time.Time
+}
+
+// Held returns the entitlement for a report.
+func (h *Holding) Held(now time.Time) Entitlement {
+	left := h.expires.Sub(now)
+	if left <= 0 {
+		return Entitlement{}
+	}
+	return Entitlement{Fraction: h.fraction, Left: left}
+}
+
+// Assigned applies the entitlement in the reply to a report that was sent at a time.
+func (h *Holding) Assigned(sent time.Time, e Entitlement) {
+	if e.valid() && e.Left > 0 {
+		h.fraction, h.expires = e.Fraction, sent.Add(e.Left)
+	}
+}
+
+// Delegate delegates the entitlement to the receiver of a report that is sent now, for a time at
+// most. It returns nothing while another instance may still use it.
+func (h *Holding) Delegate(now time.Time, arbiter string, ttl time.Duration) Entitlement {
+	if arbiter != h.arbiter && now.Before(h.lapses) {
+		return Entitlement{}
+	}
+	held := h.Held(now)
+	if held.Left == 0 {
+		held.Left = ttl
+	}
+	h.arbiter, h.lapses = arbiter, now.Add(ttl+transitMargin)
+	return Entitlement{Fraction: held.Fraction, Left: min(held.Left, ttl)}
+}
+
+// Own returns the entitlement that this instance may use itself.
+func (h *Holding) Own(now time.Time) Entitlement {
+	if now.Before(h.lapses) {
+		return Entitlement{}
+	}
+	return h.Held(now)
+}
--- /dev/null
+++ b/coordinator/accounts.go
@@ -0,0 +1,38 @@
+package coordinator
+
+import (
+	"time"
+
+	"primrosehook/allotter"
+)
+
+// stateAccounts adds what this instance may use of the caps of client accounts to a report that
+// is sent now, if the configuration has accounts. It returns the time by which that is counted.
+func (c *Coordinator) stateAccounts(r *Report, address string) time.Time {
+	t := c.Table()
+	if c.Accounts == nil || t == nil || !t.HasAccounts() {
+		return time.Time{}
+	}
+	sent := c.Accounts.Now()
+	s := c.Accounts.State(address, c.ReplyTTL())
+	r.Accounts = &s
+	return sent
+}
+
+// applyEntitlement applies the entitlement in the reply to a report that stateAccounts was called
+// for.
+func (c *Coordinator) applyEntitlement(r Report, reply Reply, sent time.Time, address string) {
+	if r.Accounts != nil {
+		c.Accounts.Replied(sent, address, reply.Entitlement, reply.HoldsLease, reply.Instances)
+	}
+}
+
+// assignEntitlement applies what a report states of the caps of client accounts, and returns what
+// its instance may use from now on.
+func (c *Coordinator) assignEntitlement(r Report, holdsLease bool, instances int) *allotter.Entitlement {
+	if r.Accounts == nil || c.Accounts == nil {
+		return nil
+	}
+	e := c.Accounts.Reported(r.Instance, *r.Accounts, holdsLease, instances)
+	return &e
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"primrosehook/allotter"
 	"primrosehook/balancer"
 	"primrosehook/quarantiner"
 	"primrosehook/tailer"
@@ -104,6 +105,9 @@
 	Queues []balancer.Queue `msgpack:"wq,omitempty"`
 	// Build is the build that the instance runs.
 	Build upgrader.Build `msgpack:"bd"`
+	// Accounts is what the instance may use of the caps of client accounts, nil while the
+	// configuration has none.
+	Accounts *allotter.Statement `msgpack:"ac,omitempty"`
 	// Deputy asks an instance that does not hold the lease to act as deputy.
 	Deputy bool `msgpack:"u"`
 }
@@ -146,6 +150,9 @@
 	Queues []balancer.Queue `msgpack:"wq,omitempty"`
 	// Builds is how many instances run each build.
 	Builds map[string]int `msgpack:"bs,omitempty"`
+	// Entitlement is what the instance may use of the caps of client accounts, nil if the report
+	// states nothing of them. A deputy's is zero.
+	Entitlement *allotter.Entitlement `msgpack:"en,omitempty"`
 	// Holder is the lease holder as a deputy last read it. LeaseFresh is set if
 	// the deputy reads the lease at its usual pace and claims it when it
 	// expires.
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"primrosehook/allotter"
 	"primrosehook/balancer"
 	"primrosehook/clocker"
 	"primrosehook/decayer"
@@ -63,7 +64,9 @@
 	// with the requests of this instance.
 	Parts *quarantiner.PartGuard
 	// Limits are the rate limits that servers name; nil if they are not kept.
-	Limits   *throttler.Throttler
+	Limits *throttler.Throttler
+	// Accounts keeps the caps of client accounts; nil if they are not kept.
+	Accounts *allotter.Allotter
 	Registry *tailer.Tailer
 	Config   *tailer.Tailer
 	// Meter counts orders and exchanges.
@@ -223,6 +226,9 @@
 // leaseAcquired is called at the start of each term of this instance.
 func (c *Coordinator) leaseAcquired(h Handover) {
 	c.cluster.reset()
+	if c.Accounts != nil {
+		c.Accounts.BeginTerm(h.HadHolder)
+	}
 	c.Registry.EndFeed()
 	c.Config.EndFeed()
 	c.reconciler.startTerm(h)
@@ -261,6 +267,7 @@
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
 			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy, Queues: c.Fleet.OwnQueues(), Build: c.build,
 		}
+		accountsSent := c.stateAccounts(&r, address)
 		sent := c.Clock.Now()
 		reply, err := c.sendReport(ctx, address, r)
 		if err != nil {
@@ -276,6 +283,7 @@
 		if deputy && !reply.HoldsLease {
 			c.Meter.Add(MetricDeputyExchanges, 1)
 			if c.applyDeputyReply(reply, sent, address) {
+				c.applyEntitlement(r, reply, accountsSent, address)
 				return
 			}
 			c.backOffFrom(address)
@@ -291,6 +299,7 @@
 		}
 		c.Meter.Add(MetricExchanges, 1)
 		c.applyReply(reply, sent)
+		c.applyEntitlement(r, reply, accountsSent, address)
 		if !r.Waiting || len(reply.Overlays) == 0 {
 			return
 		}
@@ -369,6 +378,7 @@
 	// feed arrives.
 	reply.ConfigFresh = c.Config.Fresh() && !reply.ConfigInStore
 	reply.Parts = parts
+	reply.Entitlement = c.assignEntitlement(r, holds, reply.Instances)
 	reply.Suspects, reply.Limits = c.Suspects.ExportRecent(suspectsResend), c.exportLimits()
 	if !holds {
 		return c.deputyReply(reply)
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"primrosehook/allotter"
 	"primrosehook/balancer"
 	"primrosehook/clocker"
 	"primrosehook/connector"
@@ -109,6 +110,7 @@
 	peers           *messenger.Client
 	pacer           *pacer.Pacer
 	throttler       *throttler.Throttler
+	allotter        *allotter.Allotter
 	pinner          *pinner.Pinner
 	detourer        *detourer.Detourer
 	sparer          *sparer.Sparer
@@ -185,12 +187,14 @@
 	e.fleet = balancer.NewFleet(s.Zone, balancer.Hash(s.Instance+s.IP), clock, balancer.WithDialer(e.detourer))
 	e.pacer = pacer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.throttler = throttler.New(s.Control, s.Seeds, e.peers, clock, clocker.SystemClock{}, log)
+	instance := fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano())
+	e.allotter = allotter.New(instance, s.Control, e.peers, clock, clocker.SystemClock{}, log, allotter.WithMeter(e.metrics), allotter.WithTolerance(s.QuotaWindow, s.QuotaOverage))
 	e.pinner = pinner.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.sparer = sparer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.pauses = &pauses{fleet: e.fleet, detourer: e.detourer, peers: e.peers, clock: clock, log: log}
 	e.sequencer = sequencer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, e.suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer), relayer.WithPauses(e.pauses),
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer), relayer.WithPauses(e.pauses), relayer.WithAccounts(accounts{e.allotter}),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -201,9 +205,9 @@
 	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
 		tailer.WithInterval(func() time.Duration { return e.currentSettings().Drain / registryReadsPerDrain }), tailer.WithOnRead(e.fleet.RecordRead), tailer.WithFeedTTL(e.replyTTL), tailer.WithStartDelay(startDelay), tailer.WithMaxRetryInterval(e.maxRetryInterval))
 	e.coordinator = coordinator.New(coordinator.Dependencies{
-		Instance: fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano()), Machine: s.Instance, Address: s.Control, Seeds: s.Seeds, LinkMbps: s.Link,
+		Instance: instance, Machine: s.Instance, Address: s.Control, Seeds: s.Seeds, LinkMbps: s.Link,
 		OrderGap: s.Lease, ColdLoadWindow: s.CeilingWindow, ColdLoadOverage: s.CeilingOverage, LeaseLog: e.store.Leases(), OrderSender: platform.NewOrderClient(sender.NewClient()),
-		Fleet: e.fleet, Suspects: e.suspects, Parts: e.parts, Limits: e.throttler, Registry: e.tails.registry, Config: e.tails.config,
+		Fleet: e.fleet, Suspects: e.suspects, Parts: e.parts, Limits: e.throttler, Accounts: e.allotter, Registry: e.tails.registry, Config: e.tails.config,
 		Table: e.relayer.Table, Clock: clock, Boot: clocker.SystemClock{}, Log: log, Peers: e.peers, Meter: e.metrics, OnMembers: e.updateMembers,
 	})
 	e.exposeMetrics(o.values)
@@ -266,6 +270,7 @@
 	e.coordinator.Serve(messages)
 	e.pacer.Serve(messages)
 	e.throttler.Serve(messages)
+	e.allotter.Serve(messages)
 	e.pinner.Serve(messages)
 	e.detourer.Serve(messages)
 	e.sparer.Serve(messages)
