--- /dev/null
+++ b/allotter/allotter_test.go
@@ -0,0 +1,241 @@
+package allotter_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"primrosehook/allotter"
+)
+
+// trouble draws what happens in a second of the model.
+func trouble(w *world, event, victim int) {
+	n := w.nodes[victim%len(w.nodes)]
+	switch event {
+	case 1:
+		n.killed = true
+	case 2:
+		w.start(n)
+	case 3:
+		n.frozen = true
+	case 4:
+		n.frozen = false
+	case 5: // a partition of any size
+		for i, m := range w.nodes {
+			m.group = 0
+			if i <= victim%len(w.nodes) {
+				m.group = 1
+			}
+		}
+	case 6: // three sides
+		for i, m := range w.nodes {
+			m.group = (i + victim) % 3
+		}
+	case 7:
+		for _, m := range w.nodes {
+			m.group = 0
+		}
+	case 8: // the holder, whoever it is
+		if w.holder != nil {
+			w.holder.killed = true
+		}
+	case 9:
+		if w.holder != nil {
+			w.holder.frozen = true
+		}
+	case 10: // all at once
+		for _, m := range w.nodes {
+			w.start(m)
+		}
+	}
+}
+
+var _ = Describe("The usage cap of an account", func() {
+	// The load: an account that asks for many times its cap. Guards against two arbiters that both
+	// grant the whole cap: in partitions of any size, after kills, freezes, hand-overs, and when all
+	// instances start at once.
+	DescribeTable("is never exceeded by all instances together", func(instances int, seconds int) {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			rate := rapid.SampledFrom([]float64{2700, 30000, 300000}).Draw(t, "rate")
+			w := newWorld(rapid.Uint64().Draw(t, "seed"), instances, rate, rate, 5*rate)
+			for second := range seconds {
+				if second > 2 {
+					trouble(w, rapid.IntRange(0, 30).Draw(t, "event"), rapid.IntRange(0, instances-1).Draw(t, "victim"))
+				}
+				for range int(time.Second / step) {
+					w.step()
+				}
+			}
+			if most := w.most(time.Time{}); most > bound(rate, rate) {
+				t.Fatalf("%.0f in a window, %.0f are allowed", most, bound(rate, rate))
+			}
+		})
+	}, Entry("6", 6, 40), Entry("80", 80, 20))
+
+	DescribeTable("is used almost wholly when all is calm and demand is there", func(instances int, rate float64, few bool) {
+		w := newWorld(1, instances, rate, rate, 3*rate)
+		if few {
+			for i, n := range w.nodes {
+				if n.share = 0; i < 3 {
+					n.share = 1.0 / 3
+				}
+			}
+		}
+		for range int(20 * time.Second / step) {
+			w.step()
+		}
+		from := w.now.Add(-10 * time.Second)
+		used := 0.0
+		for _, at := range w.sent {
+			if at.After(from) {
+				used += usage
+			}
+		}
+		Expect(used / 10).To(BeNumerically(">=", 0.95*rate))
+		Expect(w.most(time.Time{})).To(BeNumerically("<=", bound(rate, rate)))
+	},
+		Entry("6 instances", 6, 30000.0, false), Entry("80 with a few requests each", 80, 30000.0, false),
+		Entry("80 of a small account", 80, 5400.0, false), Entry("390", 390, 300000.0, false),
+		Entry("80, of which clients use three", 80, 300000.0, true),
+	)
+
+	// The load: a usual one, at 0.55 of the cap.
+	DescribeTable("refuses hardly any request inside it while all is calm", func(instances int, rate float64) {
+		w := newWorld(2, instances, rate, rate, 0.55*rate)
+		for range int(10 * time.Second / step) {
+			w.step()
+		}
+		w.sent, w.refused = nil, 0
+		for range int(20 * time.Second / step) {
+			w.step()
+		}
+		Expect(float64(w.refused) / float64(w.refused+len(w.sent))).To(BeNumerically("<", 0.01))
+	}, Entry("6 instances", 6, 100000.0), Entry("80", 80, 100000.0), Entry("390", 390, 300000.0))
+
+	// Guards against callers that are refused while nobody holds the lease.
+	It("is still granted by a deputy while there is no lease holder", func() {
+		w := newWorld(3, 80, 100000, 100000, 55000)
+		for range int(5 * time.Second / step) {
+			w.step()
+		}
+		w.holder, w.nextAt = nil, w.now.Add(time.Hour)
+		for range int(2 * time.Second / step) {
+			w.step()
+		}
+		w.sent, w.refused = nil, 0
+		for range int(3 * time.Second / step) {
+			w.step()
+		}
+		Expect(float64(w.refused) / float64(w.refused+len(w.sent))).To(BeNumerically("<", 0.1))
+	})
+
+	It("that is lowered binds one window later", func() {
+		w := newWorld(4, 80, 100000, 100000, 300000)
+		for range int(12 * time.Second / step) {
+			w.step()
+		}
+		w.version, w.rate, w.burst = 2, 10000, 10000
+		changed := w.now
+		for range int(20 * time.Second / step) {
+			w.step()
+		}
+		Expect(w.most(changed.Add(window))).To(BeNumerically("<=", bound(10000, 10000)))
+	})
+})
+
+var _ = Describe("Shares", func() {
+	// Guards against a sum above one while a lower fraction is not known to have arrived.
+	It("count a fraction that was lowered until the instance reports the lower one", func() {
+		now := time.Unix(1000, 0)
+		s := allotter.NewShares(term)
+		s.Begin(now, false)
+		a := s.Assign(now, "a", allotter.Entitlement{}, 1)
+		Expect(a.Fraction).To(Equal(1.0))
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(BeZero())
+		Expect(s.Assign(now, "a", a, 2).Fraction).To(Equal(0.5))
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(BeZero(), "the reply to a may be lost")
+		s.Assign(now, "a", allotter.Entitlement{Fraction: 0.5, Left: term}, 2)
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(Equal(0.5))
+	})
+
+	It("of a new holder leave what former ones assigned to those that have not reported", func() {
+		now := time.Unix(1000, 0)
+		s := allotter.NewShares(term)
+		s.Begin(now, true)
+		Expect(s.Assign(now, "new", allotter.Entitlement{}, 4).Fraction).To(BeZero())
+		Expect(s.Assign(now, "old", allotter.Entitlement{Fraction: 0.6, Left: term}, 4).Fraction).To(Equal(0.25))
+		Expect(s.Assign(now.Add(term), "new", allotter.Entitlement{}, 4).Fraction).To(Equal(0.25))
+	})
+
+	DescribeTable("and arbiters pass over what another build or a faulty one states", func(e allotter.Entitlement) {
+		now := time.Unix(1000, 0)
+		s := allotter.NewShares(term)
+		s.Begin(now, false)
+		Expect(s.Assign(now, "a", e, 4).Fraction).To(Equal(0.25))
+		r := allotter.NewArbiter()
+		r.Delegate(now, "a", e)
+		_, sum := r.Members(now)
+		Expect(sum).To(BeNumerically("<=", 1))
+	},
+		Entry("a negative fraction", allotter.Entitlement{Fraction: -1, Left: time.Second}),
+		Entry("one above the whole", allotter.Entitlement{Fraction: 7, Left: time.Second}),
+		Entry("a negative time", allotter.Entitlement{Fraction: 0.5, Left: -1}),
+	)
+})
+
+var _ = Describe("An entitlement", func() {
+	// Guards against a fraction that two arbiters use at the same time.
+	It("is delegated to another arbiter only once the delegation to the former one has lapsed", func() {
+		now := time.Unix(1000, 0)
+		h := allotter.Holding{}
+		h.Assigned(now, allotter.Entitlement{Fraction: 0.5, Left: term})
+		Expect(h.Delegate(now, "a", time.Second).Fraction).To(Equal(0.5))
+		Expect(h.Delegate(now.Add(time.Second), "b", time.Second)).To(Equal(allotter.Entitlement{}))
+		Expect(h.Own(now.Add(time.Second))).To(Equal(allotter.Entitlement{}))
+		Expect(h.Own(now.Add(1300 * time.Millisecond)).Fraction).To(Equal(0.5))
+		Expect(h.Delegate(now.Add(1300*time.Millisecond), "b", time.Second).Fraction).To(Equal(0.5))
+		Expect(h.Own(now.Add(9 * time.Second)).Fraction).To(BeZero(), "it has expired")
+	})
+})
+
+var _ = Describe("An arbiter", func() {
+	now := time.Unix(1000, 0)
+	grant := func(r *allotter.Arbiter, i allotter.Item) allotter.Grant {
+		g, ok := r.Grant(now, "a", []allotter.Item{i})
+		Expect(ok).To(BeTrue())
+		return g[0]
+	}
+
+	It("grants nothing to instances that do not delegate to it", func() {
+		r := allotter.NewArbiter()
+		_, ok := r.Grant(now, "a", []allotter.Item{{Account: "x", Rate: 1, Need: 1}})
+		Expect(ok).To(BeFalse())
+	})
+
+	It("grants a request that is larger than the burst, and makes later ones wait for it", func() {
+		r := allotter.NewArbiter()
+		r.Delegate(now, "a", allotter.Entitlement{Fraction: 1, Left: time.Hour})
+		now = now.Add(2 * time.Second)
+		item := allotter.Item{Account: "x", Version: 1, Rate: 100, Burst: 50, Need: 300}
+		Expect(grant(r, item).Amount).To(Equal(300.0))
+		refused := grant(r, item)
+		Expect(refused.Amount).To(BeZero())
+		Expect(refused.Wait).To(BeNumerically(">=", 3*time.Second))
+	})
+
+	DescribeTable("refuses what can't be reckoned with", func(i allotter.Item) {
+		r := allotter.NewArbiter()
+		r.Delegate(now, "a", allotter.Entitlement{Fraction: 1, Left: time.Hour})
+		now = now.Add(10 * time.Second)
+		i.Account = "x"
+		Expect(grant(r, i).Amount).To(BeZero())
+		Expect(grant(r, allotter.Item{Account: "y", Rate: 10, Burst: 10, Need: 1}).Amount).To(Equal(1.0), fmt.Sprint(i))
+	},
+		Entry("a negative need", allotter.Item{Rate: 10, Burst: 10, Need: -5}),
+		Entry("more given back than there is, from nowhere", allotter.Item{Rate: 10, Burst: 10, Need: 20000, Back: -1}),
+		Entry("no rate", allotter.Item{Burst: 10, Need: 1}),
+	)
+})
