--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -49,8 +49,9 @@
 	// defaultTolerance is by how much usage may exceed a cap.
 	defaultTolerance = 0.1
 	// oldBuildBackoff is how long an instance that does not know entitlements gets none
-	// delegated.
+	// delegated, rejectedBackoff the same for one whose answer to a report did not count.
 	oldBuildBackoff = 10 * time.Second
+	rejectedBackoff = 2 * time.Second
 	// noArbiterWait is when a request is told to come back that no arbiter could answer: a
 	// delegation has lapsed by then.
 	noArbiterWait = 500 * time.Millisecond
@@ -106,11 +107,11 @@
 	// replied is the instance that answered the last report, silent one that did not answer
 	// a call since.
 	replied, silent string
-	// oldBuilds are the instances that do not know entitlements, and until when they are taken for
-	// such.
-	oldBuilds map[string]time.Time
-	members   int
-	usages    map[string]*usage
+	// avoided is until when instances get no entitlement delegated: they do not know them, or
+	// their answers to reports do not count.
+	avoided map[string]time.Time
+	members int
+	usages  map[string]*usage
 	// next is the call that collects items while one is under way.
 	next     *call
 	calling  bool
@@ -160,7 +161,7 @@
 func New(instance, self string, peers Peers, clock clockwork.Clock, boot clocker.Clock, log *zap.Logger, options ...Option) *Allotter {
 	a := &Allotter{
 		instance: instance, self: self, peers: peers, clock: clock, boot: boot, log: log, meter: discardMeter{},
-		role: NewArbiter(), own: NewArbiter(), usages: map[string]*usage{}, oldBuilds: map[string]time.Time{}, term: defaultTerm,
+		role: NewArbiter(), own: NewArbiter(), usages: map[string]*usage{}, avoided: map[string]time.Time{}, term: defaultTerm,
 	}
 	a.setTolerance(0, defaultTolerance)
 	for _, o := range options {
@@ -202,7 +203,7 @@
 	defer a.mu.Unlock()
 	now := a.boot.Now()
 	s := Statement{Held: a.holding.Held(now)}
-	if now.Before(a.oldBuilds[receiver]) {
+	if now.Before(a.avoided[receiver]) {
 		return s
 	}
 	if s.Delegated = a.holding.Delegate(now, receiver, ttl); s.Delegated.Left > 0 {
@@ -222,13 +223,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if e == nil {
-		a.oldBuilds[sender] = a.boot.Now().Add(oldBuildBackoff)
+		a.avoided[sender] = a.boot.Now().Add(oldBuildBackoff)
 		if holdsLease {
 			a.holding.Assigned(sent, Entitlement{Fraction: 1 / float64(max(members, 1)), Left: a.term})
 		}
 		a.replied = ""
 		return
 	}
+	delete(a.avoided, sender)
 	a.holding.Assigned(sent, *e)
 	if sender != a.replied {
 		a.log.Info("allot: arbiter", zap.String("member", sender), zap.Float64("fraction", a.holding.fraction))
@@ -239,6 +241,17 @@
 	}
 }
 
+// Rejected records that an instance did not answer a report, or that its answer does not count. A
+// delegation that it has got lapses by itself.
+func (a *Allotter) Rejected(receiver string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.avoided[receiver] = a.boot.Now().Add(rejectedBackoff)
+	if a.replied == receiver {
+		a.replied = ""
+	}
+}
+
 // BeginTerm begins a term of this instance as the lease holder.
 func (a *Allotter) BeginTerm(hadHolder bool) {
 	a.mu.Lock()
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -197,7 +197,7 @@
 		Expect(h.Own(now.Add(time.Second))).To(Equal(allotter.Entitlement{}))
 		Expect(h.Own(now.Add(1300 * time.Millisecond)).Fraction).To(Equal(0.5))
 		Expect(h.Delegate(now.Add(1300*time.Millisecond), "b", time.Second).Fraction).To(Equal(0.5))
-		Expect(h.Own(now.Add(9 * time.Second)).Fraction).To(BeZero(), "it has expired")
+		Expect(h.Own(now.Add(9*time.Second)).Fraction).To(BeZero(), "it has expired")
 	})
 })
 
--- a/coordinator/accounts.go
+++ b/coordinator/accounts.go
@@ -6,6 +6,10 @@
 	"primrosehook/allotter"
 )
 
+// delegationMargin is how much longer than the pause between two reports an entitlement is
+// delegated. While it lasts, nobody grants from it if the one that has it is lost.
+const delegationMargin = 400 * time.Millisecond
+
 // stateAccounts adds what this instance may use of the caps of client accounts to a report that
 // is sent now, if the configuration has accounts. It returns the time by which that is counted.
 func (c *Coordinator) stateAccounts(r *Report, address string) time.Time {
@@ -14,7 +18,7 @@
 		return time.Time{}
 	}
 	sent := c.Accounts.Now()
-	s := c.Accounts.State(address, c.ReplyTTL())
+	s := c.Accounts.State(address, c.usualPause()+delegationMargin)
 	r.Accounts = &s
 	return sent
 }
@@ -36,3 +40,11 @@
 	e := c.Accounts.Reported(r.Instance, *r.Accounts, holdsLease, instances)
 	return &e
 }
+
+// rejectArbiter records that an instance that was reported to did not answer, or that its answer
+// does not count.
+func (c *Coordinator) rejectArbiter(address string) {
+	if c.Accounts != nil {
+		c.Accounts.Rejected(address)
+	}
+}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -273,6 +273,7 @@
 		if err != nil {
 			c.Meter.Add(MetricExchangesUnanswered, 1)
 			c.backOffFrom(address)
+			c.rejectArbiter(address)
 			if !c.holderLost && !deputy {
 				c.holderLost = true
 				c.Log.Info("coordinator: holder does not reply", zap.String("holder", address), zap.Error(err))
@@ -287,10 +288,12 @@
 				return
 			}
 			c.backOffFrom(address)
+			c.rejectArbiter(address)
 			continue
 		}
 		if !reply.HoldsLease {
 			c.backOffFrom(address)
+			c.rejectArbiter(address)
 			continue
 		}
 		if c.holderLost {
