--- a/cmd/primrosehook/serve_test.go
+++ b/cmd/primrosehook/serve_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os/exec"
@@ -27,7 +29,9 @@
 // freeAddr returns a loopback address that nothing listens on.
 func freeAddr() string {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// Another socket may take the port before the program that is started does. On an address of
+		// the loopback range that nothing else uses, it can't.
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(256), 1+rand.N(254)))
 		Expect(err).NotTo(HaveOccurred())
 		addr := l.Addr().String()
 		l.Close()
