Caps are granted again sooner after a hand-over and after the loss of all instances

Entries of the lease name the instances that are entitled: one that has started again at such an address frees what the process before had.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -45,7 +45,7 @@
 	// toleranceShare is the share of the caps' tolerance, as a time, whose usage an instance may
 	// go on with while its arbiter is silent, once in a term. The rest covers credit that is
 	// used later than it was granted.
-	toleranceShare = 0.5
+	toleranceShare = 0.8
 	// defaultTolerance is by how much usage may exceed a cap.
 	defaultTolerance = 0.1
 	// oldBuildBackoff is how long an instance that does not know entitlements gets none
@@ -63,6 +63,8 @@
 type AllotRequest struct {
 	Instance string `msgpack:"i"`
 	Items    []Item `msgpack:"x"`
+	// Release ends the delegation of the instance's entitlement: it has another arbiter.
+	Release bool `msgpack:"r,omitempty"`
 }
 
 // AllotReply answers an AllotRequest. NotArbiter is set if the instance has no valid delegation
@@ -95,6 +97,8 @@
 	meter          Meter
 	names          labels
 
+	// restarted is set if an earlier process ran at the address.
+	restarted bool
 	// term is how long entitlements are valid, grace the time whose usage is let through while the
 	// arbiter is silent.
 	term, grace time.Duration
@@ -156,6 +160,9 @@
 	a.grace = time.Duration(toleranceShare * max(overage, 0) * float64(a.term))
 }
 
+// WithRestarted says that an earlier process ran at the address of this one.
+func WithRestarted(restarted bool) Option { return func(a *Allotter) { a.restarted = restarted } }
+
 // New returns the allotter of an instance, a name that no other process has, which peers reach at
 // the address self.
 func New(instance, self string, peers Peers, clock clockwork.Clock, boot clocker.Clock, log *zap.Logger, options ...Option) *Allotter {
@@ -186,6 +193,10 @@
 func (a *Allotter) Grant(q AllotRequest) AllotReply {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if q.Release {
+		a.role.Delegate(a.boot.Now(), q.Instance, Entitlement{})
+		return AllotReply{}
+	}
 	grants, ok := a.role.Grant(a.boot.Now(), q.Instance, q.Items)
 	return AllotReply{NotArbiter: !ok, Grants: grants}
 }
@@ -194,6 +205,8 @@
 type Statement struct {
 	Held      Entitlement `msgpack:"h"`
 	Delegated Entitlement `msgpack:"d"`
+	// Restarted is set if an earlier process ran at the instance's address.
+	Restarted bool `msgpack:"r,omitempty"`
 }
 
 // State returns the statement for a report that is sent now to an instance, whose answer counts
@@ -202,7 +215,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.boot.Now()
-	s := Statement{Held: a.holding.Held(now)}
+	s := Statement{Held: a.holding.Held(now), Restarted: a.restarted}
 	if now.Before(a.avoided[receiver]) {
 		return s
 	}
@@ -241,6 +254,46 @@
 	}
 }
 
+// Release takes the entitlement back from the arbiter if the receiver of the next report has answered
+// the last one in its place.
+func (a *Allotter) Release(ctx context.Context, receiver string) {
+	a.mu.Lock()
+	former := a.holding.Arbiter(a.boot.Now())
+	moves := former != "" && former != receiver && a.replied == receiver && a.silent != former
+	a.mu.Unlock()
+	if !moves {
+		return
+	}
+	var err error
+	if former == a.self {
+		a.Grant(AllotRequest{Instance: a.instance, Release: true})
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, allotTimeout)
+		defer cancel()
+		err = a.peers.Call(ctx, former, kindAllot, AllotRequest{Instance: a.instance, Release: true}, &AllotReply{})
+	}
+	if err != nil {
+		// The delegation lapses by itself.
+		a.recordSilence(former, err)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holding.Released(former)
+}
+
+// Lapses returns the time until the entitlement can be delegated again if its arbiter is silent, zero
+// if it is not.
+func (a *Allotter) Lapses() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.boot.Now()
+	if former := a.holding.Arbiter(now); former == "" || former != a.silent && a.replied == former {
+		return 0
+	}
+	return a.holding.Lapses(now)
+}
+
 // Rejected records that an instance did not answer a report, or that its answer does not count. A
 // delegation that it has got lapses by itself.
 func (a *Allotter) Rejected(receiver string) {
@@ -250,18 +303,29 @@
 	if a.replied == receiver {
 		a.replied = ""
 	}
+	if a.holding.Arbiter(a.boot.Now()) == receiver {
+		a.silent = receiver
+	}
+}
+
+// BeginTerm begins a term of this instance as the lease holder. former are the instances that had
+// an entitlement of the former one.
+func (a *Allotter) BeginTerm(hadHolder bool, former Entitled) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shares.Begin(a.boot.Now(), hadHolder, former)
 }
 
-// BeginTerm begins a term of this instance as the lease holder.
-func (a *Allotter) BeginTerm(hadHolder bool) {
+// Entitled returns the instances that have an entitlement that this one assigned.
+func (a *Allotter) Entitled() Entitled {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.shares.Begin(a.boot.Now(), hadHolder)
+	return a.shares.Entitled(a.boot.Now())
 }
 
 // Reported applies the statement of an instance that reports to this one. The lease holder
 // assigns an entitlement, a deputy none.
-func (a *Allotter) Reported(instance string, s Statement, holdsLease bool, instances int) Entitlement {
+func (a *Allotter) Reported(instance, address string, s Statement, holdsLease bool, instances int) Entitlement {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.boot.Now()
@@ -269,7 +333,7 @@
 	if !holdsLease {
 		return Entitlement{}
 	}
-	return a.shares.Assign(now, instance, s.Held, instances)
+	return a.shares.Assign(now, address, s.Held, s.Restarted, instances)
 }
 
 // Status is what operators see of the entitlement and the role of this instance.
@@ -298,10 +362,10 @@
 // arbiter returns the instance that the entitlement is delegated to and that answers, empty if
 // there is none. a.mu must be held.
 func (a *Allotter) arbiter(now time.Time) string {
-	if a.replied == "" || a.replied != a.holding.arbiter || !now.Before(a.holding.lapses) || a.silent == a.replied {
-		return ""
+	if arbiter := a.holding.Arbiter(now.Add(transitMargin)); arbiter != a.silent {
+		return arbiter
 	}
-	return a.replied
+	return ""
 }
 
 // Credit is what a request has taken of an account's cap.
--- a/allotter/shares.go
+++ b/allotter/shares.go
@@ -27,8 +27,10 @@
 	term    time.Duration
 	members map[string]share
 	// inherited is the sum of the fractions, assigned by former holders, that were reported in
-	// this term. The rest of one may still be in use until unknownUntil.
+	// this term, or whose instances have ended. The rest of one may still be in use until
+	// unknownUntil. former are the instances that had one.
 	inherited    float64
+	former       Entitled
 	unknownUntil time.Time
 }
 
@@ -42,28 +44,33 @@
 func NewShares(term time.Duration) *Shares { return &Shares{term: term, members: map[string]share{}} }
 
 // Begin begins a term of this instance as the lease holder. Entitlements that an earlier holder
-// assigned may still be valid.
-func (s *Shares) Begin(now time.Time, hadHolder bool) {
+// assigned may still be valid; former are the instances that had one as far as it is known.
+func (s *Shares) Begin(now time.Time, hadHolder bool, former Entitled) {
 	clear(s.members)
-	s.inherited, s.unknownUntil = 0, time.Time{}
+	s.inherited, s.former, s.unknownUntil = 0, former, time.Time{}
 	if hadHolder {
 		s.unknownUntil = now.Add(s.term)
 	}
 }
 
-// Assign returns the entitlement of an instance that reports the one that it holds, as one of a
-// number of instances.
-func (s *Shares) Assign(now time.Time, instance string, held Entitlement, instances int) Entitlement {
+// Assign returns the entitlement of the instance at an address that reports the one that it holds,
+// as one of a number of instances. Earlier processes at that address have ended, and what they held
+// with them; restarted is set if there was one.
+func (s *Shares) Assign(now time.Time, address string, held Entitlement, restarted bool, instances int) Entitlement {
 	if !held.valid() || held.Left == 0 {
 		held = Entitlement{}
 	}
-	if _, known := s.members[instance]; !known {
-		s.inherited = min(s.inherited+held.Fraction, 1)
+	if _, known := s.members[address]; !known {
+		freed := held.Fraction
+		if freed == 0 && restarted {
+			freed = s.former.part(address)
+		}
+		s.inherited = min(s.inherited+freed, 1)
 	}
 	assigned := s.unknown(now)
 	for name, m := range s.members {
 		switch {
-		case name == instance:
+		case name == address:
 		case now.Before(m.expires):
 			assigned += m.fraction
 		default:
@@ -72,10 +79,22 @@
 	}
 	next := max(min(1/float64(max(instances, 1)), 1-assigned), 0)
 	// A lower fraction is in force only once the instance reports it: the reply may be lost.
-	s.members[instance] = share{fraction: max(next, held.Fraction), expires: now.Add(s.term)}
+	s.members[address] = share{fraction: max(next, held.Fraction), expires: now.Add(s.term)}
 	return Entitlement{Fraction: next, Left: s.term}
 }
 
+// Entitled returns the instances that have an entitlement of this term.
+func (s *Shares) Entitled(now time.Time) Entitled {
+	e := Entitled{Part: 1}
+	for address, m := range s.members {
+		if m.fraction > 0 && now.Before(m.expires) {
+			e.Addresses = append(e.Addresses, addressHash(address))
+			e.Part = min(e.Part, m.fraction)
+		}
+	}
+	return e
+}
+
 // unknown returns how much former holders may have assigned to instances that have not reported.
 func (s *Shares) unknown(now time.Time) float64 {
 	if !now.Before(s.unknownUntil) {
@@ -86,7 +105,7 @@
 
 // transitMargin is the longest time that a report is under way to the arbiter that counts it.
 // Later ones come from a pause of either process, for which the tolerance of the caps allows.
-const transitMargin = 250 * time.Millisecond
+const transitMargin = 150 * time.Millisecond
 
 // Holding is the entitlement of this instance, and to whom it is delegated. It is not safe for
 // concurrent use.
@@ -128,6 +147,24 @@
 	return Entitlement{Fraction: held.Fraction, Left: min(held.Left, ttl)}
 }
 
+// Arbiter returns the instance that has the entitlement, empty if none does.
+func (h *Holding) Arbiter(now time.Time) string {
+	if !now.Before(h.lapses) {
+		return ""
+	}
+	return h.arbiter
+}
+
+// Lapses returns the time until the entitlement is not delegated any more.
+func (h *Holding) Lapses(now time.Time) time.Duration { return max(h.lapses.Sub(now), 0) }
+
+// Released records that an arbiter has given the entitlement back.
+func (h *Holding) Released(arbiter string) {
+	if h.arbiter == arbiter {
+		h.lapses = time.Time{}
+	}
+}
+
 // Own returns the entitlement that this instance may use itself.
 func (h *Holding) Own(now time.Time) Entitlement {
 	if now.Before(h.lapses) {
--- a/coordinator/accounts.go
+++ b/coordinator/accounts.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"time"
 
 	"primrosehook/allotter"
@@ -8,15 +9,16 @@
 
 // delegationMargin is how much longer than the pause between two reports an entitlement is
 // delegated. While it lasts, nobody grants from it if the one that has it is lost.
-const delegationMargin = 400 * time.Millisecond
+const delegationMargin = 250 * time.Millisecond
 
 // stateAccounts adds what this instance may use of the caps of client accounts to a report that
 // is sent now, if the configuration has accounts. It returns the time by which that is counted.
-func (c *Coordinator) stateAccounts(r *Report, address string) time.Time {
+func (c *Coordinator) stateAccounts(ctx context.Context, r *Report, address string) time.Time {
 	t := c.Table()
 	if c.Accounts == nil || t == nil || !t.HasAccounts() {
 		return time.Time{}
 	}
+	c.Accounts.Release(ctx, address)
 	sent := c.Accounts.Now()
 	s := c.Accounts.State(address, c.usualPause()+delegationMargin)
 	r.Accounts = &s
@@ -37,7 +39,7 @@
 	if r.Accounts == nil || c.Accounts == nil {
 		return nil
 	}
-	e := c.Accounts.Reported(r.Instance, *r.Accounts, holdsLease, instances)
+	e := c.Accounts.Reported(r.Instance, r.Address, *r.Accounts, holdsLease, instances)
 	return &e
 }
 
@@ -48,3 +50,27 @@
 		c.Accounts.Rejected(address)
 	}
 }
+
+// accountsPause shortens the pause until the next report while nobody grants from this instance's
+// entitlement: it can be delegated again once it has lapsed.
+func (c *Coordinator) accountsPause(pause time.Duration) time.Duration {
+	if c.Accounts == nil {
+		return pause
+	}
+	if lapses := c.Accounts.Lapses(); lapses > 0 {
+		return min(pause, lapses+time.Millisecond)
+	}
+	return pause
+}
+
+// entitled returns the instances that have an entitlement, for the entries of the lease.
+func (c *Coordinator) entitled() *allotter.Entitled {
+	if c.Accounts == nil {
+		return nil
+	}
+	e := c.Accounts.Entitled()
+	if len(e.Addresses) == 0 {
+		return nil
+	}
+	return &e
+}
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"primrosehook/allotter"
 	"primrosehook/clocker"
 	"primrosehook/leaser"
 	"primrosehook/replayer"
@@ -64,6 +65,8 @@
 	// Clear is set by a holder that was free to send orders: all earlier holders have sent
 	// none for long enough. Builds before UPGRADES.md set it and read it on releases only.
 	Clear bool `msgpack:"c"`
+	// Entitled are the instances that have a part of the caps of client accounts, nil for none.
+	Entitled *allotter.Entitled `msgpack:"n,omitempty"`
 }
 
 // LogRecord is one record of the lease's log.
@@ -108,6 +111,8 @@
 	// another holder, or this machine's process before, may have sent some. Both are zero if
 	// there was none.
 	orderFrom, othersUntil time.Time
+	// entitled returns the instances that have a part of the caps of client accounts.
+	entitled func() *allotter.Entitled
 	// termFence is the fencing token that onTerm was last called for.
 	termFence int64
 	// repliedUntil is until when a reply of the holder, or of a deputy that watches the
@@ -134,6 +139,8 @@
 	// order; it is negative while one still may.
 	HadHolder bool
 	Elapsed   time.Duration
+	// Entitled are the instances that had a part of the caps of client accounts.
+	Entitled allotter.Entitled
 }
 
 // NewLease returns a lease that has read nothing yet. orderGap is the least time
@@ -404,9 +411,13 @@
 		e.Fence = previous.Fence
 		e.Clear = l.mayOrder(now)
 	}
+	e.Entitled = previous.Entitled
 	at := l.nextOffset
 	e.Era, _ = tailer.SplitPosition(at)
 	l.mu.Unlock()
+	if renewal && l.entitled != nil {
+		e.Entitled = l.entitled()
+	}
 	err := l.append(ctx, e, at)
 	l.recordResult(err == nil || errors.Is(err, ErrOffsetMismatch))
 	l.mu.Lock()
@@ -429,7 +440,11 @@
 	}
 	l.termFence = l.lastEntry.Fence
 	l.logger.Info("lease: taken", zap.Int64("fence", l.lastEntry.Fence), zap.Duration("orders_after", max(l.orderFrom.Sub(now), 0)))
-	l.onTerm(Handover{HadHolder: !l.othersUntil.IsZero(), Elapsed: now.Sub(l.othersUntil)})
+	h := Handover{HadHolder: !l.othersUntil.IsZero(), Elapsed: now.Sub(l.othersUntil)}
+	if previous.Entitled != nil {
+		h.Entitled = *previous.Entitled
+	}
+	l.onTerm(h)
 }
 
 // claimRank returns this instance's rank among claims, in a different order for
@@ -472,6 +487,7 @@
 	e.Release, e.Fence = true, l.lastEntry.Fence
 	now := l.boot.Now()
 	e.Clear = l.elector.Valid(now) && !now.Before(l.orderFrom)
+	e.Entitled = l.lastEntry.Entitled
 	at := l.nextOffset
 	e.Era, _ = tailer.SplitPosition(at)
 	if isHolder {
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -138,6 +138,7 @@
 	c.builds.Store(&map[string]int{})
 	self := Entry{Instance: d.Instance, Machine: d.Machine, Address: d.Address}
 	c.lease = NewLease(self, d.OrderGap, d.LeaseLog, d.Boot, d.Clock, d.Log, c.leaseAcquired, c.MaxRetryInterval)
+	c.lease.entitled = c.entitled
 	if d.LinkMbps > 0 && d.LinkMbps < wideLinkMbps {
 		c.lease.Yield()
 	}
@@ -227,7 +228,7 @@
 func (c *Coordinator) leaseAcquired(h Handover) {
 	c.cluster.reset()
 	if c.Accounts != nil {
-		c.Accounts.BeginTerm(h.HadHolder)
+		c.Accounts.BeginTerm(h.HadHolder, h.Entitled)
 	}
 	c.Registry.EndFeed()
 	c.Config.EndFeed()
@@ -244,7 +245,7 @@
 		case <-c.Fleet.NoReplica():
 		case <-c.Parts.Changed():
 		case <-c.Suspects.Changed():
-		case <-c.Clock.After(c.reportPause()):
+		case <-c.Clock.After(c.accountsPause(c.reportPause())):
 		}
 	}
 }
@@ -267,7 +268,7 @@
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
 			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy, Queues: c.Fleet.OwnQueues(), Build: c.build,
 		}
-		accountsSent := c.stateAccounts(&r, address)
+		accountsSent := c.stateAccounts(ctx, &r, address)
 		sent := c.Clock.Now()
 		reply, err := c.sendReport(ctx, address, r)
 		if err != nil {
