Replicas by the slots of a server and by how long requests hold one

With twelve slots and two seconds a request, a replica serves some four requests a second; the planner counted on six, which prefill allows on engines with many slots. Requests for a model in demand were refused while its replicas counted as enough.

Instances report how many requests servers have finished and for how long each held a slot; the planner takes seven tenths of the slots over that time where it is less than what prefill allows.

--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -24,10 +24,20 @@
 	Waiting int `msgpack:"w"`
 	// Build is the only build whose replicas are of use, empty for any.
 	Build string `msgpack:"b,omitempty"`
+	// Done counts the requests that servers have finished, Held is for how long they held a slot
+	// in all.
+	Done int           `msgpack:"d,omitempty"`
+	Held time.Duration `msgpack:"h,omitempty"`
 }
 
 type demandKey struct{ service, key, build string }
 
+// finishedRequests counts requests and sums how long each held a slot of a server.
+type finishedRequests struct {
+	count int
+	held  time.Duration
+}
+
 // Fleet holds the servers of all services as this instance knows them, and the
 // requests that wait for one. It is safe for concurrent use.
 type Fleet struct {
@@ -51,6 +61,8 @@
 	pools           map[string]*connector.Pool
 	arrived         map[demandKey]int
 	awaitingReplica map[demandKey]int
+	// finished are the requests that servers have finished since the last report.
+	finished map[demandKey]finishedRequests
 	// missed counts the requests that were refused since no replica is there in time, since the
 	// last report. absentSince is when one of a model or adapter was first missing.
 	missed      map[demandKey]int
@@ -73,7 +85,7 @@
 	f := &Fleet{
 		zone: zone, seed: seed, clock: clock, started: clock.Now(),
 		cores: map[string]*Core{}, pools: map[string]*connector.Pool{},
-		arrived: map[demandKey]int{}, awaitingReplica: map[demandKey]int{}, missed: map[demandKey]int{}, absentSince: map[demandKey]time.Time{}, models: map[string]map[string]matcher.Model{},
+		arrived: map[demandKey]int{}, finished: map[demandKey]finishedRequests{}, awaitingReplica: map[demandKey]int{}, missed: map[demandKey]int{}, absentSince: map[demandKey]time.Time{}, models: map[string]map[string]matcher.Model{},
 		queues: map[string]*WaitQueue{}, registryWasRead: make(chan struct{}), noReplica: make(chan struct{}, 1),
 		dialer: connector.DirectDialer{},
 	}
@@ -597,10 +609,21 @@
 	if c, ok := f.cores[a.service]; ok {
 		now := f.clock.Now()
 		c.RecordDone(now, a.ID, a.request, a.firstEventSeen, failed, now.Sub(a.sent))
+		f.recordFinished(a, now.Sub(a.sent))
 		f.dispatch(a.service)
 	}
 }
 
+// recordFinished records that a server has finished a request. f.mu must be held.
+func (f *Fleet) recordFinished(a *Assignment, held time.Duration) {
+	if a.request.Model == "" || !a.firstEventSeen {
+		return
+	}
+	key := demandKey{a.service, a.request.Key(), ""}
+	done := f.finished[key]
+	f.finished[key] = finishedRequests{done.count + 1, done.held + held}
+}
+
 // TakeDemand returns the demand since the last call, and resets the counts of
 // arrivals.
 func (f *Fleet) TakeDemand() []Demand {
@@ -616,9 +639,14 @@
 	for k := range missed {
 		all[k] += 0
 	}
+	finished := maps.Clone(f.finished)
+	clear(f.finished)
+	for k := range finished {
+		all[k] += 0
+	}
 	list := make([]Demand, 0, len(all))
 	for k, n := range all {
-		list = append(list, Demand{Service: k.service, Key: k.key, Arrived: n, Waiting: f.awaitingReplica[k] + missed[k], Build: k.build})
+		list = append(list, Demand{Service: k.service, Key: k.key, Arrived: n, Waiting: f.awaitingReplica[k] + missed[k], Build: k.build, Done: finished[k].count, Held: finished[k].held})
 	}
 	return list
 }
--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -50,6 +50,13 @@
 
 type demandRates struct{ fast, slow decayer.Counter }
 
+// holding is how long requests hold a slot of a server: decaying sums of finished requests and of
+// the seconds for which they held one.
+type holding struct{ done, seconds decayer.Counter }
+
+// holdingHalfLife is the half-life of holding: some hundred requests of a model in demand.
+const holdingHalfLife = 10 * time.Second
+
 // clusterState is the coordinator's view of all instances and servers. Every
 // instance maintains the part that comes from the store, so that it can become
 // the coordinator.
@@ -69,6 +76,8 @@
 	addresses       []string
 	addressesDigest uint64
 	demand          map[demandKey]*demandRates
+	// holdings are those of each service.
+	holdings map[string]*holding
 	// requestedAt is when an instance last reported a request for a model of a service,
 	// requestedSince when one first did in this term.
 	requestedAt    map[modelKey]time.Time
@@ -92,7 +101,7 @@
 
 func newClusterState(clock clockwork.Clock, linkMbps float64) *clusterState {
 	return &clusterState{
-		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, demand: map[demandKey]*demandRates{}, requestedAt: map[modelKey]time.Time{},
+		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, demand: map[demandKey]*demandRates{}, holdings: map[string]*holding{}, requestedAt: map[modelKey]time.Time{},
 		records: map[string]tailer.Record{}, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
 	}
 }
@@ -144,6 +153,7 @@
 		}
 		rates.fast.Add(now, fastHalfLife, float64(d.Arrived))
 		rates.slow.Add(now, slowHalfLife, float64(d.Arrived))
+		c.addHolding(now, d)
 		if d.Waiting > 0 {
 			m.waiting[demandKey{d.Service, d.Key, d.Build}] = d.Waiting
 			waiting = true
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		demand, waiting, builds := r.cluster.serviceDemand(name)
-		state := serviceplanner.State{Engine: service.Engine, Demand: demand, Waiting: waiting, WaitingBuilds: builds, Unrequested: r.cluster.unrequested(name, service.Engine.Models), ColdLoads: coldLoadLimit(service.Engine, r.ColdLoadWindow, r.ColdLoadOverage) - r.coldLoadCounter(name).Count(now)}
+		state := serviceplanner.State{Engine: service.Engine, Demand: demand, Waiting: waiting, WaitingBuilds: builds, Unrequested: r.cluster.unrequested(name, service.Engine.Models), HoldingTime: r.cluster.holdingTime(name), ColdLoads: coldLoadLimit(service.Engine, r.ColdLoadWindow, r.ColdLoadOverage) - r.coldLoadCounter(name).Count(now)}
 		for _, known := range r.servers {
 			if known.registration.Service == name {
 				state.Servers = append(state.Servers, known.plannerInput(now, unavailable[known.registration.Incarnation]))
--- a/serviceplanner/replicas.go
+++ b/serviceplanner/replicas.go
@@ -16,6 +16,9 @@
 	// refused: at some 70 ms of prefill, that takes four tenths of an engine's time, and with
 	// pauses of its running streams as long as they may be it has no more.
 	replicaCapacity = 6.0
+	// slotShare is the share of a server's slots up to which requests come and go without
+	// waiting for one: arrivals come in clumps.
+	slotShare = 0.7
 	// minDemandRatio is how many times the demand of the replica that it
 	// replaces a new replica must get.
 	minDemandRatio = 1.5
@@ -24,6 +27,15 @@
 	lastReplicaRatio = 8.0
 )
 
+// capacityOf returns the demand per replica above which requests are refused. Prefill limits it on
+// engines with many slots, and the slots on those with few.
+func capacityOf(s State) float64 {
+	if s.HoldingTime <= 0 || s.Engine.Slots <= 0 {
+		return replicaCapacity
+	}
+	return min(replicaCapacity, slotShare*float64(s.Engine.Slots)/s.HoldingTime.Seconds())
+}
+
 // addUnserved adds replicas of the models with most demand that no replica has room for,
 // which is all of it for a model that no server has loaded.
 func (p *planner) addUnserved() {
@@ -50,13 +62,13 @@
 
 // unserved returns the demand for a model that its replicas have no room for.
 func (p *planner) unserved(m string) float64 {
-	return max(p.modelDemand[m]-float64(p.replicas[m])*replicaCapacity, 0)
+	return max(p.modelDemand[m]-float64(p.replicas[m])*p.capacity, 0)
 }
 
 // addReplicas adds replicas of the models in most demand per replica.
 func (p *planner) addReplicas() {
 	for range len(p.servers) {
-		best, most := "", replicaDemand
+		best, most := "", p.comfort
 		for _, m := range p.models {
 			if n := p.replicas[m]; n > 0 && n < len(p.servers) {
 				if d := p.modelDemand[m] / float64(n); d > most {
@@ -135,7 +147,7 @@
 		for i := range p.Engine.Models[m].Adapters {
 			a := fmt.Sprintf("a%d", i+1)
 			key := balancer.Key(m, a)
-			if n := float64(len(holders[key])); n > 0 && p.Demand[key]/n > replicaDemand {
+			if n := float64(len(holders[key])); n > 0 && p.Demand[key]/n > p.comfort {
 				p.addAdapterReplica(m, a, loads, holders[key])
 			}
 		}
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -83,6 +83,8 @@
 	// Unrequested is how long nobody has requested a model, as far as that is known. A model
 	// that it does not have keeps its last replica.
 	Unrequested map[string]time.Duration
+	// HoldingTime is how long a request holds a slot of a server, zero if that is not known.
+	HoldingTime time.Duration
 	// ColdLoads is how many loads from the weight store may start now.
 	ColdLoads int
 }
@@ -208,11 +210,16 @@
 	kept        map[string]int
 	models      []string
 	orders      []Order
+	// capacity is the demand per replica, in requests a second, above which requests are
+	// refused, and comfort that above which another replica noticeably shortens waits.
+	capacity, comfort float64
 }
 
 // Plan returns orders that may all be sent at once, at most one per server.
 func Plan(state State) []Order {
 	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}, kept: map[string]int{}}
+	p.capacity = capacityOf(state)
+	p.comfort = p.capacity * replicaDemand / replicaCapacity
 	for _, known := range state.Servers {
 		if known.Leaving {
 			continue
