Plain servers that are nearly full cost more, and refusals for want of room are remembered

Callers saw refused and repeated requests of the plain service while servers of other zones had places.

From 0.8 of the slots on the cost grows with the square of the excess and by at least the mean latency of all servers; below that it is as before. A server that refused a request with 503, which did not run, is avoided for 60 ms at this instance. Metric: sends_refused_by_full_servers.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -99,6 +99,8 @@
 	// limitedUntil is when the server may get the next request within the rate limit
 	// that it names.
 	limitedUntil time.Time
+	// refusedUntil is until when the server is avoided since it refused a request for want of room.
+	refusedUntil time.Time
 	// repliedAt is when the owner of the server's schedule last replied, freeAt
 	// when according to it the next prompt may be sent. The server counts as full
 	// until closedUntil, so that no further reservation is requested before.
@@ -374,12 +376,12 @@
 // cost returns the expected delay of a request at a server, in milliseconds.
 func (c *Core) cost(now time.Time, s *server, q Request) float64 {
 	f := c.totalInFlight(now, s)
-	cost := c.random.Float64()*maxJitter + failureCost*s.failureRate(now)
+	cost := c.random.Float64()*maxJitter + failureCost*s.failureRate(now) + s.refusalCost(now)
 	if s.Zone != c.zone {
 		cost += crossZoneCost
 	}
 	if q.Model == "" {
-		return cost + s.latency*(1+2*float64(f.Requests)/float64(max(s.Slots, 1)))
+		return cost + s.latency*(1+2*float64(f.Requests)/float64(max(s.Slots, 1))) + c.crowdingCost(s, f.Requests)
 	}
 	cost += max(float64(s.freeAt.Sub(now))/float64(time.Millisecond), 0)
 	return cost + float64(f.PrefillTokens)/PrefillRate + runningCost*float64(f.RunningStreams) + max(s.latency-2*c.latency, 0)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -126,6 +126,7 @@
 	MetricResumed           = "streams_resumed"
 	MetricTakenUp           = "streams_taken_up"
 	MetricRateLimited       = "sends_held_by_rate_limit"
+	MetricServerFull        = "sends_refused_by_full_servers"
 	MetricSpared            = "sends_held_for_brittle_servers"
 	MetricTurnTaken         = "sends_held_for_another_suspect"
 	MetricWait              = "wait_for_server_ms_"
