Speed of servers: estimated from streams, and the load header with further figures

On deployments whose servers tell how slow their machine is, the whole load header was dropped, and prompts were paced as if all servers were as fast as the data sheet says: a prompt's prefill on a slow server stopped the streams that run there for longer than the objective allows.

The time between events of complete streams is split into the usual pace of the model and the speed of the server; instances report the latter, the lease holder adds it up and replies the speeds that are not usual. The choice of a server counts its queue, the request's own prefill and the pause that this makes for running streams by that speed, and the pace of prompts follows it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -78,6 +78,9 @@
 	// RunningStreams is the estimated number of streams that the server runs,
 	// EventTokens the number of tokens in one event of a stream.
 	RunningStreams, EventTokens int
+	// Speed is how fast the server is compared with the usual one of its service, zero if that is
+	// not known.
+	Speed float64
 }
 
 // InFlight is the in-flight work at a server. It is encoded as an array of its
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"primrosehook/decayer"
+	"primrosehook/estimator"
 	"primrosehook/registrar"
 )
 
@@ -26,6 +27,11 @@
 	crossZoneCost = 3.0
 	// failureCost is the cost of a server that failed all its latest requests.
 	failureCost = 4000.0
+	// tolerablePause is how long a prefill may make running streams pause without making them
+	// late: most of the longest pause that still meets the objective. maxPaused bounds how many
+	// streams count.
+	tolerablePause = 200.0
+	maxPaused      = 8
 	// maxJitter bounds the random cost that spreads the choice among servers of
 	// nearly the same cost.
 	maxJitter = 2.0
@@ -94,6 +100,11 @@
 	// latency is the mean latency in milliseconds.
 	latency       float64
 	recentPrompts decayer.Counter
+	// paceSamples and paceResiduals are this instance's evidence of the server's speed.
+	paceSamples, paceResiduals decayer.Counter
+	// sharedSpeed is the server's speed by the evidence of all instances as of sharedAt.
+	sharedSpeed float64
+	sharedAt    time.Time
 	// unreachableUntil is when the server is tried again after it refused a connection.
 	unreachableUntil time.Time
 	// limitedUntil is when the server may get the next request within the rate limit
@@ -141,13 +152,15 @@
 	// complete streams; streams that ended early have a higher one. sampleStreams
 	// counts the streams.
 	eventTokens, sampleStreams int
+	// paces are the usual paces of the models.
+	paces *estimator.Paces
 }
 
 // NewCore returns the core of an instance in an availability zone.
 func NewCore(zone string, seed uint64) *Core {
 	return &Core{
 		zone: zone, random: rand.New(rand.NewPCG(seed, 1)),
-		servers: map[string]*server{}, overlays: map[string][]pendingOverlay{}, leaving: map[string]time.Time{}, resting: map[string]time.Time{}, builds: map[string]time.Time{}, lost: map[string]time.Time{}, departed: map[uint64]departedServer{}, latency: defaultLatency,
+		servers: map[string]*server{}, overlays: map[string][]pendingOverlay{}, leaving: map[string]time.Time{}, resting: map[string]time.Time{}, builds: map[string]time.Time{}, lost: map[string]time.Time{}, departed: map[uint64]departedServer{}, latency: defaultLatency, paces: estimator.NewPaces(),
 	}
 }
 
@@ -264,7 +277,8 @@
 		load.EventTokens = c.eventTokens
 	}
 	if s, ok := c.servers[id]; ok {
-		load.RunningStreams = c.totalInFlight(now, s).RunningStreams
+		f := c.totalInFlight(now, s)
+		load.RunningStreams, load.Speed = f.RunningStreams, c.speed(now, s)
 	}
 	return load
 }
@@ -366,10 +380,10 @@
 	if f.Requests == 0 {
 		return false
 	}
-	if now.Sub(s.repliedAt) > reservationTTL && float64(f.RecentPromptTokens+min(q.PrefillTokens(), recentPromptLimit/2)) > recentPromptLimit {
+	if now.Sub(s.repliedAt) > reservationTTL && float64(f.RecentPromptTokens+min(q.PrefillTokens(), recentPromptLimit/2)) > recentPromptLimit*c.speed(now, s) {
 		return true
 	}
-	return f.PrefillTokens > prefillLimit || s.Slots > 0 && f.Requests >= s.Slots ||
+	return float64(f.PrefillTokens) > prefillLimit*c.speed(now, s) || s.Slots > 0 && f.Requests >= s.Slots ||
 		c.cacheTokens > 0 && float64(f.CacheTokens+q.PromptTokens+q.OutputTokens) > maxCacheShare*float64(c.cacheTokens)
 }
 
@@ -384,7 +398,13 @@
 		return cost + s.latency*(1+2*float64(f.Requests)/float64(max(s.Slots, 1))) + c.crowdingCost(s, f.Requests)
 	}
 	cost += max(float64(s.freeAt.Sub(now))/float64(time.Millisecond), 0)
-	return cost + float64(f.PrefillTokens)/PrefillRate + runningCost*float64(f.RunningStreams) + max(s.latency-2*c.latency, 0)
+	speed := c.speed(now, s)
+	prefill := float64(q.PrefillTokens()) / PrefillRate
+	cost += max(s.latency-2*c.latency, 0)
+	// The request's own prefill takes longer on a slower server, and makes each stream that runs
+	// there pause for as long.
+	cost += prefill*(1/speed-1) + max(prefill/speed-tolerablePause, 0)*float64(min(f.RunningStreams, maxPaused))
+	return cost + (float64(f.PrefillTokens)/PrefillRate+runningCost*float64(f.RunningStreams))/speed
 }
 
 // RecordReservation records the reply of the owner of a server's schedule: how
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -196,6 +196,7 @@
 	service        string
 	request        Request
 	firstEventSeen bool
+	firstEventAt   time.Time
 	sent           time.Time
 	lastByte       *atomic.Int64
 	openedBefore   time.Time
@@ -478,7 +479,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c, ok := f.cores[a.service]; ok && !a.firstEventSeen {
-		a.firstEventSeen = true
+		a.firstEventSeen, a.firstEventAt = true, f.clock.Now()
 		c.RecordFirstEvent(a.ID, a.request, f.clock.Since(a.sent))
 		f.dispatch(a.service)
 	}
--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -38,6 +38,7 @@
 	waiting     map[demandKey]int
 	unavailable []string
 	queues      []balancer.Queue
+	paces       map[string]balancer.Pace
 	build       string
 }
 
@@ -71,6 +72,8 @@
 	totalInFlight map[string]balancer.InFlight
 	// totalQueues sums the queues of all members.
 	totalQueues balancer.Queues
+	// totalPaces sums the evidence of all members of the speed of each server.
+	totalPaces map[string]balancer.Pace
 	// addresses are the members' addresses in the order of deputies,
 	// addressesDigest their digest; both are rebuilt when they change.
 	addresses       []string
@@ -101,7 +104,7 @@
 
 func newClusterState(clock clockwork.Clock, linkMbps float64) *clusterState {
 	return &clusterState{
-		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, demand: map[demandKey]*demandRates{}, holdings: map[string]*holding{}, requestedAt: map[modelKey]time.Time{},
+		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, totalPaces: map[string]balancer.Pace{}, demand: map[demandKey]*demandRates{}, holdings: map[string]*holding{}, requestedAt: map[modelKey]time.Time{},
 		records: map[string]tailer.Record{}, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
 	}
 }
@@ -113,6 +116,7 @@
 	clear(c.members)
 	clear(c.totalInFlight)
 	clear(c.totalQueues)
+	clear(c.totalPaces)
 	c.updateAddresses()
 	c.overlays, c.droppedOverlays = nil, 0
 	clear(c.requestedAt)
@@ -124,12 +128,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	m := &member{address: r.Address, link: r.Link, reportedAt: now, inFlight: r.InFlight, waiting: map[demandKey]int{}, unavailable: r.Unavailable, queues: r.Queues, build: r.Build.String()}
+	m := &member{address: r.Address, link: r.Link, reportedAt: now, inFlight: r.InFlight, waiting: map[demandKey]int{}, unavailable: r.Unavailable, queues: r.Queues, paces: r.Paces, build: r.Build.String()}
 	old, ok := c.members[r.Instance]
 	if ok {
 		c.subtractInFlight(old)
 		c.totalQueues.Remove(old.queues)
+		c.subtractPaces(old)
 	}
+	c.addPaces(m)
 	c.members[r.Instance] = m
 	c.totalQueues.Add(m.queues)
 	for id, f := range m.inFlight {
@@ -182,6 +188,7 @@
 		if now.Sub(m.reportedAt) > memberTTL {
 			c.subtractInFlight(m)
 			c.totalQueues.Remove(m.queues)
+			c.subtractPaces(m)
 			delete(c.members, name)
 		}
 	}
@@ -211,7 +218,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	c.expireMembers(now)
-	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds()}
+	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds(), Speeds: c.speeds(), SpeedsKnown: true}
 	if m, ok := c.members[r.Instance]; ok {
 		for id, f := range m.inFlight {
 			if left := out.InFlight[id].Sub(f); left != (balancer.InFlight{}) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -103,6 +103,8 @@
 	Waiting bool `msgpack:"a"`
 	// Queues are the requests that wait at the instance for a busy server.
 	Queues []balancer.Queue `msgpack:"wq,omitempty"`
+	// Paces is what streams told of the speed of servers, by server ID.
+	Paces map[string]balancer.Pace `msgpack:"pc,omitempty"`
 	// Build is the build that the instance runs.
 	Build upgrader.Build `msgpack:"bd"`
 	// Accounts is what the instance may use of the caps of client accounts, nil while the
@@ -148,6 +150,10 @@
 	Limits        []throttler.Statement `msgpack:"q"`
 	// Queues are the requests that wait at the peers for a busy server.
 	Queues []balancer.Queue `msgpack:"wq,omitempty"`
+	// Speeds are those of the servers that are not as fast as usual, in per cent by server ID.
+	// SpeedsKnown is set by builds that add up paces.
+	Speeds      map[string]int `msgpack:"sp,omitempty"`
+	SpeedsKnown bool           `msgpack:"sk,omitempty"`
 	// Builds is how many instances run each build.
 	Builds map[string]int `msgpack:"bs,omitempty"`
 	// Entitlement is what the instance may use of the caps of client accounts, nil if the report
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -107,6 +107,7 @@
 	if float64(r.Instances) >= minReportedShare*float64(len(c.deputyOrder)) {
 		c.Fleet.UpdatePeers(r.InFlight)
 		c.Fleet.UpdatePeerQueues(r.Queues)
+		c.applySpeeds(r)
 	}
 	c.Parts.ApplyReply(r.Parts)
 	c.deputyStarts.Store(!fresh)
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -55,6 +56,9 @@
 	StepsPerEvent  int `msgpack:"e"`
 	// Window is in milliseconds.
 	Window int64 `msgpack:"w"`
+	// SpeedPercent is how fast the server is compared with the usual one, zero if that is not
+	// known.
+	SpeedPercent int `msgpack:"p,omitempty"`
 }
 
 // Reservation says when a prompt may be sent.
@@ -99,7 +103,7 @@
 // incarnation. gap is the longest inter-event gap of a stream that meets the
 // objective. An error means that the owner of the schedule did not reply.
 func (p *Pacer) Reserve(ctx context.Context, incarnation string, tokens int, gap time.Duration, load balancer.EngineLoad) (Reservation, error) {
-	q := reserveRequest{Incarnation: incarnation, Tokens: tokens, RunningStreams: load.RunningStreams, StepsPerEvent: load.EventTokens, Window: gap.Milliseconds()}
+	q := reserveRequest{Incarnation: incarnation, Tokens: tokens, RunningStreams: load.RunningStreams, StepsPerEvent: load.EventTokens, Window: gap.Milliseconds(), SpeedPercent: int(math.Round(100 * load.Speed))}
 	owner := p.owner(incarnation)
 	if owner == p.self {
 		return p.reserve(q), nil
@@ -166,7 +170,7 @@
 		p.schedules[q.Incarnation] = s
 	}
 	wait, reserved := s.Reserve(now, q.Tokens, Limits{
-		Window: window, Tokens: prefillBudget(window, q.RunningStreams, q.StepsPerEvent),
+		Window: window, Tokens: prefillBudget(window, q.RunningStreams, q.StepsPerEvent, q.SpeedPercent),
 		MaxWait: time.Duration(maxWaitWindows * float64(window)),
 	})
 	return Reservation{Wait: wait, Reserved: reserved}
@@ -175,10 +179,14 @@
 // prefillBudget returns how many prompt tokens an engine can prefill within the
 // longest inter-event gap, besides the steps that make an event of its running
 // streams. It is at least minBudget: a server without time for prompts gets them slowly.
-func prefillBudget(window time.Duration, running, steps int) int {
-	stepMillis := float64(steps) * (baseStepMillis + streamStepMillis*float64(running))
+func prefillBudget(window time.Duration, running, steps, speedPercent int) int {
+	speed := 1.0
+	if speedPercent > 0 {
+		speed = float64(speedPercent) / 100
+	}
+	stepMillis := float64(steps) * (baseStepMillis + streamStepMillis*float64(running)) / speed
 	remaining := float64(window)/float64(time.Millisecond)/slowestModelFactor - stepMillis
-	return max(int(remaining*balancer.PrefillRate), minBudget)
+	return max(int(remaining*balancer.PrefillRate*speed), minBudget)
 }
 
 // dropIdle drops idle schedules if there are maxSchedules or more.
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -156,6 +156,9 @@
 		t.recordSurvival()
 		if n, err := strconv.Atoi(splitter.LastID()); err == nil {
 			t.assignment.RecordStreamEnd(n)
+			if t.resumeAfter == "" {
+				t.assignment.RecordPace(n)
+			}
 		}
 		if partial := splitter.Partial(); len(partial) > 0 || !t.headerSent {
 			t.writeEvents(t.answer, partial)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -70,6 +70,9 @@
 type Load struct {
 	Known                   bool
 	Running, Waiting, Slots int
+	// Slowness is how long work takes there at this moment compared with the usual, zero if the
+	// server does not say.
+	Slowness float64
 }
 
 // AnswerInfo is what the headers of a server's answer state.
