Choice of a server spreads what peers send unseen; figures of the load header are read one by one

Instances that had the same old counts all sent to the server that looked idle, and a server of 0.6 of the usual speed got about as many prompts as one of 1.6. The choice now expects the work that peers have sent since their counts were taken to even out the costs, and takes each server with its share of it; waiting prompts of peers count as partly done after the age of the counts. The estimate of a speed outside the dead zone is not reduced by it any more.

A figure of the load header that can't be used is unknown by itself.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -154,6 +154,8 @@
 	eventTokens, sampleStreams int
 	// paces are the usual paces of the models.
 	paces *estimator.Paces
+	// candidates is the buffer of Choose.
+	candidates []candidate
 }
 
 // NewCore returns the core of an instance in an availability zone.
@@ -291,7 +293,7 @@
 	}
 	key := q.Key()
 	status := NotLoaded
-	best, bestCost := "", math.Inf(1)
+	c.candidates = c.candidates[:0]
 	preferred := c.preferred(q, key)
 	if q.Build != "" {
 		status = NoBuild
@@ -326,14 +328,12 @@
 		if s == preferred {
 			cost -= float64(q.SharedTokens) / PrefillRate
 		}
-		if cost < bestCost {
-			best, bestCost = s.ID, cost
-		}
+		c.candidates = append(c.candidates, candidate{s, cost, c.speed(now, s)})
 	}
-	if best == "" {
+	if len(c.candidates) == 0 {
 		return "", status
 	}
-	return best, Found
+	return c.pick(now, c.candidates, preferred, q.Model != "").ID, Found
 }
 
 // preferred returns the replica that all instances prefer for a session, so that
@@ -404,7 +404,7 @@
 	// The request's own prefill takes longer on a slower server, and makes each stream that runs
 	// there pause for as long.
 	cost += prefill*(1/speed-1) + max(prefill/speed-tolerablePause, 0)*float64(min(f.RunningStreams, maxPaused))
-	return cost + (float64(f.PrefillTokens)/PrefillRate+runningCost*float64(f.RunningStreams))/speed
+	return cost + (c.prefillQueue(now, s, f, speed)+runningCost*float64(f.RunningStreams))/speed
 }
 
 // RecordReservation records the reply of the owner of a server's schedule: how
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -26,7 +26,7 @@
 	// minSpeed and maxSpeed bound the estimates.
 	minSpeed, maxSpeed = 0.3, 3.0
 	// deadZone is the logarithm within which speeds count as equal: samples of equal servers
-	// differ by that much.
+	// differ by that much. From there to twice as much the estimate rises to what the samples say.
 	deadZone = 0.12
 	// maxModels bounds the models whose pace is kept.
 	maxModels = 4096
@@ -48,7 +48,7 @@
 // server of an estimated speed. It returns by how much the logarithm of that length exceeds the
 // usual one, or false while the usual one is not known.
 func (p *Paces) Residual(model string, interval time.Duration, speed float64) (float64, bool) {
-	if interval <= 0 || !(speed > 0) {
+	if interval <= 0 || !(speed > 0) || math.IsInf(speed, 0) {
 		return 0, false
 	}
 	// The time that a server of usual speed would have taken.
@@ -76,13 +76,9 @@
 		return 1
 	}
 	log := -residuals / (samples + priorSamples)
-	switch {
-	case log > deadZone:
-		log -= deadZone
-	case log < -deadZone:
-		log += deadZone
-	default:
+	if !(math.Abs(log) > deadZone) {
 		return 1
 	}
+	log *= min(math.Abs(log)/deadZone-1, 1)
 	return min(max(math.Exp(log), minSpeed), maxSpeed)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -66,7 +66,8 @@
 	LastEvent string
 }
 
-// Load is the load that a server reports; valid if Known.
+// Load is the load that a server reports. Running and Waiting are valid if Known; a count that can't
+// be used is 0 then, and so is an unknown number of Slots.
 type Load struct {
 	Known                   bool
 	Running, Waiting, Slots int
