The load that servers report counts in the choice of a server

Instances passed over the counts that servers report, and learned from refusals alone that a server was full. What a server runs or queues beyond the counts of this instance and its peers now counts for 300 ms, less what peers report meanwhile; a fresh figure of slowness raises the cost, relative to what that server usually says, so that a figure which differs from the observed pace for good has no effect. A server that refused a request as full counts as full for 40 ms at that instance; requests that don't wait for a busy server avoid it only if another one is there. Speed, slowdown and excess are in the log of an attempt.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -105,6 +105,7 @@
 	// sharedSpeed is the server's speed by the evidence of all instances as of sharedAt.
 	sharedSpeed float64
 	sharedAt    time.Time
+	load        serverLoad
 	// unreachableUntil is when the server is tried again after it refused a connection.
 	unreachableUntil time.Time
 	// limitedUntil is when the server may get the next request within the rate limit
@@ -373,32 +374,36 @@
 // would wait at the server may as well wait here, where it can still go to
 // another server and more urgent requests can pass it.
 func (c *Core) full(now time.Time, s *server, q Request) bool {
-	if now.Before(s.closedUntil) {
+	if now.Before(s.closedUntil) || now.Before(s.load.fullUntil) {
 		return true
 	}
-	f := c.totalInFlight(now, s)
+	f := c.expectedLoad(now, s, q)
 	if f.Requests == 0 {
 		return false
 	}
 	if now.Sub(s.repliedAt) > reservationTTL && float64(f.RecentPromptTokens+min(q.PrefillTokens(), recentPromptLimit/2)) > recentPromptLimit*c.speed(now, s) {
 		return true
 	}
-	return float64(f.PrefillTokens) > prefillLimit*c.speed(now, s) || s.Slots > 0 && f.Requests >= s.Slots ||
+	slots := c.slots(now, s)
+	return float64(f.PrefillTokens) > prefillLimit*c.speed(now, s) || slots > 0 && f.Requests >= slots ||
 		c.cacheTokens > 0 && float64(f.CacheTokens+q.PromptTokens+q.OutputTokens) > maxCacheShare*float64(c.cacheTokens)
 }
 
 // cost returns the expected delay of a request at a server, in milliseconds.
 func (c *Core) cost(now time.Time, s *server, q Request) float64 {
-	f := c.totalInFlight(now, s)
-	cost := c.random.Float64()*maxJitter + failureCost*s.failureRate(now) + s.refusalCost(now)
+	f := c.expectedLoad(now, s, q)
+	cost := c.random.Float64()*maxJitter + failureCost*s.failureRate(now)
 	if s.Zone != c.zone {
 		cost += crossZoneCost
 	}
 	if q.Model == "" {
+		if now.Before(s.load.fullUntil) {
+			cost += fullCost
+		}
 		return cost + s.latency*(1+2*float64(f.Requests)/float64(max(s.Slots, 1))) + c.crowdingCost(s, f.Requests)
 	}
 	cost += max(float64(s.freeAt.Sub(now))/float64(time.Millisecond), 0)
-	speed := c.speed(now, s)
+	speed := c.speed(now, s) / s.slowdown(now)
 	prefill := float64(q.PrefillTokens()) / PrefillRate
 	cost += max(s.latency-2*c.latency, 0)
 	// The request's own prefill takes longer on a slower server, and makes each stream that runs
@@ -436,7 +441,8 @@
 // ChoiceInputs returns what the choice of a server was based on.
 func (c *Core) ChoiceInputs(now time.Time, id string, q Request) ChoiceInputs {
 	s := c.servers[id]
-	inputs := ChoiceInputs{InFlight: c.totalInFlight(now, s), PeersAge: now.Sub(c.peersAt), RegistrationAge: now.Sub(s.ReadAt)}
+	inputs := ChoiceInputs{InFlight: c.totalInFlight(now, s), PeersAge: now.Sub(c.peersAt), RegistrationAge: now.Sub(s.ReadAt), Speed: c.speed(now, s), Slowdown: s.slowdown(now)}
+	inputs.Excess, _ = c.excess(now, s)
 	key := q.Key()
 	for _, s := range c.sorted {
 		if !s.Draining && (key == "" || s.loaded[key]) {
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -212,6 +212,11 @@
 	Replicas                  int
 	InFlight                  InFlight
 	PeersAge, RegistrationAge time.Duration
+	// Speed is how fast the server is compared with the usual one, Slowdown how much longer work
+	// takes at this moment by its own figure, and Excess how many requests it reported beyond
+	// InFlight.
+	Speed, Slowdown float64
+	Excess          int
 }
 
 // Take chooses a server and counts the request as in flight there.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -119,6 +119,7 @@
 	t.observeRateLimit()
 	t.observeBrittle()
 	t.observePause()
+	t.observeLoad()
 	if t.info.KeepAlive > 0 {
 		t.assignment.Pool.KeepIdle(t.info.KeepAlive)
 	}
@@ -187,6 +188,23 @@
 	}
 }
 
+// observeLoad records the load that the server reports, and that it refused the request as full. An
+// answer that may be another server's, or damaged, is passed over.
+func (t *attempt) observeLoad() {
+	if t.info.NotLoaded || !t.info.Signed && !t.info.Refused {
+		return
+	}
+	if l := t.info.Load; l.Known || l.Slowness > 0 {
+		t.assignment.RecordLoad(balancer.LoadReport{
+			Known: l.Known, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Slowness: l.Slowness, Refused: t.info.Refused,
+		})
+	}
+	full := t.answer.StatusCode == http.StatusServiceUnavailable || t.answer.StatusCode == http.StatusTooManyRequests
+	if t.info.Refused && full && !t.info.Leaving {
+		t.assignment.MarkFull()
+	}
+}
+
 // perform makes the attempt and sends its answer to the client. It reports
 // whether the request may be sent to another server, and the attempt that has
 // already been made there, nil if there is none. If the request may not be sent
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -47,6 +48,9 @@
 	e.AddInt("reading_tokens", a.inputs.InFlight.PrefillTokens)
 	e.AddInt64("others_age_ms", a.inputs.PeersAge.Milliseconds())
 	e.AddInt64("registration_age_ms", a.inputs.RegistrationAge.Milliseconds())
+	e.AddInt("speed_percent", int(math.Round(100*a.inputs.Speed)))
+	e.AddInt("slowdown_percent", int(math.Round(100*a.inputs.Slowdown)))
+	e.AddInt("excess", a.inputs.Excess)
 	return nil
 }
 
