Slow start of servers, and failures take out no more of a service than its load allows

A server that registered was idle and got most requests at once, before its first answers showed whether it works. It now gets its share over two seconds, unless it is the only replica; one that was there when the instance started, or whose registration comes back, is not new. The cost of failures applies to the servers with the highest failure rates only as long as the others can take the load, and a plain service's server without a free slot costs as much as one that fails, so that failures with a common cause don't overload the servers that are left.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -106,13 +106,13 @@
 	sharedSpeed float64
 	sharedAt    time.Time
 	load        serverLoad
+	// joinedAt is when the server joined the service, zero if it was there before.
+	joinedAt time.Time
 	// unreachableUntil is when the server is tried again after it refused a connection.
 	unreachableUntil time.Time
 	// limitedUntil is when the server may get the next request within the rate limit
 	// that it names.
 	limitedUntil time.Time
-	// refusedUntil is until when the server is avoided since it refused a request for want of room.
-	refusedUntil time.Time
 	// repliedAt is when the owner of the server's schedule last replied, freeAt
 	// when according to it the next prompt may be sent. The server counts as full
 	// until closedUntil, so that no further reservation is requested before.
@@ -174,7 +174,7 @@
 	for _, r := range list {
 		s, ok := c.servers[r.ID]
 		if !ok || s.Incarnation != r.Incarnation {
-			s = &server{latency: c.latency, lastByte: new(atomic.Int64)}
+			s = &server{latency: c.latency, lastByte: new(atomic.Int64), joinedAt: c.joined(now, r.StartedAt)}
 		}
 		s.Server = r
 		s.Draining = r.Draining || c.isLeaving(r.Incarnation)
@@ -334,6 +334,7 @@
 	if len(c.candidates) == 0 {
 		return "", status
 	}
+	c.addFailureCosts(now, c.candidates)
 	return c.pick(now, c.candidates, preferred, q.Model != "").ID, Found
 }
 
@@ -392,18 +393,18 @@
 // cost returns the expected delay of a request at a server, in milliseconds.
 func (c *Core) cost(now time.Time, s *server, q Request) float64 {
 	f := c.expectedLoad(now, s, q)
-	cost := c.random.Float64()*maxJitter + failureCost*s.failureRate(now)
+	cost := c.random.Float64() * maxJitter
 	if s.Zone != c.zone {
 		cost += crossZoneCost
 	}
 	if q.Model == "" {
-		if now.Before(s.load.fullUntil) {
+		if slots := c.slots(now, s); now.Before(s.load.fullUntil) || slots > 0 && f.Requests >= slots {
 			cost += fullCost
 		}
-		return cost + s.latency*(1+2*float64(f.Requests)/float64(max(s.Slots, 1))) + c.crowdingCost(s, f.Requests)
+		return cost + s.latency*(1+2*float64(f.Requests)/float64(max(s.Slots, 1)))/s.ramp(now) + c.crowdingCost(s, f.Requests)
 	}
 	cost += max(float64(s.freeAt.Sub(now))/float64(time.Millisecond), 0)
-	speed := c.speed(now, s) / s.slowdown(now)
+	speed := c.speed(now, s) / s.slowdown(now) * s.ramp(now)
 	prefill := float64(q.PrefillTokens()) / PrefillRate
 	cost += max(s.latency-2*c.latency, 0)
 	// The request's own prefill takes longer on a slower server, and makes each stream that runs
--- a/balancer/crowding_test.go
+++ b/balancer/crowding_test.go
@@ -50,10 +50,10 @@
 
 	// Guards against repeating requests at a full server, whose latency does not tell.
 	It("avoids a server for a short time after it refused a request as full", func() {
-		core.MarkRefused(now, "a")
+		core.MarkFull(now, "a")
 		Expect(send(4)).NotTo(HaveKey("a"))
-		core.MarkRefused(now, "b")
-		core.MarkRefused(now, "c")
+		core.MarkFull(now, "b")
+		core.MarkFull(now, "c")
 		send(1)
 		now = now.Add(100 * time.Millisecond)
 		Expect(send(1)).To(HaveKey("a"))
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -19,8 +19,10 @@
 	// fullPause is how long a server counts as full after it refused a request as full: a few
 	// engine steps, in which a slot may become free.
 	fullPause = 40 * time.Millisecond
-	// fullCost is the cost of such a server where requests don't wait for a busy one.
-	fullCost = 1000.0
+	// fullCost is the cost of a server without a free slot where requests don't wait for a busy one.
+	// It is that of a server that failed all its latest requests: one that may work and has room is
+	// the better choice.
+	fullCost = failureCost
 )
 
 // LoadReport is the load that a server reports with an answer.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -201,6 +201,7 @@
 	}
 	full := t.answer.StatusCode == http.StatusServiceUnavailable || t.answer.StatusCode == http.StatusTooManyRequests
 	if t.info.Refused && full && !t.info.Leaving {
+		t.meter.Add(MetricServerFull, 1)
 		t.assignment.MarkFull()
 	}
 }
@@ -372,11 +373,6 @@
 func (t *attempt) recordRefused() {
 	t.reached = true
 	t.readBody()
-	if t.answer.StatusCode == http.StatusServiceUnavailable && !t.info.NotLoaded {
-		// Before Done, which may send the next waiting request there.
-		t.meter.Add(MetricServerFull, 1)
-		t.assignment.MarkRefused()
-	}
 	t.assignment.Done(false)
 	if t.info.NotLoaded {
 		t.assignment.MarkNotLoaded()
