Check of a configuration of the platform before it is sent

`primrosehook check -routes` said that a configuration was good although its routes led to services that it did not define, hid each other or could not meet their own objectives: only what can not be decoded was reported, without its place. Exit codes are 0 to 3; a configuration that can not be decoded now exits with 2, a file that can not be read with 3 (before: 1).

--- a/cmd/primrosehook/check.go
+++ b/cmd/primrosehook/check.go
@@ -11,7 +11,6 @@
 	"github.com/google/subcommands"
 
 	"primrosehook/configurer"
-	"primrosehook/matcher"
 	"primrosehook/platform"
 	"primrosehook/ruler"
 )
@@ -25,17 +24,27 @@
 	// platform and routes are paths of the platform's settings file and of its
 	// routing configuration; empty means not to check it.
 	platform, routes string
+	// against is the path of the configuration in force; empty means not to compare.
+	against string
+	// largest is the number of tokens of the largest request; zero if unknown.
+	largest float64
+	json    bool
 }
 
 func (*check) Name() string     { return "check" }
-func (*check) Synopsis() string { return "check settings and rule lists offline" }
+func (*check) Synopsis() string { return "check settings, rule lists and configurations offline" }
 func (*check) Usage() string {
 	return `primrosehook check [flags of serve] [FILE...]
-primrosehook check -platform SETTINGS | -routes CONFIGURATION
+primrosehook check -platform SETTINGS
+primrosehook check -routes CONFIGURATION [-platform SETTINGS] [-against CONFIGURATION] [-json]
 
 Checks the settings that serve would take, from the flags and the environment,
 and each rule list. All faults are printed, with file, line, rule and field.
 
+With -routes, checks a configuration of the platform before it is sent. Exit
+codes: 0 for no findings or only notes, 1 for warnings, 2 for errors, 3 if a file
+can't be read.
+
 `
 }
 
@@ -43,11 +52,20 @@
 	c.table = configurer.Register(f, &c.settings)
 	f.StringVar(&c.platform, "platform", "", "settings file of the platform to check, as entry takes it")
 	f.StringVar(&c.routes, "routes", "", "configuration of the platform to check")
+	f.StringVar(&c.against, "against", "", "configuration in force, to print what -routes changes")
+	f.Float64Var(&c.largest, "largest-request", 0, "tokens of the largest request, to compare with the caps of accounts; 0 if unknown")
+	f.BoolVar(&c.json, "json", false, "print the findings of -routes as JSON")
 }
 
 func (c *check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.platform != "" || c.routes != "" {
-		return c.checkPlatformFiles()
+	switch {
+	case c.routes != "":
+		return c.checkConfiguration()
+	case c.against != "" || c.json || c.largest != 0:
+		_, _ = fmt.Fprintln(c.errs, "-against, -json and -largest-request need -routes")
+		return subcommands.ExitUsageError
+	case c.platform != "":
+		return c.checkSettings()
 	}
 	files := f.Args()
 	result := subcommands.ExitSuccess
@@ -63,37 +81,18 @@
 	return result
 }
 
-// checkPlatformFiles validates the files that the entry command would load.
-func (c *check) checkPlatformFiles() subcommands.ExitStatus {
-	result := subcommands.ExitSuccess
-	if c.platform != "" {
-		if s, err := platform.ReadSettings(c.platform); err != nil {
-			_, _ = fmt.Fprintln(c.errs, err)
-			result = subcommands.ExitFailure
-		} else {
-			_, _ = fmt.Fprintf(c.out, "%s: settings of %s are good\n", c.platform, s.Instance)
-			if len(s.Unused) > 0 {
-				_, _ = fmt.Fprintf(c.errs, "warning: fields that are not used: %s\n", strings.Join(s.Unused, " "))
-			}
-		}
-	}
-	if c.routes == "" {
-		return result
+// checkSettings validates the settings file that the entry command would load.
+func (c *check) checkSettings() subcommands.ExitStatus {
+	s, err := platform.ReadSettings(c.platform)
+	if err != nil {
+		_, _ = fmt.Fprintln(c.errs, err)
+		return subcommands.ExitFailure
 	}
-	raw, err := os.ReadFile(c.routes)
-	if err == nil {
-		var t *matcher.Table
-		var rejections []platform.Rejection
-		if t, rejections, err = platform.DecodeConfig(raw); err == nil {
-			for _, r := range rejections {
-				_, _ = fmt.Fprintf(c.errs, "warning: %s is left out: %s\n", r.Entry, r.Reason)
-			}
-			_, _ = fmt.Fprintf(c.out, "%s: version %d is good: %d services\n", c.routes, t.Version, len(t.Services))
-			return result
-		}
+	_, _ = fmt.Fprintf(c.out, "%s: settings of %s are good\n", c.platform, s.Instance)
+	if len(s.Unused) > 0 {
+		_, _ = fmt.Fprintf(c.errs, "warning: fields that are not used: %s\n", strings.Join(s.Unused, " "))
 	}
-	_, _ = fmt.Fprintln(c.errs, err)
-	return subcommands.ExitFailure
+	return subcommands.ExitSuccess
 }
 
 // checkRuleList validates one rule list and reports whether it can be published.
