--- a/inspector/routes.go
+++ b/inspector/routes.go
@@ -33,7 +33,9 @@
 		} else {
 			prefixes[hostKey(r)] = i
 		}
-		if _, _, err := net.SplitHostPort(r.Host); err == nil {
+		if r.Host == "" {
+			x.add(Warning, at("host"), "matches no request that names a host", "name the host")
+		} else if _, _, err := net.SplitHostPort(r.Host); err == nil {
 			x.add(Warning, at("host"), "never matches: the port of a request is not compared", "leave the port out")
 		}
 		if !slices.Contains(kinds, r.KindText) {
--- a/inspector/services.go
+++ b/inspector/services.go
@@ -53,6 +53,11 @@
 				m.SizeMB+m.AdapterSizeMB, memory), "raise the engine's weights-mb if the servers have more, or remove the adapters")
 		}
 	}
+	if len(s.Models) == 0 {
+		x.add(Warning, at("models"), "the engine has no models", "add its models, or remove the engine")
+	} else if adapters == 0 && s.Engine.AdapterSlots > 0 {
+		x.add(Note, at("adapter-slots"), "none of its models has adapters", "set adapters of a model, or remove adapter-slots")
+	}
 	if adapters > 0 && s.Engine.AdapterSlots <= 0 {
 		x.add(Error, at("adapter-slots"), fmt.Sprintf("there are no slots for the %d adapters of its models", adapters), "set adapter-slots or remove the adapters")
 	}
