Tests of the check: each field that differs, each time that is negative

Of 76 mutants of inspector, each without one finding or one difference, 25 passed the tests: negative times of loads and of idle connections, and most fields in the comparison with the version in force.

--- a/inspector/inspector_test.go
+++ b/inspector/inspector_test.go
@@ -74,6 +74,9 @@
 		Entry("an account whose field is of another type", `["key-f1"]`, `"key-f1"`, inspector.Error, `tenants, account 2 "free"`, "another type"),
 		Entry("a negative time of a route", `"timeout-ms":2000,`, `"timeout-ms":-1,`, inspector.Error, `routes[2] "form", timeout-ms`, "negative"),
 		Entry("a negative time of a model", `"load-s":5`, `"load-s":-5`, inspector.Error, `services[0] "llm", models[1] "small", load-s`, "negative"),
+		Entry("a negative time to load from host memory", `"warm-s":1`, `"warm-s":-1`, inspector.Error, `services[0] "llm", models[0] "base", warm-s`, "negative"),
+		Entry("a negative time to load from the disk", `"disk-s":4`, `"disk-s":-4`, inspector.Error, `services[0] "llm", models[0] "base", disk-s`, "negative"),
+		Entry("a negative idle time", `"idle-timeout-ms":60000`, `"idle-timeout-ms":-1`, inspector.Error, "limits, idle-timeout-ms", "negative"),
 		Entry("a negative time of the limits", `"header-timeout-ms":2000`, `"header-timeout-ms":-1`, inspector.Error, "limits, header-timeout-ms", "negative"),
 		Entry("a negative header size", `16384`, `-1`, inspector.Error, "limits, max-header-bytes", "negative"),
 		Entry("a negative body size", `1048576`, `-1`, inspector.Error, "limits, max-body-bytes", "negative"),
@@ -139,6 +142,41 @@
 		Entry("another number of slots", `"slots":8,"kv`, `"slots":6,"kv`, `services "llm", slots`, "from 8 to 6"),
 		Entry("another limit", `1048576`, `2048`, "limits, max-body-bytes", "from 1048576 to 2048"),
 	)
+
+	It("names each field that differs, and no other", func() {
+		for _, c := range []struct{ from, to, place string }{
+			{`"www.example"`, `"w.example"`, `routes "help", host`},
+			{`"/chat/new/"`, `"/chat/newer/"`, `routes "chat-new", path-prefix`},
+			{`"idempotent"`, `"nonidempotent"`, `routes "help", kind`},
+			{`"priority":1,"service"`, `"priority":2,"service"`, `routes "chat", priority`},
+			{`"max-attempts":2`, `"max-attempts":3`, `routes "chat", max-attempts`},
+			{`"resumable":true`, `"resumable":false`, `routes "chat", resumable`},
+			{`"max-connections":100`, `"max-connections":90`, `services "llm", max-connections`},
+			{`60000,`, `50000,`, `services "llm", kv-capacity`},
+			{`"weights-mb":40000`, `"weights-mb":50000`, `services "llm", weights-mb`},
+			{`"adapter-slots":4`, `"adapter-slots":5`, `services "llm", adapter-slots`},
+			{`"loads-per-s":2`, `"loads-per-s":3`, `services "llm", loads-per-s`},
+			{`"adapter-mb":200`, `"adapter-mb":100`, `services "llm", models "base", adapter-mb`},
+			{`"adapters":6`, `"adapters":7`, `services "llm", models "base", adapters`},
+			{`"load-s":9`, `"load-s":8`, `services "llm", models "base", load-s`},
+			{`"warm-s":1`, `"warm-s":2`, `services "llm", models "base", warm-s`},
+			{`"disk-s":4`, `"disk-s":5`, `services "llm", models "base", disk-s`},
+			{`"unit":"requests"`, `"unit":"tokens","plain-tokens":0`, `tenants "south", unit`},
+			{`"plain-tokens":200`, `"plain-tokens":300`, `tenants "north", plain-tokens`},
+			{`"burst":40`, `"burst":50`, `tenants "south", burst`},
+			{`16384`, `8192`, `limits, max-header-bytes`},
+			{`"header-timeout-ms":2000`, `"header-timeout-ms":3000`, `limits, header-timeout-ms`},
+			{`"idle-timeout-ms":60000`, `"idle-timeout-ms":50000`, `limits, idle-timeout-ms`},
+		} {
+			var differences []inspector.Finding
+			for _, f := range inspector.Inspect(edited(`"version":7`, `"version":8`, c.from, c.to), inspector.WithVersionInForce(edited())) {
+				if f.Severity == inspector.Note {
+					differences = append(differences, f)
+				}
+			}
+			Expect(differences).To(ConsistOf(finding(inspector.Note, c.place, "changed from")))
+		}
+	})
 })
 
 var _ = DescribeTable("A configuration that can't be decoded has a line and a column and no value in its error",
