--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -175,9 +175,15 @@
 		o(a)
 	}
 	a.shares = NewShares(a.term)
+	a.role.onRefusal = a.logRefusal
 	return a
 }
 
+// logRefusal logs that an account asks for more than its cap.
+func (a *Allotter) logRefusal(r Refusal) {
+	a.log.Info("allot: account asks for more than its cap", zap.String("account", r.Account), zap.Float64("granted_per_s", r.Granted), zap.Float64("cap_per_s", r.Cap), zap.Float64("delegated", r.Delegated), zap.Int("members", r.Members))
+}
+
 // Serve registers the handler for the requests of peers.
 func (a *Allotter) Serve(s *messenger.Server) { s.Handle(kindAllot, a.handleAllot) }
 
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -248,6 +248,17 @@
 		Expect(refused.Wait).To(BeNumerically(">=", 3*time.Second))
 	})
 
+	// Guards against an account whose requests are all refused.
+	It("grants requests of a cap without a burst at its rate", func() {
+		r := allotter.NewArbiter()
+		r.Delegate(now, "a", allotter.Entitlement{Fraction: 1, Left: time.Hour})
+		now = now.Add(time.Second)
+		item := allotter.Item{Account: "x", Version: 1, Rate: 1000, Need: 50}
+		Expect(grant(r, item).Amount).To(Equal(50.0))
+		Expect(grant(r, item).Amount).To(Equal(50.0))
+		Expect(grant(r, item).Amount).To(BeZero())
+	})
+
 	DescribeTable("refuses what can't be reckoned with", func(i allotter.Item) {
 		r := allotter.NewArbiter()
 		r.Delegate(now, "a", allotter.Entitlement{Fraction: 1, Left: time.Hour})
--- a/allotter/arbiter.go
+++ b/allotter/arbiter.go
@@ -15,9 +15,16 @@
 	// steadyRise is the part of the delegated sum by which it may grow without a new bucket
 	// being taken for emptier: fractions are adjusted by little all the time.
 	steadyRise = 0.05
+	// minBurst is the time whose usage a cap allows at once, whatever its burst: with a burst of
+	// zero nothing could be granted, and the tolerance of caps is several times as much.
+	minBurst = 100 * time.Millisecond
 	// refusedHalfLife is the half-life of what was refused, which is assumed to be asked for
 	// again.
 	refusedHalfLife = 500 * time.Millisecond
+	// grantedHalfLife is the half-life of what was granted, for the log.
+	grantedHalfLife = time.Second
+	// refusalLogInterval is the least time between two log lines of refusals of one account.
+	refusalLogInterval = time.Second
 	// minWait and maxWait bound the time after which a refused request is told to come back.
 	minWait = 50 * time.Millisecond
 	maxWait = 30 * time.Second
@@ -69,6 +76,10 @@
 	level, sum float64
 	at         time.Time
 	refused    decayer.Counter
+	// granted is what was granted of late, less what was given back.
+	granted decayer.Counter
+	// loggedAt is when a refusal was last logged.
+	loggedAt time.Time
 }
 
 // Arbiter grants credit from the fractions that instances delegate to it. Its grants stay within
@@ -81,6 +92,26 @@
 	sum, highest float64
 	sumAt        time.Time
 	risen        time.Time
+	// onRefusal is called with an account that asks for more than its cap, now and then.
+	onRefusal func(Refusal)
+}
+
+// Refusal says how much an account gets that asks for more than its cap.
+type Refusal struct {
+	Account string
+	// Granted and Cap are per second, Delegated is the part of the cap that this arbiter grants for
+	// a number of members.
+	Granted, Cap, Delegated float64
+	Members                 int
+}
+
+// recordRefusal reports a refusal for the log.
+func (a *Arbiter) recordRefusal(now time.Time, account string, b *bucket) {
+	if a.onRefusal == nil || now.Sub(b.loggedAt) < refusalLogInterval {
+		return
+	}
+	b.loggedAt = now
+	a.onRefusal(Refusal{Account: account, Granted: b.granted.Rate(now, grantedHalfLife), Cap: b.rate, Delegated: a.sum, Members: len(a.members)})
 }
 
 // NewArbiter returns an arbiter without delegations.
@@ -157,6 +188,7 @@
 	b := a.bucket(now, x)
 	capacity := b.advance(now, a.sum)
 	b.level = min(b.level+x.Back, capacity)
+	b.granted.Add(now, grantedHalfLife, -min(x.Back, b.granted.Value(now, grantedHalfLife)))
 	if x.Need == 0 && x.Ahead == 0 {
 		return Grant{}
 	}
@@ -168,9 +200,11 @@
 			wait = time.Duration(min(missing/perSecond, maxWait.Seconds()) * float64(time.Second))
 		}
 		b.refused.Add(now, refusedHalfLife, x.Need)
+		a.recordRefusal(now, x.Account, b)
 		return Grant{Wait: max(wait, minWait)}
 	}
 	b.level -= x.Need
+	b.granted.Add(now, grantedHalfLife, x.Need)
 	ahead := min(x.Ahead, max(b.level/2, 0))
 	b.level -= ahead
 	return Grant{Amount: x.Need + ahead}
@@ -205,7 +239,7 @@
 		b.at = now
 	}
 	b.sum = sum
-	capacity := b.burst * sum
+	capacity := max(b.burst, b.rate*minBurst.Seconds()) * sum
 	b.level = min(b.level, capacity)
 	return capacity
 }
--- a/inspector/inspector_test.go
+++ b/inspector/inspector_test.go
@@ -17,7 +17,7 @@
 "routes":[
  {"name":"chat","host":"api.example","path-prefix":"/chat/","kind":"streaming","timeout-ms":30000,"target-latency-ms":800,"gap-aim-ms":300,"priority":1,"service":"llm","max-attempts":2,"resumable":true},
  {"name":"chat-new","host":"api.example","path-prefix":"/chat/new/","kind":"streaming","timeout-ms":30000,"traffic-split":[{"service":"llm","weight":90},{"service":"llm-next","weight":10}],"max-attempts":2,"session-affinity":true},
- {"name":"form","host":"API.example","path-prefix":"/form/","kind":"nonidempotent","timeout-ms":2000,"target-latency-ms":200,"service":"forms"},
+ {"name":"form","host":"API.example","path-prefix":"/form/","kind":"non_idempotent","timeout-ms":2000,"target-latency-ms":200,"service":"forms"},
  {"name":"help","host":"www.example","path-prefix":"/form/","kind":"idempotent","service":"forms","public":true}],
 "services":[
  {"name":"llm","max-connections":100,"engine":{"slots":8,"kv-capacity":60000,"weights-mb":40000,"adapter-slots":4,"loads-per-s":2,
@@ -147,7 +147,7 @@
 		for _, c := range []struct{ from, to, place string }{
 			{`"www.example"`, `"w.example"`, `routes "help", host`},
 			{`"/chat/new/"`, `"/chat/newer/"`, `routes "chat-new", path-prefix`},
-			{`"idempotent"`, `"nonidempotent"`, `routes "help", kind`},
+			{`"idempotent"`, `"non_idempotent"`, `routes "help", kind`},
 			{`"priority":1,"service"`, `"priority":2,"service"`, `routes "chat", priority`},
 			{`"max-attempts":2`, `"max-attempts":3`, `routes "chat", max-attempts`},
 			{`"resumable":true`, `"resumable":false`, `routes "chat", resumable`},
--- a/inspector/routes.go
+++ b/inspector/routes.go
@@ -12,9 +12,6 @@
 	"primrosehook/platform"
 )
 
-// kinds are the known kinds of a route.
-var kinds = []string{matcher.Idempotent.String(), matcher.NonIdempotent.String(), matcher.Streaming.String()}
-
 func (x *inspection) inspectRoutes() {
 	names, prefixes := map[string]int{}, map[string]int{}
 	for i, r := range x.Routes {
@@ -38,8 +35,8 @@
 		} else if _, _, err := net.SplitHostPort(r.Host); err == nil {
 			x.add(Warning, at("host"), "never matches: the port of a request is not compared", "leave the port out")
 		}
-		if !slices.Contains(kinds, r.KindText) {
-			x.add(Error, at("kind"), fmt.Sprintf("%q is unknown and counts as nonidempotent", r.KindText), "use idempotent, nonidempotent or streaming")
+		if !slices.Contains(platform.RouteKinds, r.KindText) {
+			x.add(Error, at("kind"), fmt.Sprintf("%q is unknown and counts as non_idempotent", r.KindText), "use idempotent, non_idempotent or streaming")
 		}
 		x.inspectTimes(r, at)
 		x.inspectSplits(r, at)
