--- /dev/null
+++ b/crowder/instance_test.go
@@ -0,0 +1,176 @@
+package crowder_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"primrosehook/faker"
+	"primrosehook/platform"
+)
+
+const (
+	memoryMB       = 64
+	maxDescriptors = 400
+	maxBody        = 1 << 20
+)
+
+const configuration = `{"version":3,"routes":[
+ {"name":"form","host":"h","path-prefix":"/form/","kind":"idempotent","timeout-ms":4000,"target-latency-ms":100,"service":"api","max-attempts":2}],
+ "services":[{"name":"api"}],"limits":{"max-body-bytes":1048576}}`
+
+const settings = `node = "front-0"
+ip = "127.0.0.1"
+zone = "z1"
+seeds = [%q]
+[listen-addrs]
+front = %q
+ready = %q
+control = %q
+[limits]
+memory-mb = %d
+max-fds = %d
+link-mbps = 1000.0
+[bounds]
+drain-ms = 2000
+grace-s = 3
+lease-ms = 300
+retry-budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 58
+ceiling-window-s = 5
+ceiling-overage = 1.1
+[platform]
+address = %q
+form = "log"
+`
+
+// instance is a process of an entry instance on stand-ins of the platform.
+type instance struct {
+	front, ready, control string
+	process               *exec.Cmd
+	exited                chan struct{}
+}
+
+// buildProgram builds the program of this tree.
+func buildProgram(dir string) string {
+	program := filepath.Join(dir, "primrosehook")
+	build := exec.Command("go", "build", "-o", program, "./cmd/primrosehook")
+	build.Dir = ".."
+	out, err := build.CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	return program
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(256), 1+rand.N(254)))
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startInstance starts an instance and waits until it is ready.
+func startInstance(program, dir string) *instance {
+	records := faker.NewMetadataStore()
+	store := httptest.NewServer(records)
+	DeferCleanup(store.Close)
+	records.Put(platform.TopicOperator, platform.KeyConfig, []byte(configuration))
+	engine := faker.NewModelServer("i-0")
+	engine.WorkTime = 300 * time.Millisecond
+	server := httptest.NewServer(engine)
+	DeferCleanup(server.Close)
+	records.Put(platform.TopicServers, engine.ID, engine.Registration("api", server.Listener.Addr().String(), "z1", "ready", 1))
+	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), exited: make(chan struct{})}
+	file := filepath.Join(dir, "settings.toml")
+	text := fmt.Sprintf(settings, n.control, n.front, n.ready, n.control, memoryMB, maxDescriptors, store.Listener.Addr().String())
+	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	n.process = exec.Command(program, "entry", "-settings", file)
+	n.process.Stdout, n.process.Stderr = GinkgoWriter, GinkgoWriter
+	Expect(n.process.Start()).To(Succeed())
+	go n.runWait()
+	DeferCleanup(func() {
+		_ = n.process.Process.Kill()
+		<-n.exited
+	})
+	Eventually(func() int {
+		p, err := http.Get("http://" + n.ready + "/-/readiness")
+		if err != nil {
+			return 0
+		}
+		_ = p.Body.Close()
+		return p.StatusCode
+	}, "15s", "50ms").Should(Equal(http.StatusOK))
+	return n
+}
+
+// runWait waits for the end of the process.
+func (n *instance) runWait() {
+	_ = n.process.Wait()
+	close(n.exited)
+}
+
+// memory returns a field of the process's status in MiB.
+func (n *instance) memory(field string) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, field+":"); ok {
+			kB, err := strconv.Atoi(strings.Fields(rest)[0])
+			Expect(err).NotTo(HaveOccurred())
+			return float64(kB) / 1024
+		}
+	}
+	return 0
+}
+
+// descriptors returns the number of open files of the process.
+func (n *instance) descriptors() int {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.process.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	return len(list)
+}
+
+// send sends a request with a body of a size on a connection of its own.
+func (n *instance) send(id string, size int) int {
+	q, err := http.NewRequest(http.MethodPost, "http://"+n.front+"/form/1", bytes.NewReader(make([]byte, size)))
+	Expect(err).NotTo(HaveOccurred())
+	q.Host, q.Close = "h", true
+	q.Header.Set("Primrosehook-Request-Id", id)
+	client := &http.Client{Timeout: 10 * time.Second}
+	p, err := client.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer p.Body.Close()
+	return p.StatusCode
+}
+
+// expectServed sends a request until it is served: a refusal in between is allowed.
+func (n *instance) expectServed(what string, size int) {
+	try := 0
+	Eventually(func() int {
+		try++
+		return n.send(fmt.Sprint(what, "-", try), size)
+	}, "30s", "300ms").Should(Equal(http.StatusOK), what)
+}
+
+// expectWithinLimits checks that the process lives and is within the limits of its settings.
+func (n *instance) expectWithinLimits() {
+	Expect(n.exited).NotTo(BeClosed(), "the process has ended")
+	peak, now, files := n.memory("VmHWM"), n.memory("VmRSS"), n.descriptors()
+	AddReportEntry("held", fmt.Sprintf("peak %.0f MiB, now %.0f MiB, %d descriptors", peak, now, files))
+	Expect(peak).To(BeNumerically("<=", memoryMB), "peak of memory in MiB")
+	Expect(files).To(BeNumerically("<=", maxDescriptors), "open descriptors")
+}
