Package reserver: one memory budget per process

Rooms for large bodies, small ones and connections; a reservation that does not fit is refused, and those in its way that made no progress for a second are ended.

--- /dev/null
+++ b/reserver/reserver.go
@@ -0,0 +1,373 @@
+// Package reserver keeps the memory budget of a process. What is held for clients and servers
+// is charged before it is allocated, and credited when it is freed.
+//
+// The budget is divided into rooms, so that large bodies can't take what requests with small
+// ones and connections need. A reservation that does not fit is refused. The reservations in
+// its way that have made no progress for a while are ended then: whoever holds one releases it
+// when told so.
+package reserver
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Kind is what memory is held for.
+type Kind int
+
+// The kinds.
+const (
+	// Body is the body of a client's request.
+	Body Kind = iota
+	// Answer is the body of a server's answer.
+	Answer
+	// Head is the head of a client's request beyond what a connection has anyway.
+	Head
+	// Connection is a client's connection with its buffers.
+	Connection
+	// Detour is a connection to a server that is served for a peer.
+	Detour
+	kinds
+)
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Body, Answer, Head, Connection, Detour} }
+
+// String returns the name of the kind in metrics.
+func (k Kind) String() string {
+	return [kinds]string{"body", "answer", "head", "connection", "detour"}[k]
+}
+
+const (
+	// SmallBytes is the largest body that is charged to the room for small ones.
+	SmallBytes = 64 << 10
+	// smallShare and connectionShare are the parts of the budget for small bodies, and for
+	// connections, heads and detours.
+	smallShare, connectionShare = 0.25, 0.25
+	// progressBytes is how much has to arrive to count as progress: 4 KiB within stallTime is
+	// what a link of 32 kbit/s carries.
+	progressBytes = 4 << 10
+	// stallTime is for how long a reservation has made no progress before it may be ended.
+	stallTime = time.Second
+)
+
+// The rooms.
+const (
+	largeRoom = iota
+	smallRoom
+	connectionRoom
+	rooms
+)
+
+// room is a part of the budget.
+type room struct{ limit, held int64 }
+
+func (m *room) fits(n int64) bool { return m.held+n <= m.limit }
+
+// Reserver is a memory budget. It is safe for concurrent use.
+type Reserver struct {
+	clock     clockwork.Clock
+	stallTime time.Duration
+
+	mu    sync.Mutex
+	rooms [rooms]room
+	open  map[*Reservation]struct{}
+	held  [kinds]int64
+	// refused and ended count reservations by kind.
+	refused, ended [kinds]int64
+}
+
+// Option sets an option of a Reserver.
+type Option func(*Reserver)
+
+// WithClock sets the clock; the default is the real one.
+func WithClock(c clockwork.Clock) Option { return func(r *Reserver) { r.clock = c } }
+
+// WithStallTime sets for how long a reservation has made no progress before it may be ended.
+func WithStallTime(d time.Duration) Option { return func(r *Reserver) { r.stallTime = d } }
+
+// New returns a budget of a number of bytes.
+func New(total int64, options ...Option) *Reserver {
+	r := &Reserver{clock: clockwork.NewRealClock(), stallTime: stallTime, open: map[*Reservation]struct{}{}}
+	r.Resize(total)
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// Resize changes the size of the budget. Reservations that are held stay.
+func (r *Reserver) Resize(total int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	small, connections := int64(smallShare*float64(total)), int64(connectionShare*float64(total))
+	r.rooms[largeRoom].limit = total - small - connections
+	r.rooms[smallRoom].limit = small
+	r.rooms[connectionRoom].limit = connections
+}
+
+// Largest returns the size of the largest body that can ever be reserved.
+func (r *Reserver) Largest() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.rooms[largeRoom].limit, min(r.rooms[smallRoom].limit, SmallBytes))
+}
+
+// Held returns how many bytes are held for a kind, Refused how many reservations of it or of
+// more for it were refused, and Ended how many were ended.
+func (r *Reserver) Held(k Kind) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held[k]
+}
+
+// Refused is described at Held.
+func (r *Reserver) Refused(k Kind) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused[k]
+}
+
+// Ended is described at Held.
+func (r *Reserver) Ended(k Kind) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended[k]
+}
+
+// roomOf returns the room for n bytes of a kind.
+func roomOf(k Kind, n int64) int {
+	switch {
+	case k == Head || k == Connection || k == Detour:
+		return connectionRoom
+	case k == Body && n <= SmallBytes:
+		return smallRoom
+	}
+	return largeRoom
+}
+
+// Acquire reserves n bytes. It reports false if they don't fit; reservations that have stalled
+// are ended then, so that a later attempt may succeed. Zero bytes always fit.
+func (r *Reserver) Acquire(kind Kind, n int64) (*Reservation, bool) {
+	r.mu.Lock()
+	now := r.clock.Now()
+	s := &Reservation{reserver: r, kind: kind, room: roomOf(kind, n), started: now, progressed: now}
+	if n > 0 && !r.rooms[s.room].fits(n) {
+		r.refuse(s, s.room, n)
+		return nil, false
+	}
+	defer r.mu.Unlock()
+	r.open[s] = struct{}{}
+	s.add(n)
+	return s, true
+}
+
+// refuse counts the refusal of n bytes, ends stalled reservations that are in their way, and
+// unlocks r.mu.
+func (r *Reserver) refuse(s *Reservation, room int, n int64) {
+	r.refused[s.kind]++
+	ended := r.endStalled(r.rooms[room].held+n-r.rooms[room].limit, func(o *Reservation) bool { return o != s && o.room == room })
+	r.mu.Unlock()
+	for _, reclaim := range ended {
+		reclaim()
+	}
+}
+
+// EndStalled ends the reservation that has stalled for longest, of whatever kind, if there is
+// one and no other one is ending yet. It is for a lack of something else than memory that the
+// holder has too.
+func (r *Reserver) EndStalled() {
+	r.mu.Lock()
+	ended := r.endStalled(1, func(*Reservation) bool { return true })
+	r.mu.Unlock()
+	for _, reclaim := range ended {
+		reclaim()
+	}
+}
+
+// endStalled marks stalled reservations as ended until need bytes are about to be freed, and
+// returns whom to tell. The longest without progress is ended first, then the oldest, then
+// the largest.
+func (r *Reserver) endStalled(need int64, among func(*Reservation) bool) []func() {
+	now := r.clock.Now()
+	var stalled []*Reservation
+	for s := range r.open {
+		switch {
+		case !among(s):
+		case s.ended:
+			need -= s.size
+		case s.reclaim != nil && now.Sub(s.progressed) >= r.stallTime:
+			stalled = append(stalled, s)
+		}
+	}
+	slices.SortFunc(stalled, func(a, b *Reservation) int {
+		return cmp.Or(a.progressed.Compare(b.progressed), a.started.Compare(b.started), cmp.Compare(b.size, a.size))
+	})
+	var tell []func()
+	for _, s := range stalled {
+		if need <= 0 {
+			break
+		}
+		need -= s.size
+		s.ended = true
+		r.ended[s.kind]++
+		tell = append(tell, s.reclaim)
+	}
+	return tell
+}
+
+// Reservation is memory that is held. All methods may be called on nil, which holds nothing.
+type Reservation struct {
+	reserver *Reserver
+	kind     Kind
+	room     int
+	size     int64
+	reclaim  func()
+	// ended is set once reclaim is to be called, released once nothing is held any more.
+	ended, released bool
+	started         time.Time
+	// progressed is when the last progressBytes had arrived, pending what has arrived since.
+	progressed time.Time
+	pending    int64
+}
+
+// add changes what is held by n bytes.
+func (s *Reservation) add(n int64) {
+	s.size += n
+	s.reserver.rooms[s.room].held += n
+	s.reserver.held[s.kind] += n
+}
+
+// move moves the reservation to another room.
+func (s *Reservation) move(room int) {
+	s.reserver.rooms[s.room].held -= s.size
+	s.reserver.rooms[room].held += s.size
+	s.room = room
+}
+
+// Grow reserves n more bytes. If it reports false nothing has changed, but stalled
+// reservations were ended as Acquire does.
+func (s *Reservation) Grow(n int64) bool {
+	if s == nil {
+		return true
+	}
+	r := s.reserver
+	r.mu.Lock()
+	if s.ended || s.released {
+		r.mu.Unlock()
+		return false
+	}
+	room, more := roomOf(s.kind, s.size+n), n
+	if room != s.room {
+		more += s.size
+	}
+	if !r.rooms[room].fits(more) {
+		r.refuse(s, room, more)
+		return false
+	}
+	defer r.mu.Unlock()
+	if room != s.room {
+		s.move(room)
+	}
+	s.add(n)
+	return true
+}
+
+// Force holds n more bytes whether or not they fit, for what must not be cut off. What does not
+// fit is missing to later reservations, and stalled ones are ended.
+func (s *Reservation) Force(n int64) {
+	if s == nil {
+		return
+	}
+	r := s.reserver
+	r.mu.Lock()
+	if s.released {
+		r.mu.Unlock()
+		return
+	}
+	s.add(n)
+	over := r.rooms[s.room].held - r.rooms[s.room].limit
+	var ended []func()
+	if over > 0 {
+		ended = r.endStalled(over, func(o *Reservation) bool { return o.room == s.room })
+	}
+	r.mu.Unlock()
+	for _, reclaim := range ended {
+		reclaim()
+	}
+}
+
+// Shrink frees n bytes.
+func (s *Reservation) Shrink(n int64) {
+	if s == nil {
+		return
+	}
+	s.reserver.mu.Lock()
+	defer s.reserver.mu.Unlock()
+	if !s.released {
+		s.add(-min(n, s.size))
+	}
+}
+
+// Progress records that n bytes have arrived for the reservation.
+func (s *Reservation) Progress(n int) {
+	if s == nil {
+		return
+	}
+	s.reserver.mu.Lock()
+	defer s.reserver.mu.Unlock()
+	if s.pending += int64(n); s.pending >= progressBytes {
+		s.pending, s.progressed = 0, s.reserver.clock.Now()
+	}
+}
+
+// OnReclaim sets what is called when the reservation is ended. The holder releases it then.
+// Without it a reservation is never ended.
+func (s *Reservation) OnReclaim(f func()) {
+	if s == nil {
+		return
+	}
+	s.reserver.mu.Lock()
+	defer s.reserver.mu.Unlock()
+	s.reclaim = f
+}
+
+// Keep has the reservation not be ended from now on. It reports false if it already is.
+func (s *Reservation) Keep() bool {
+	if s == nil {
+		return true
+	}
+	s.reserver.mu.Lock()
+	defer s.reserver.mu.Unlock()
+	s.reclaim = nil
+	return !s.ended
+}
+
+// Ended reports whether the reservation was ended.
+func (s *Reservation) Ended() bool {
+	if s == nil {
+		return false
+	}
+	s.reserver.mu.Lock()
+	defer s.reserver.mu.Unlock()
+	return s.ended
+}
+
+// Release frees all that is held. Releasing twice is harmless.
+func (s *Reservation) Release() {
+	if s == nil {
+		return
+	}
+	s.reserver.mu.Lock()
+	defer s.reserver.mu.Unlock()
+	if s.released {
+		return
+	}
+	s.released = true
+	s.add(-s.size)
+	delete(s.reserver.open, s)
+}
