Bodies, answers, heads, connections and detours are charged to a memory budget

An entry instance read bodies of all clients into memory at once, and requests that stopped short of their end kept their slots. Bodies are now reserved before they are read, in steps if their length is unknown, and refused with 503 as not run when there is no memory; stalled ones are ended. Connections are limited, idle ones are closed first.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -29,6 +29,7 @@
 
 	"primrosehook/connector"
 	"primrosehook/messenger"
+	"primrosehook/reserver"
 )
 
 const (
@@ -97,6 +98,8 @@
 	meter      Meter
 	// known reports whether an address is that of a registered server.
 	known func(address string) bool
+	// memory is the budget that served detours are charged to, nil for none.
+	memory *reserver.Reserver
 	// maxServed bounds the detours that are served for peers.
 	maxServed int
 
@@ -113,6 +116,9 @@
 // Option sets an option of a Detourer.
 type Option func(*Detourer)
 
+// WithMemory sets the memory budget that detours served for peers are charged to.
+func WithMemory(m *reserver.Reserver) Option { return func(t *Detourer) { t.memory = m } }
+
 // WithDirect sets how direct connections are opened; the default is
 // connector.DirectDialer.
 func WithDirect(d connector.Dialer) Option { return func(t *Detourer) { t.direct = d } }
--- a/detourer/tunnel.go
+++ b/detourer/tunnel.go
@@ -17,6 +17,7 @@
 
 	"primrosehook/judge"
 	"primrosehook/messenger"
+	"primrosehook/reserver"
 	"primrosehook/resetter"
 )
 
@@ -217,6 +218,13 @@
 	if d.leaving || len(d.served) >= d.maxServed || d.clock.Now().Before(d.pausedUntil[t.address]) {
 		return false
 	}
+	if d.memory != nil {
+		held, ok := d.memory.Acquire(reserver.Detour, 2*bufferBytes)
+		if !ok {
+			return false
+		}
+		t.held = held
+	}
 	d.served[t] = true
 	return true
 }
@@ -225,6 +233,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.served, t)
+	t.held.Release()
 }
 
 // Pause serves no further detours to a server until a time, and has peers use those that are
@@ -280,7 +289,9 @@
 	detourer *Detourer
 	address  string
 	server   net.Conn
-	stream   atomic.Pointer[messenger.Stream]
+	// held is the memory of the buffers.
+	held   *reserver.Reservation
+	stream atomic.Pointer[messenger.Stream]
 	// sentAt is when the server last sent bytes, in nanoseconds since 1970, zero if the peer
 	// has sent some since.
 	sentAt atomic.Int64
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -34,6 +34,7 @@
 	"primrosehook/quarantiner"
 	"primrosehook/registrar"
 	"primrosehook/relayer"
+	"primrosehook/reserver"
 	"primrosehook/sender"
 	"primrosehook/sequencer"
 	"primrosehook/sparer"
@@ -120,6 +121,8 @@
 	parts           *quarantiner.PartGuard
 	replacements    *registrar.Replacements
 	metrics         *exporter.Registry
+	memory          *reserver.Reserver
+	closedConns     atomicCounts
 	stopping        atomic.Bool
 	work            sync.WaitGroup
 }
@@ -166,11 +169,12 @@
 func newEntry(s platform.Settings, clock clockwork.Clock, log *zap.Logger, o options) *Entry {
 	log = log.With(zap.String("instance", s.Instance))
 	e := &Entry{initial: s, source: o.settingsSource, clock: clock, log: log, metrics: exporter.New()}
+	e.memory = reserver.New(memoryBudget(s), reserver.WithClock(clock))
 	e.current.Store(&s)
 	e.store = platform.NewStore(s.Store, sender.NewClient())
 	toPeers := []messenger.Option{messenger.WithMaxSilence(time.Second)}
 	detours := []detourer.Option{
-		detourer.WithDirect(o.dialer), detourer.WithMeter(e.metrics),
+		detourer.WithDirect(o.dialer), detourer.WithMeter(e.metrics), detourer.WithMemory(e.memory),
 		detourer.WithMaxServed(max((s.Descriptors-reservedDescriptors)/descriptorsPerDetour, 32)),
 	}
 	if o.peerDialer != nil {
@@ -194,7 +198,7 @@
 	e.pauses = &pauses{fleet: e.fleet, detourer: e.detourer, peers: e.peers, clock: clock, log: log}
 	e.sequencer = sequencer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, e.suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer), relayer.WithPauses(e.pauses), relayer.WithAccounts(accounts{e.allotter}),
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer), relayer.WithPauses(e.pauses), relayer.WithAccounts(accounts{e.allotter}), relayer.WithMemory(e.memory),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
@@ -260,13 +264,16 @@
 	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	clients := newGate("front", maxConnections(e.initial), e.memory, &e.closedConns, e.clock, e.log)
+	checkers := newGate("ready", maxCheckConnections, e.memory, &e.closedConns, e.clock, e.log)
 	clientServer := &http.Server{
-		Handler: http.HandlerFunc(e.front), ConnContext: peeker.WithClient, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(e.front), ConnContext: peeker.WithClient, ConnState: clients.observe, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(e.log),
 	}
-	checks := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout}
-	metricsServer := &http.Server{Handler: e.metrics, ReadHeaderTimeout: headerTimeout}
-	messages := messenger.NewServer(e.log)
+	checks := checkServer(http.HandlerFunc(e.ready), checkers)
+	readers := newGate("metrics", maxCheckConnections, e.memory, &e.closedConns, e.clock, e.log)
+	metricsServer := checkServer(e.metrics, readers)
+	messages := messenger.NewServer(e.log, messenger.WithMaxConns(maxPeerConnections(e.initial)), messenger.WithMaxQueuedBytes(int(memoryBytesOf(e.initial)/peerQueueShare)))
 	e.coordinator.Serve(messages)
 	e.pacer.Serve(messages)
 	e.throttler.Serve(messages)
@@ -277,8 +284,8 @@
 	e.sequencer.Serve(messages)
 	e.pauses.Serve(messages)
 	failed := make(chan error, 2)
-	e.start(func() { e.listen(clientServer, clientListener{front}, failed) })
-	e.start(func() { e.listen(checks, ready, failed) })
+	e.start(func() { e.listen(clientServer, clients.listen(front), failed) })
+	e.start(func() { e.listen(checks, checkers.listen(ready), failed) })
 	e.start(func() { e.tails.config.Run(work) })
 	e.start(func() { e.tails.registry.Run(work) })
 	e.start(func() { e.coordinator.Run(work) })
@@ -291,7 +298,7 @@
 		e.start(func() { e.loopSettings(work) })
 	}
 	if e.initial.Metrics != "" {
-		e.start(func() { e.listenMetrics(metricsServer) })
+		e.start(func() { e.listenMetrics(metricsServer, readers) })
 	}
 	e.log.Info("entry: started", zap.String("front", e.initial.Front), zap.String("zone", e.initial.Zone), zap.Stringer("build", upgrader.Current()))
 	if len(e.initial.Unused) > 0 {
@@ -329,12 +336,18 @@
 	}
 }
 
+// checkServer returns the server of a port that only the operator's own programs use. They send
+// no bodies.
+func checkServer(h http.Handler, g *gate) *http.Server {
+	return &http.Server{Handler: h, ConnState: g.observe, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 // listenMetrics serves the metrics. A failure is only logged, since clients can
 // be served without metrics.
-func (e *Entry) listenMetrics(s *http.Server) {
+func (e *Entry) listenMetrics(s *http.Server, g *gate) {
 	l, err := net.Listen("tcp", e.initial.Metrics)
 	if err == nil {
-		err = s.Serve(l)
+		err = s.Serve(g.listen(l))
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		e.log.Warn("entry: metrics are not served", zap.Error(err))
--- a/entryassembler/front.go
+++ b/entryassembler/front.go
@@ -6,22 +6,41 @@
 	"net/http"
 	"sync/atomic"
 	"syscall"
+	"time"
+
+	"go.uber.org/zap"
 
 	"primrosehook/peeker"
 )
 
+// restTime is how long the rest of a body that was not read is awaited after the answer.
+const restTime = time.Second
+
 // clientConn is a client's connection that records whether this side closed it.
 type clientConn struct {
 	net.Conn
 	closed atomic.Bool
+	// gate counts the connection and what its heads take.
+	gate *gate
+	slot
 }
 
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.closed.Store(true)
+	c.gate.remove(c)
 	return c.Conn.Close()
 }
 
+// Read implements net.Conn. What arrives of a request before its handler begins is its head.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.busy.Load() && !c.gate.chargeHead(c, n) {
+		return 0, errHeadMemory
+	}
+	return n, err
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
@@ -31,29 +50,31 @@
 	return s.SyscallConn()
 }
 
-// clientListener accepts client connections as clientConn.
-type clientListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l clientListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{Conn: c}, nil
-}
-
 // front handles clients' requests. While the instance stops, each answer has
 // the header Connection: close; idle connections stay open, since a request may
 // already be on its way on them, and so do those without a request so far.
 func (e *Entry) front(w http.ResponseWriter, q *http.Request) {
-	// At the end of a stop the HTTP server closes idle connections, possibly
-	// while it reads a request. The answer could not be delivered.
-	if c, ok := peeker.Client(q.Context()); ok && c.(*clientConn).closed.Load() {
-		panic(http.ErrAbortHandler)
+	// At the end of a stop the HTTP server closes idle connections, and a full gate does,
+	// possibly while it reads a request. The answer could not be delivered.
+	if c, ok := peeker.Client(q.Context()); ok {
+		if client := c.(*clientConn); !client.gate.begin(client) {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	e.relayer.ServeHTTP(w, q)
+	e.boundRest(w, q)
+}
+
+// boundRest bounds for how long the HTTP server waits for the rest of a body that the handler
+// has not read. Without it a client that sends no more keeps its connection for good.
+func (e *Entry) boundRest(w http.ResponseWriter, q *http.Request) {
+	if q.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(e.clock.Now().Add(restTime)); err != nil {
+		e.log.Debug("entry: connection has no deadlines", zap.Error(err))
+	}
 }
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"primrosehook/platform"
+	"primrosehook/reserver"
 	"primrosehook/upgrader"
 )
 
@@ -34,6 +35,14 @@
 	for _, kind := range platform.CallKinds {
 		all["store_calls_"+kind] = func() int64 { return e.store.Calls(kind) }
 	}
+	for _, kind := range reserver.Kinds() {
+		all["memory_held_"+kind.String()] = func() int64 { return e.memory.Held(kind) }
+		all["memory_refused_"+kind.String()] = func() int64 { return e.memory.Refused(kind) }
+		all["memory_ended_"+kind.String()] = func() int64 { return e.memory.Ended(kind) }
+	}
+	all["connections_closed_idle"] = e.closedConns.idle.Load
+	all["connections_closed_head_overdue"] = e.closedConns.heads.Load
+	all["connections_closed_head_memory"] = e.closedConns.headMemory.Load
 	maps.Copy(all, more)
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		e.metrics.Gauge(name, all[name])
--- a/entryassembler/reload.go
+++ b/entryassembler/reload.go
@@ -74,6 +74,7 @@
 	next.RetryRatio, next.RetrySlack = s.RetryRatio, s.RetrySlack
 	e.current.Store(&next)
 	debug.SetMemoryLimit(memoryLimit(next))
+	e.memory.Resize(memoryBudget(next))
 	e.updateRetryShare()
 	if len(later) > 0 && !slices.Equal(later, e.pendingSettings) || len(live) > 0 || signaled {
 		e.log.Info("entry: settings have changed", zap.Strings("in_force", live), zap.Strings("at_next_start", later))
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -16,6 +16,7 @@
 	"primrosehook/connector"
 	"primrosehook/judge"
 	"primrosehook/matcher"
+	"primrosehook/reserver"
 	"primrosehook/sequencer"
 	"primrosehook/sparer"
 )
@@ -57,6 +58,8 @@
 	bodyRead   bool
 	answerBody []byte
 	bodyErr    error
+	// answerHeld is the memory of answerBody.
+	answerHeld *reserver.Reservation
 	// abandoned is set if the answer is no longer needed.
 	abandoned bool
 	// firstEvent is when the first event of a stream arrived. survived is set once the
@@ -90,6 +93,7 @@
 	t.cancel()
 	t.pass.End(false)
 	t.turn.End(t.broken)
+	t.answerHeld.Release()
 	t.span.End()
 }
 
@@ -258,7 +262,9 @@
 		return
 	}
 	t.bodyRead = true
-	t.answerBody, t.bodyErr = io.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes+1))
+	t.answerHeld, _ = t.memory.Acquire(reserver.Answer, 0) // nothing always fits
+	t.answerHeld.Force(firstBodyBytes)
+	t.answerBody, t.bodyErr = readInSteps(io.LimitReader(t.answer.Body, maxAnswerBytes+1), firstBodyBytes, maxAnswerBytes+1, t.answerHeld, t.forceAnswer)
 	switch {
 	case len(t.answerBody) > maxAnswerBytes:
 		t.answerBody, t.bodyErr = nil, errAnswerTooLarge
@@ -268,6 +274,13 @@
 	t.answer.Close(t.bodyErr == nil)
 }
 
+// forceAnswer charges n more bytes of the answer whether or not they fit: the request was
+// passed on, and its answer is not cut off.
+func (t *attempt) forceAnswer(n int64) bool {
+	t.answerHeld.Force(n)
+	return true
+}
+
 // intact reports whether the answer is the server's whole answer.
 func (t *attempt) intact() bool { return t.bodyErr == nil && t.info.Signed && !t.info.Encoded }
 
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -11,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"primrosehook/balancer"
@@ -97,7 +97,11 @@
 	case r.inFlight <- struct{}{}:
 		defer func() { <-r.inFlight }()
 	default:
-		log.Info("relay: too many requests in flight", zap.Int("limit", cap(r.inFlight)))
+		// A request whose body makes no progress makes room for later ones.
+		r.memory.EndStalled()
+		if n, ok := r.crowded.Sample(r.clock); ok {
+			log.Info("relay: too many requests in flight", zap.Int("limit", cap(r.inFlight)), zap.Int("refused_since_last_line", n))
+		}
 		r.refuse(w, busyRetryAfter, "too_many")
 		return
 	}
@@ -113,6 +117,8 @@
 	if x.startEvent != "" {
 		r.meter.Add(MetricTakenUp, 1)
 	}
+	// Releases what is held even if the handler is aborted.
+	defer func() { x.held.Release() }()
 	if !x.readBody(table.Limits) {
 		return
 	}
@@ -128,28 +134,6 @@
 	x.run()
 }
 
-// readBody reads the whole body into memory, so that it can be sent more than
-// once. It reports false if the body is too large; the client is answered then.
-func (x *exchange) readBody(limits matcher.Limits) bool {
-	body := x.request.Body
-	if limits.MaxBodyBytes > 0 {
-		body = http.MaxBytesReader(x.writer, body, limits.MaxBodyBytes)
-	}
-	raw, err := io.ReadAll(body)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		x.log.Info("relay: body too large", zap.Int64("limit", limits.MaxBodyBytes))
-		writeStatus(x.writer, http.StatusRequestEntityTooLarge)
-		return false
-	case err != nil:
-		x.log.Info("relay: client left while sending", zap.Error(err))
-		panic(http.ErrAbortHandler)
-	}
-	x.body = raw
-	return true
-}
-
 // prepare derives the deadline, the service, the query for a server and the
 // quarantine digest from the request.
 func (x *exchange) prepare() {
@@ -204,7 +188,11 @@
 // the client's address: the same request may come through another gateway. A request
 // that is wrongly taken for a suspect is cleared by its next completion.
 func requestDigest(r *http.Request, body []byte) uint64 {
-	return balancer.Hash(r.Method + " " + r.URL.EscapedPath() + " " + string(body))
+	// The body is hashed in place: a copy would take as much memory once more.
+	d := xxhash.New()
+	_, _ = d.WriteString(r.Method + " " + r.URL.EscapedPath() + " ") // never fails
+	_, _ = d.Write(body)                                             // never fails
+	return d.Sum64()
 }
 
 // resource returns a hash of what the request asks of its service, whichever route, method
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"primrosehook/matcher"
 	"primrosehook/pinner"
 	"primrosehook/quarantiner"
+	"primrosehook/reserver"
 	"primrosehook/sequencer"
 	"primrosehook/sparer"
 	"primrosehook/tracer"
@@ -136,7 +137,9 @@
 	MetricWait              = "wait_for_server_ms_"
 	MetricFirst             = "first_byte_ms_"
 	MetricTotal             = "whole_answer_ms_"
-	MetricPause             = "longest_pause_ms"
+	// MetricTooLarge counts requests whose body is over the limit.
+	MetricTooLarge = "requests_too_large"
+	MetricPause    = "longest_pause_ms"
 )
 
 // Relayer is the http.Handler for the requests of clients.
@@ -158,6 +161,9 @@
 	meter    Meter
 	tracer   trace.Tracer
 	inFlight chan struct{}
+	memory   *reserver.Reserver
+	// shortages, oversized and crowded bound the log lines on what clients can cause at will.
+	shortages, oversized, crowded reserver.Sampler
 	// waits ends when requests may wait for a server no longer.
 	waits    context.Context
 	endWaits context.CancelFunc
@@ -272,6 +278,12 @@
 // suspected.
 func WithPartSuspects(p PartSuspects) Option { return func(r *Relayer) { r.parts = p } }
 
+// WithMemory sets the memory budget of bodies; the default is one of defaultMemory.
+func WithMemory(m *reserver.Reserver) Option { return func(r *Relayer) { r.memory = m } }
+
+// defaultMemory is the budget of a relayer that is given none, in bytes.
+const defaultMemory = 256 << 20
+
 // WithTracer traces each request and each attempt in a span.
 func WithTracer(t trace.Tracer) Option { return func(r *Relayer) { r.tracer = t } }
 
@@ -291,6 +303,9 @@
 	for _, o := range options {
 		o(r)
 	}
+	if r.memory == nil {
+		r.memory = reserver.New(defaultMemory, reserver.WithClock(clock))
+	}
 	return r
 }
 
@@ -386,10 +401,12 @@
 	priority    int
 	service     string
 	body        []byte
-	started     time.Time
-	deadline    time.Time
-	query       balancer.Request
-	identity    quarantiner.Identity
+	// held is the memory of the body.
+	held     *reserver.Reservation
+	started  time.Time
+	deadline time.Time
+	query    balancer.Request
+	identity quarantiner.Identity
 	// prefix are the hashes of the parts of the prompt that other requests may share.
 	// trial is set if the request is sent although one of them is quarantined.
 	prefix       []uint64
