--- a/crowder/crowd_test.go
+++ b/crowder/crowd_test.go
@@ -1,14 +1,17 @@
 package crowder_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 )
 
 const (
@@ -29,9 +32,11 @@
 // crowd is a number of clients that keep their connections open.
 type crowd struct {
 	instance *instance
-	mu       sync.Mutex
-	conns    []net.Conn
-	clients  sync.WaitGroup
+	// address is the port, the one for clients if empty.
+	address string
+	mu      sync.Mutex
+	conns   []net.Conn
+	clients sync.WaitGroup
 }
 
 // gather starts the clients and waits until all have sent what they send.
@@ -47,7 +52,7 @@
 // is allowed; the client then opens a further one. It keeps the first one that takes all bytes.
 func (c *crowd) runClient(i int, send func(i int, w io.Writer) error) {
 	for range rounds {
-		conn, err := net.DialTimeout("tcp", c.instance.front, giveUp)
+		conn, err := net.DialTimeout("tcp", cmp.Or(c.address, c.instance.front), giveUp)
 		if err != nil {
 			continue
 		}
@@ -133,6 +138,37 @@
 	return err
 }
 
+// sendEndlessHead sends most of a head as large as is allowed.
+func sendEndlessHead(_ int, w io.Writer) error {
+	if _, err := io.WriteString(w, "POST /form/1 HTTP/1.1\r\nHost: h\r\n"); err != nil {
+		return err
+	}
+	for range 60 {
+		if _, err := fmt.Fprintf(w, "X-More: %s\r\n", strings.Repeat("x", 1000)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendPipelined sends small requests and then one that stops short of its end, with a trailer
+// announced and extensions of its chunks.
+func sendPipelined(i int, w io.Writer) error {
+	for range 4 {
+		if err := writeHead(w, i, "Content-Length: 1000"); err != nil {
+			return err
+		}
+		if err := writePieces(w, 1000, 1000); err != nil {
+			return err
+		}
+	}
+	if err := writeHead(w, i, "Transfer-Encoding: chunked\r\nTrailer: X-T"); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, strings.Repeat("400;e=\"x\"\r\n"+strings.Repeat("x", 1024)+"\r\n", maxBody>>11)+"0\r\nX-T: ")
+	return err
+}
+
 // sendOversized sends a body far over the limit, declared in advance or just sent.
 func sendOversized(i int, w io.Writer) error {
 	if i%2 == 0 {
@@ -155,7 +191,7 @@
 	// that others get no answer.
 	DescribeTable("lives within its limits and serves others",
 		func(send func(i int, w io.Writer) error) {
-			c := &crowd{instance: startInstance(program, GinkgoT().TempDir())}
+			c := &crowd{instance: startInstance(program, GinkgoT().TempDir(), memoryMB)}
 			AddReportEntry("before", fmt.Sprintf("%.0f MiB", c.instance.memory("VmHWM")))
 			defer c.leave()
 			c.gather(send)
@@ -168,5 +204,28 @@
 		Entry("many large bodies that stop short of their end", sendLegal),
 		Entry("many chunked bodies that stop short of their end", sendChunked),
 		Entry("bodies far over the limit", sendOversized),
+		Entry("heads that never end", sendEndlessHead),
+		Entry("requests one after the other without waiting, the last one short of its end", sendPipelined),
 	)
+
+	// Guards against a port whose connections are all taken by clients that send nothing.
+	It("serves others beside many idle connections to each port", func() {
+		n := startInstance(program, GinkgoT().TempDir(), memoryMB)
+		for _, address := range []string{n.front, n.ready, n.control} {
+			c := &crowd{instance: n, address: address}
+			defer c.leave()
+			c.gather(func(int, io.Writer) error { return nil })
+		}
+		n.expectWithinLimits()
+		n.expectServed("small", 100)
+		n.expectReady()
+	})
+
+	// Guards against a budget that refuses what the configuration allows: the smallest instance,
+	// the largest body that the platform's sites allow, a server that takes its time.
+	It("serves a single body of 4 MiB to a slow server with 144 MB", func() {
+		n := startInstance(program, GinkgoT().TempDir(), 144)
+		n.engine.WorkTime = 2 * time.Second
+		Expect(n.send("single", 4<<20)).To(Equal(http.StatusOK))
+	})
 })
--- a/crowder/instance_test.go
+++ b/crowder/instance_test.go
@@ -29,7 +29,7 @@
 
 const configuration = `{"version":3,"routes":[
  {"name":"form","host":"h","path-prefix":"/form/","kind":"idempotent","timeout-ms":4000,"target-latency-ms":100,"service":"api","max-attempts":2}],
- "services":[{"name":"api"}],"limits":{"max-body-bytes":1048576}}`
+ "services":[{"name":"api"}],"limits":{"max-body-bytes":%d}}`
 
 const settings = `node = "front-0"
 ip = "127.0.0.1"
@@ -60,10 +60,20 @@
 // instance is a process of an entry instance on stand-ins of the platform.
 type instance struct {
 	front, ready, control string
+	engine                *faker.ModelServer
 	process               *exec.Cmd
 	exited                chan struct{}
 }
 
+// maxBodyOf returns the limit of bodies of an instance with a memory in MB: that of the sites
+// unless its memory is lowered.
+func maxBodyOf(memory int) int {
+	if memory == memoryMB {
+		return maxBody
+	}
+	return 4 << 20
+}
+
 // buildProgram builds the program of this tree.
 func buildProgram(dir string) string {
 	program := filepath.Join(dir, "primrosehook")
@@ -81,20 +91,20 @@
 	return l.Addr().String()
 }
 
-// startInstance starts an instance and waits until it is ready.
-func startInstance(program, dir string) *instance {
+// startInstance starts an instance with a memory in MB and waits until it is ready.
+func startInstance(program, dir string, memory int) *instance {
 	records := faker.NewMetadataStore()
 	store := httptest.NewServer(records)
 	DeferCleanup(store.Close)
-	records.Put(platform.TopicOperator, platform.KeyConfig, []byte(configuration))
+	records.Put(platform.TopicOperator, platform.KeyConfig, fmt.Appendf(nil, configuration, maxBodyOf(memory)))
 	engine := faker.NewModelServer("i-0")
 	engine.WorkTime = 300 * time.Millisecond
 	server := httptest.NewServer(engine)
 	DeferCleanup(server.Close)
 	records.Put(platform.TopicServers, engine.ID, engine.Registration("api", server.Listener.Addr().String(), "z1", "ready", 1))
-	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), exited: make(chan struct{})}
+	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), engine: engine, exited: make(chan struct{})}
 	file := filepath.Join(dir, "settings.toml")
-	text := fmt.Sprintf(settings, n.control, n.front, n.ready, n.control, memoryMB, maxDescriptors, store.Listener.Addr().String())
+	text := fmt.Sprintf(settings, n.control, n.front, n.ready, n.control, memory, maxDescriptors, store.Listener.Addr().String())
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 	n.process = exec.Command(program, "entry", "-settings", file)
 	n.process.Stdout, n.process.Stderr = GinkgoWriter, GinkgoWriter
@@ -104,6 +114,12 @@
 		_ = n.process.Process.Kill()
 		<-n.exited
 	})
+	n.expectReady()
+	return n
+}
+
+// expectReady waits until the instance answers readiness checks.
+func (n *instance) expectReady() {
 	Eventually(func() int {
 		p, err := http.Get("http://" + n.ready + "/-/readiness")
 		if err != nil {
@@ -112,7 +128,6 @@
 		_ = p.Body.Close()
 		return p.StatusCode
 	}, "15s", "50ms").Should(Equal(http.StatusOK))
-	return n
 }
 
 // runWait waits for the end of the process.
--- a/detourer/tunnel.go
+++ b/detourer/tunnel.go
@@ -219,11 +219,9 @@
 		return false
 	}
 	if d.memory != nil {
-		held, ok := d.memory.Acquire(reserver.Detour, 2*bufferBytes)
-		if !ok {
-			return false
-		}
-		t.held = held
+		// Their number is bounded, and clients' connections must not take their place.
+		t.held, _ = d.memory.Acquire(reserver.Detour, 0) // nothing always fits
+		t.held.Force(2 * bufferBytes)
 	}
 	d.served[t] = true
 	return true
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -265,13 +265,13 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clients := newGate("front", maxConnections(e.initial), e.memory, &e.closedConns, e.clock, e.log)
-	checkers := newGate("ready", maxCheckConnections, e.memory, &e.closedConns, e.clock, e.log)
+	checkers := newGate("ready", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
 	clientServer := &http.Server{
 		Handler: http.HandlerFunc(e.front), ConnContext: peeker.WithClient, ConnState: clients.observe, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(e.log),
 	}
 	checks := checkServer(http.HandlerFunc(e.ready), checkers)
-	readers := newGate("metrics", maxCheckConnections, e.memory, &e.closedConns, e.clock, e.log)
+	readers := newGate("metrics", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
 	metricsServer := checkServer(e.metrics, readers)
 	messages := messenger.NewServer(e.log, messenger.WithMaxConns(maxPeerConnections(e.initial)), messenger.WithMaxQueuedBytes(int(memoryBytesOf(e.initial)/peerQueueShare)))
 	e.coordinator.Serve(messages)
@@ -339,7 +339,7 @@
 // checkServer returns the server of a port that only the operator's own programs use. They send
 // no bodies.
 func checkServer(h http.Handler, g *gate) *http.Server {
-	return &http.Server{Handler: h, ConnState: g.observe, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: h, ConnState: g.observe, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCheckHeaderBytes}
 }
 
 // listenMetrics serves the metrics. A failure is only logged, since clients can
--- a/entryassembler/gate.go
+++ b/entryassembler/gate.go
@@ -29,6 +29,10 @@
 	// those to the port for readiness checks, and to that for metrics.
 	minConnections      = 100
 	maxCheckConnections = 64
+	// checkBudget is the budget of each of these ports, apart from that of clients: an instance
+	// that is short of memory still answers there. A quarter is for connections and heads.
+	checkBudget         = 8 << 20
+	maxCheckHeaderBytes = 8 << 10
 	// descriptorsPerPeer and minPeerConnections limit connections of peers: twice as many as
 	// detours may be served. peerQueueShare is the part of the memory that may be queued for one
 	// peer, or be in work for it.
