Answers to clients that do not read end, and silent connections make room for peers

A piece of an answer that a client does not take within 30 s ends the exchange. At the limit of peers' connections the oldest one that has sent nothing is closed.

--- a/entryassembler/front.go
+++ b/entryassembler/front.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,8 +14,14 @@
 	"primrosehook/peeker"
 )
 
-// restTime is how long the rest of a body that was not read is awaited after the answer.
-const restTime = time.Second
+const (
+	// restTime is how long the rest of a body that was not read is awaited after the answer.
+	restTime = time.Second
+	// writeTimeout is how long a client may take for each writePiece of an answer: 16 kbit/s,
+	// beside what the buffers of the kernel hold.
+	writeTimeout = 30 * time.Second
+	writePiece   = 64 << 10
+)
 
 // clientConn is a client's connection that records whether this side closed it.
 type clientConn struct {
@@ -41,6 +48,23 @@
 	return n, err
 }
 
+// Write implements net.Conn. Each piece has its own deadline, so that a client that does not
+// read its answer does not hold the memory of it for good.
+func (c *clientConn) Write(b []byte) (int, error) {
+	written := 0
+	for piece := range slices.Chunk(b, writePiece) {
+		if err := c.SetWriteDeadline(c.gate.clock.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -24,6 +24,7 @@
 
 	"primrosehook/framer"
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/resetter"
 )
 
@@ -44,6 +45,9 @@
 	maxConcurrentPerConn = 512
 	maxConns             = 1024
 	acceptRetryDelay     = 50 * time.Millisecond
+	// maxFirstSilence is after how long without a first message a connection may be closed in
+	// favor of another one.
+	maxFirstSilence = time.Second
 )
 
 type options struct {
@@ -276,6 +280,9 @@
 	mu       sync.Mutex
 	handlers map[string]registeredHandler
 	streams  map[string]StreamHandler
+	// silent are the connections that have brought no message yet, with when they were accepted.
+	silent map[*serverConn]time.Time
+	lines  reserver.Sampler
 }
 
 // NewServer returns a server without handlers.
@@ -286,6 +293,7 @@
 		slots:    make(chan struct{}, maxConcurrent),
 		handlers: map[string]registeredHandler{},
 		streams:  map[string]StreamHandler{},
+		silent:   map[*serverConn]time.Time{},
 	}
 }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -474,4 +474,13 @@
 		Eventually(func() int64 { return p.server.Stats().Conns }, "10s").Should(BeZero())
 		works(p)
 	})
+
+	// Guards against connections that send nothing and keep peers away.
+	It("closes a connection that has sent nothing in favor of a peer", func() {
+		p := startPeer(messenger.WithMaxConns(1))
+		silent := dialRaw(p.addr)
+		time.Sleep(1100 * time.Millisecond)
+		works(p)
+		Eventually(closedByPeer(silent), "10s").Should(BeTrue())
+	})
 })
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -32,10 +32,15 @@
 			continue
 		}
 		if s.counters.conns.Add(1) > int64(s.options.conns) {
-			s.counters.conns.Add(-1)
-			s.log.Warn("messenger: too many connections", zap.Stringer("peer", c.RemoteAddr()))
-			_ = c.Close()
-			continue
+			closesOne := s.closeSilent()
+			if n, ok := s.lines.Sample(s.options.clock); ok {
+				s.log.Warn("messenger: too many connections", zap.Stringer("peer", c.RemoteAddr()), zap.Bool("closes_silent_one", closesOne), zap.Int("since_last_line", n))
+			}
+			if !closesOne {
+				s.counters.conns.Add(-1)
+				_ = c.Close()
+				continue
+			}
 		}
 		conn := &countingConn{Conn: c, counters: &s.counters}
 		accepted := &serverConn{
@@ -44,11 +49,41 @@
 			out:    newOutbox(conn, s.options, &s.counters),
 			slots:  make(chan struct{}, s.options.concurrentPerConn),
 		}
+		s.mu.Lock()
+		s.silent[accepted] = s.options.clock.Now()
+		s.mu.Unlock()
 		go accepted.out.loopWrite()
 		go accepted.run(ctx)
 	}
 }
 
+// closeSilent closes the oldest connection that has brought no message for some time after it
+// was accepted. It reports whether there was one. Peers send at once, and no message is lost.
+func (s *Server) closeSilent() bool {
+	s.mu.Lock()
+	var oldest *serverConn
+	for l, since := range s.silent {
+		if oldest == nil || since.Before(s.silent[oldest]) {
+			oldest = l
+		}
+	}
+	if oldest == nil || s.options.clock.Since(s.silent[oldest]) < maxFirstSilence {
+		s.mu.Unlock()
+		return false
+	}
+	delete(s.silent, oldest)
+	s.mu.Unlock()
+	oldest.out.closeConn()
+	return true
+}
+
+// heard records that a connection has brought a message, or has ended.
+func (s *Server) heard(l *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.silent, l)
+}
+
 // serverConn is one accepted connection.
 type serverConn struct {
 	server *Server
@@ -65,6 +100,7 @@
 	defer cancel()
 	defer l.server.counters.conns.Add(-1)
 	defer l.out.close()
+	defer l.server.heard(l)
 	stop := context.AfterFunc(ctx, l.out.close)
 	defer stop()
 	idle := l.server.options.clock.AfterFunc(l.server.options.idle, l.out.closeConn)
@@ -80,6 +116,7 @@
 			l.server.log.Debug("messenger: connection ended", zap.Error(err))
 			return
 		}
+		l.server.heard(l)
 		idle.Reset(l.server.options.idle)
 		l.server.counters.messagesReceived.Add(1)
 		if h, ok := l.server.streamHandler(m.Kind); ok {
