--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -18,7 +18,7 @@
 	"primrosehook/tailer"
 )
 
-// Half-lives of the demand rates, from which the demand is forecast: the fast rate
+// Half-lives of the demand rates, of which the larger one counts: the fast rate
 // follows a shift of demand, the slow rate keeps models that are requested only
 // occasionally.
 const (
@@ -348,7 +348,7 @@
 	now := c.clock.Now()
 	demand, waiting, builds = map[string]float64{}, map[string]int{}, map[serviceplanner.BuildKey]int{}
 	for k, d := range c.demand {
-		rate := serviceplanner.Forecast(d.fast.Rate(now, fastHalfLife), d.slow.Rate(now, slowHalfLife))
+		rate := max(d.fast.Rate(now, fastHalfLife), d.slow.Rate(now, slowHalfLife))
 		if rate < minDemandRate {
 			delete(c.demand, k)
 			continue
--- a/serviceplanner/replicas.go
+++ b/serviceplanner/replicas.go
@@ -19,12 +19,12 @@
 	// slotShare is the share of a server's slots up to which requests come and go without
 	// waiting for one: arrivals come in clumps.
 	slotShare = 0.7
-	// maxFailedAdditions bounds for how many models in vain a server is sought that has room for one
-	// more replica. It bounds the time of a plan.
-	maxFailedAdditions = 8
 	// minDemandRatio is how many times the demand of the replica that it
 	// replaces a new replica must get.
 	minDemandRatio = 1.5
+	// lastReplicaRatio is how many times the demand for a model the demand that is not served
+	// must be for its last replica to make room.
+	lastReplicaRatio = 8.0
 )
 
 // capacityOf returns the demand per replica above which requests are refused. Prefill limits it on
@@ -36,19 +36,15 @@
 	return min(replicaCapacity, slotShare*float64(s.Engine.Slots)/s.HoldingTime.Seconds())
 }
 
-// addUnserved adds replicas of the models with demand that no replica has room for, which is all
-// of it for a model that no server has loaded. What one more replica serves decides the order.
+// addUnserved adds replicas of the models with most demand that no replica has room for,
+// which is all of it for a model that no server has loaded.
 func (p *planner) addUnserved() {
 	tried := map[string]bool{}
 	for range len(p.servers) {
 		best, most := "", 0.0
 		for _, m := range p.models {
-			// As much gain as the best one's is ordered by the demand that is not served.
-			g := p.gain(m)
-			if g > most || g > 0 && g == most && p.unserved(m) > p.unserved(best) {
-				if !tried[m] && p.replicas[m] < len(p.servers) {
-					best, most = m, g
-				}
+			if u := p.unserved(m); u > most && !tried[m] && p.replicas[m] < len(p.servers) {
+				best, most = m, u
 			}
 		}
 		if best == "" {
@@ -71,50 +67,43 @@
 
 // addReplicas adds replicas of the models in most demand per replica.
 func (p *planner) addReplicas() {
-	tried := map[string]bool{}
 	for range len(p.servers) {
 		best, most := "", p.comfort
 		for _, m := range p.models {
-			if n := p.replicas[m]; n > 0 && n < len(p.servers) && !tried[m] {
+			if n := p.replicas[m]; n > 0 && n < len(p.servers) {
 				if d := p.modelDemand[m] / float64(n); d > most {
 					best, most = m, d
 				}
 			}
 		}
-		if best == "" || len(tried) >= maxFailedAdditions {
+		if best == "" || !p.addReplica(best, "", fmt.Sprintf("%.1f requests/s per replica", most), (*planner).lessWanted) {
 			return
 		}
-		if !p.addReplica(best, "", fmt.Sprintf("%.1f requests/s per replica", most), (*planner).lessWanted) {
-			tried[best] = true
-		}
 	}
 }
 
 // noVictim makes no room for a model.
 func noVictim(*planner, *server, string) (string, bool) { return "", false }
 
-// anyVictim returns the model to unload from a server to make room for m: one with clearly less
+// anyVictim returns the model to unload from a server to make room for m: that with the least
 // demand per remaining replica, or one whose last replica may go.
 func (p *planner) anyVictim(s *server, m string) (string, bool) {
 	return p.victim(s, m, func(v string, others int, after float64) bool {
-		return others > 0 && (p.replicas[m] == 0 || after*minDemandRatio <= p.modelDemand[m]/float64(p.replicas[m]+1)) || others < 1 && p.mayLoseLast(v, p.gain(m))
+		return others > 0 && (p.replicas[m] == 0 || after*minDemandRatio <= p.modelDemand[m]/float64(p.replicas[m]+1)) || others < 1 && p.mayLoseLast(v, m)
 	})
 }
 
-// lessWanted is anyVictim for a model whose demand its replicas have room for. A last replica makes
-// room for it only if it was not requested for long and its weights are kept by a server.
+// lessWanted is anyVictim for a model whose demand its replicas have room for. No last replica
+// makes room for it.
 func (p *planner) lessWanted(s *server, m string) (string, bool) {
-	return p.victim(s, m, func(v string, others int, after float64) bool {
-		if others < 1 {
-			return p.Unrequested[v] >= minIdle && p.warm[v] && p.mayLoseLast(v, p.comfortGain(m))
-		}
-		return after*minDemandRatio <= p.modelDemand[m]/float64(p.replicas[m]+1)
+	return p.victim(s, m, func(_ string, others int, after float64) bool {
+		return others > 0 && after*minDemandRatio <= p.modelDemand[m]/float64(p.replicas[m]+1)
 	})
 }
 
 // victim returns the model to unload from a server to make room for m, and whether there is
-// one: of those that may be, that which costs least to lose. May is given the demand per remaining
-// replica, with the demand for the adapters that are lost.
+// one: of those that may be, that with the least demand per remaining replica, with the demand
+// for the adapters that are lost.
 func (p *planner) victim(s *server, m string, may func(v string, others int, after float64) bool) (string, bool) {
 	best, least := "", 0.0
 	for v := range s.planned {
@@ -123,16 +112,25 @@
 		}
 		others := p.keptElsewhere(s, v)
 		after := p.modelDemand[v]/float64(max(others, 1)) + p.lostAdapterDemand(s, v)
-		if !may(v, others, after) {
-			continue
-		}
-		if loss := p.loss(s, v); best == "" || loss < least || loss == least && v < best {
-			best, least = v, loss
+		if may(v, others, after) && (best == "" || after < least || after == least && v < best) {
+			best, least = v, after
 		}
 	}
 	return best, best != ""
 }
 
+// mayLoseLast reports whether the last replica of a model may make room for m: the demand for m
+// that is not served is clearly more. A model that was not requested for a time may still be
+// requested about once in that time. Its requests then wait for its load.
+func (p *planner) mayLoseLast(v, m string) bool {
+	since, ok := p.Unrequested[v]
+	if !ok || since <= 0 {
+		return false
+	}
+	demand := max(p.modelDemand[v], 1/since.Seconds())
+	return p.waiting[v] == 0 && p.unserved(m) > lastReplicaRatio*demand
+}
+
 // keptElsewhere returns the number of servers other than one that keep a model loaded.
 func (p *planner) keptElsewhere(s *server, m string) int {
 	if s.keeps(m) {
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -26,9 +26,6 @@
 	// as: each takes a second or two longer.
 	unloadCost   = 4.0
 	coldLoadCost = 2.0
-	// lossWeight is how much load on a server, in requests a second, one request a second counts as
-	// that is lost with the replica that makes room.
-	lossWeight = 8.0
 	// demandPerWaiting is the demand, in requests a second, that one waiting
 	// request counts as.
 	demandPerWaiting = 2.0
@@ -211,10 +208,8 @@
 	waiting     map[string]int
 	replicas    map[string]int
 	kept        map[string]int
-	// warm has the models whose weights a server that takes orders keeps.
-	warm   map[string]bool
-	models []string
-	orders []Order
+	models      []string
+	orders      []Order
 	// capacity is the demand per replica, in requests a second, above which requests are
 	// refused, and comfort that above which another replica noticeably shortens waits.
 	capacity, comfort float64
@@ -222,7 +217,7 @@
 
 // Plan returns orders that may all be sent at once, at most one per server.
 func Plan(state State) []Order {
-	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}, kept: map[string]int{}, warm: map[string]bool{}}
+	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}, kept: map[string]int{}}
 	p.capacity = capacityOf(state)
 	p.comfort = p.capacity * replicaDemand / replicaCapacity
 	for _, known := range state.Servers {
@@ -231,9 +226,6 @@
 		}
 		s := newServer(known)
 		p.servers = append(p.servers, s)
-		for m, ok := range s.Warm {
-			p.warm[m] = p.warm[m] || ok
-		}
 		for m := range s.planned {
 			p.replicas[m]++
 		}
@@ -315,9 +307,6 @@
 			continue
 		}
 		cost := p.demandShare(s)
-		if v != "" {
-			cost += lossWeight * p.loss(s, v)
-		}
 		if p.modelDemand[v] > 0 {
 			// Requests in progress delay the unload.
 			cost += unloadCost
@@ -349,10 +338,7 @@
 	order := Order{Server: s.ID, Op: Load, Model: m, Cold: cold, Reason: reason}
 	if victim != "" {
 		next := order
-		order = Order{
-			Server: s.ID, Op: Unload, Model: victim, Requested: p.modelDemand[victim] > 0, Next: &next,
-			Reason: fmt.Sprintf("room for %s: %s, loses %.2f requests/s", m, reason, p.loss(s, victim)),
-		}
+		order = Order{Server: s.ID, Op: Unload, Model: victim, Requested: p.modelDemand[victim] > 0, Next: &next, Reason: "room for " + m + ": " + reason}
 		p.replicas[victim]--
 		if s.keeps(victim) {
 			p.kept[victim]--
