Review of client accounts: caps that could be exceeded, callers inside theirs that were refused

Caps that could be exceeded: - A request whose client left while the answer's body was on its way gave its credit back though it ran (relayer.forwardAnswer). It may have run once the head of an answer has arrived. - A lease holder that lost the lease and claimed it again, with nobody between, counted what it had assigned in its first term as free: instances that were cut off used it a second time, for 8 s. - A new bucket got the whole rate for the time in which fractions came one by one, each by less than 5 %.

Callers inside their cap that were refused: - Each of the requests that waited together asked for credit ahead, so one instance took the credit of the others and gave it back half a second later.

Other rules: the cap is checked before the bound of requests in flight; the key is removed also by an instance whose configuration has no accounts yet; the allotter calls its meter without its lock.

Without a test: a starting instance states its entitlement in its first report, before it has a configuration, since it refused capped requests until the second one; characters that would break the text of the metrics are replaced in names of accounts.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -33,7 +33,8 @@
 	// zones, and the turn of a process on a small share of a core.
 	allotTimeout = 100 * time.Millisecond
 	// callInterval times the number of members is the least time between two calls of an
-	// instance, so that an arbiter serves some two thousand a second at most.
+	// instance, longestWait at most, so that an arbiter of up to 200 members serves some two
+	// thousand a second, and one of 390 some four thousand.
 	callInterval = 500 * time.Microsecond
 	// longestWait is how long a request waits for credit that is about to come.
 	longestWait = 100 * time.Millisecond
@@ -128,6 +129,8 @@
 	// ahead is unused credit that may be used until aheadUntil; back is to be given back.
 	ahead, back float64
 	aheadUntil  time.Time
+	// asking is set while credit is asked for ahead.
+	asking bool
 	// grace is what may be used without an answer of the arbiter, as of graceAt.
 	grace   float64
 	graceAt time.Time
@@ -221,7 +224,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.boot.Now()
-	s := Statement{Held: a.holding.Held(now), Restarted: a.restarted}
+	s := Statement{Held: a.holding.Reported(now, receiver), Restarted: a.restarted}
 	if now.Before(a.avoided[receiver]) {
 		return s
 	}
@@ -459,9 +462,11 @@
 }
 
 // wantedAhead returns what to ask for ahead: what is used in aheadTime, if that is more than one
-// request. a.mu must be held.
+// request. Of the requests that wait for credit together only one asks: the sum of what all
+// asked for would take the credit of the other instances. a.mu must be held.
 func (a *Allotter) wantedAhead(now time.Time, u *usage, need float64) float64 {
-	if n := u.rate.Rate(now, usageHalfLife) * aheadTime.Seconds(); n >= need {
+	if n := u.rate.Rate(now, usageHalfLife) * aheadTime.Seconds(); n >= need && !u.asking {
+		u.asking = true
 		return n
 	}
 	return 0
@@ -584,6 +589,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.grants = reply.Grants
+	for _, x := range c.items {
+		if x.Ahead > 0 {
+			a.usage(a.boot.Now(), x.Account).asking = false
+		}
+	}
 	if c.grants != nil {
 		for i, gone := range c.abandoned {
 			if gone {
@@ -597,9 +607,9 @@
 // recordSilence records that an arbiter did not answer. It is asked again once it has answered a
 // report.
 func (a *Allotter) recordSilence(arbiter string, err error) {
+	a.meter.Add(MetricUnanswered, 1)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.meter.Add(MetricUnanswered, 1)
 	if a.silent != arbiter {
 		a.log.Info("allot: arbiter does not answer", zap.String("member", arbiter), zap.Bool("unknown_kind", messenger.IsUnknownKind(err)), zap.Error(err))
 	}
--- a/allotter/arbiter.go
+++ b/allotter/arbiter.go
@@ -15,9 +15,6 @@
 	// steadyRise is the part of the delegated sum by which it may grow without a new bucket
 	// being taken for emptier: fractions are adjusted by little all the time.
 	steadyRise = 0.05
-	// minBurst is the time whose usage a cap allows at once, whatever its burst: with a burst of
-	// zero nothing could be granted, and the tolerance of caps is several times as much.
-	minBurst = 100 * time.Millisecond
 	// refusedHalfLife is the half-life of what was refused, which is assumed to be asked for
 	// again.
 	refusedHalfLife = 500 * time.Millisecond
@@ -28,6 +25,12 @@
 	// minWait and maxWait bound the time after which a refused request is told to come back.
 	minWait = 50 * time.Millisecond
 	maxWait = 30 * time.Second
+	// unassignedWait is when a request is told to come back while nothing is assigned to any
+	// instance that delegates to the arbiter: assignments of former holders have ended by then.
+	unassignedWait = defaultTerm
+	// minBurst is the time whose rate counts as the burst of a cap that states a smaller one. An
+	// empty burst would let no request through; the tolerance of the caps covers this one.
+	minBurst = 100 * time.Millisecond
 )
 
 // Item asks for a part of an account's cap. It is encoded as an array of its fields.
@@ -88,10 +91,10 @@
 type Arbiter struct {
 	members map[string]delegation
 	buckets map[string]*bucket
-	// sum is the sum of the fractions as of sumAt. highest is the sum since risen.
-	sum, highest float64
-	sumAt        time.Time
-	risen        time.Time
+	// sum is the sum of the fractions as of sumAt, base the least one since risen.
+	sum, base float64
+	sumAt     time.Time
+	risen     time.Time
 	// onRefusal is called with an account that asks for more than its cap, now and then.
 	onRefusal func(Refusal)
 }
@@ -128,7 +131,7 @@
 		// What was granted before the delegations lapsed does not count any more, and
 		// neither does the credit of that time.
 		clear(a.buckets)
-		a.highest, a.risen = 0, now
+		a.base, a.risen = 0, now
 	}
 	if e.Left == 0 {
 		delete(a.members, instance)
@@ -155,10 +158,10 @@
 		sum += d.fraction
 	}
 	a.sum, a.sumAt = min(sum, 1), now
-	if a.sum > a.highest*(1+steadyRise) {
-		a.risen = now
+	if a.sum > a.base*(1+steadyRise) {
+		a.base, a.risen = a.sum, now
 	}
-	a.highest = a.sum
+	a.base = min(a.base, a.sum)
 }
 
 // sumRefresh is how long the sum of the fractions is used before it is computed again: at
@@ -194,7 +197,7 @@
 	}
 	// A request that is larger than the capacity would never be granted otherwise.
 	if need := min(x.Need, max(capacity, 0)); b.level < need || capacity == 0 {
-		wait := maxWait
+		wait := unassignedWait
 		if perSecond := b.rate * a.sum; perSecond > 0 {
 			missing := need - b.level + b.refused.Value(now, refusedHalfLife)
 			wait = time.Duration(min(missing/perSecond, maxWait.Seconds()) * float64(time.Second))
--- a/allotter/labels.go
+++ b/allotter/labels.go
@@ -1,6 +1,9 @@
 package allotter
 
-import "sync"
+import (
+	"strings"
+	"sync"
+)
 
 // Names of the metrics. Those that end in an underscore are prefixes; the account follows.
 const (
@@ -21,7 +24,15 @@
 	known map[string]bool
 }
 
+// label returns the label of an account. Characters that would break the text of the metrics are
+// replaced.
 func (l *labels) label(account string) string {
+	account = strings.Map(func(r rune) rune {
+		if strings.ContainsRune(" \"{}", r) {
+			return '_'
+		}
+		return r
+	}, account)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.known[account] {
--- a/allotter/shares.go
+++ b/allotter/shares.go
@@ -32,6 +32,8 @@
 	inherited    float64
 	former       Entitled
 	unknownUntil time.Time
+	// begun is set once a term has begun here.
+	begun bool
 }
 
 // share is what an instance may have at most.
@@ -44,13 +46,15 @@
 func NewShares(term time.Duration) *Shares { return &Shares{term: term, members: map[string]share{}} }
 
 // Begin begins a term of this instance as the lease holder. Entitlements that an earlier holder
-// assigned may still be valid; former are the instances that had one as far as it is known.
+// assigned may still be valid, and so may those of an earlier term of this instance; former are the
+// instances that had one as far as it is known.
 func (s *Shares) Begin(now time.Time, hadHolder bool, former Entitled) {
 	clear(s.members)
 	s.inherited, s.former, s.unknownUntil = 0, former, time.Time{}
-	if hadHolder {
+	if hadHolder || s.begun {
 		s.unknownUntil = now.Add(s.term)
 	}
+	s.begun = true
 }
 
 // Assign returns the entitlement of the instance at an address that reports the one that it holds,
@@ -112,8 +116,9 @@
 type Holding struct {
 	fraction float64
 	expires  time.Time
-	// arbiter has the fraction until lapses.
+	// arbiter has the fraction lent until lapses.
 	arbiter string
+	lent    float64
 	lapses  time.Time
 }
 
@@ -126,6 +131,16 @@
 	return Entitlement{Fraction: h.fraction, Left: left}
 }
 
+// Reported returns the entitlement for a report to an instance. While another one may still use
+// a larger fraction that was delegated to it before, that is what counts.
+func (h *Holding) Reported(now time.Time, receiver string) Entitlement {
+	e := h.Held(now)
+	if e.Left > 0 && receiver != h.arbiter && now.Before(h.lapses) {
+		e.Fraction = max(e.Fraction, h.lent)
+	}
+	return e
+}
+
 // Assigned applies the entitlement in the reply to a report that was sent at a time.
 func (h *Holding) Assigned(sent time.Time, e Entitlement) {
 	if e.valid() && e.Left > 0 {
@@ -143,7 +158,7 @@
 	if held.Left == 0 {
 		held.Left = ttl
 	}
-	h.arbiter, h.lapses = arbiter, now.Add(ttl+transitMargin)
+	h.arbiter, h.lent, h.lapses = arbiter, held.Fraction, now.Add(ttl+transitMargin)
 	return Entitlement{Fraction: held.Fraction, Left: min(held.Left, ttl)}
 }
 
--- a/allotter/world_test.go
+++ b/allotter/world_test.go
@@ -78,8 +78,12 @@
 	return w
 }
 
-// start starts a process on a machine; it knows nothing of the one before.
+// start starts a process on a machine; it knows nothing of the one before. It does not have the
+// lease of the one before either, but may claim it at once.
 func (w *world) start(n *node) {
+	if w.holder == n {
+		w.holder, w.nextAt = nil, w.now
+	}
 	*n = node{name: n.name, born: n.born + 1, group: n.group, share: n.share, shares: allotter.NewShares(term), role: allotter.NewArbiter(), own: allotter.NewArbiter(), reporters: map[string]time.Time{}}
 	n.reportAt = w.now.Add(time.Duration(w.random.Int64N(int64(w.pause))))
 }
--- a/coordinator/accounts.go
+++ b/coordinator/accounts.go
@@ -12,10 +12,12 @@
 const delegationMargin = 250 * time.Millisecond
 
 // stateAccounts adds what this instance may use of the caps of client accounts to a report that
-// is sent now, if the configuration has accounts. It returns the time by which that is counted.
+// is sent now, unless the configuration has no accounts. It returns the time by which that is
+// counted. An instance that starts states it before it has a configuration: it would refuse
+// capped requests otherwise from the reply that brings one until its next report.
 func (c *Coordinator) stateAccounts(ctx context.Context, r *Report, address string) time.Time {
 	t := c.Table()
-	if c.Accounts == nil || t == nil || !t.HasAccounts() {
+	if c.Accounts == nil || t != nil && !t.HasAccounts() {
 		return time.Time{}
 	}
 	c.Accounts.Release(ctx, address)
--- a/relayer/accounts_test.go
+++ b/relayer/accounts_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -118,6 +119,72 @@
 		Eventually(limit.refunded.Load).Should(BeEquivalentTo(1))
 	})
 
+	// The load: clients that disconnect while the answer's body is on its way. Guards against an
+	// account that uses servers beyond its cap since requests that ran give their credit back.
+	It("whose clients leave while they run do not give their credit back", func() {
+		limit := &countedCap{}
+		limit.left.Store(5)
+		begun := make(chan struct{})
+		slow := func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Id", q.Header.Get("Id"))
+			w.Header().Set("Sign", "s")
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+			<-q.Context().Done()
+		}
+		w := startRelayerWith(newGuard(), []handler{slow}, relayer.WithAccounts(limit))
+		w.relay.SetTable(accountTable(2, "k1"))
+		ctx, leave := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			q, err := http.NewRequestWithContext(ctx, http.MethodGet, w.proxy.URL+"/read/1", nil)
+			Expect(err).NotTo(HaveOccurred())
+			q.Host = "h"
+			q.Header.Set("Id", "1")
+			q.Header.Set("Key", "k1")
+			_, err = http.DefaultClient.Do(q)
+			Expect(err).To(HaveOccurred())
+		}()
+		Eventually(begun).Should(BeClosed())
+		time.Sleep(50 * time.Millisecond)
+		leave()
+		Eventually(done).Should(BeClosed())
+		Eventually(func() int { return w.logs.FilterMessage("relay: gave up").Len() }, "3s").Should(Equal(1))
+		Consistently(limit.refunded.Load, "100ms").Should(BeZero())
+	})
+
+	// The load: an instance at its bound of requests in flight. Guards against requests over the
+	// cap that are told to come back to another instance, and against credit that is kept for
+	// requests that were refused.
+	It("are refused for the cap before the instance's own bound, which gives their credit back", func() {
+		limit := &countedCap{}
+		limit.left.Store(2)
+		released := make(chan struct{})
+		release := sync.OnceFunc(func() { close(released) })
+		held := func(w http.ResponseWriter, q *http.Request) {
+			<-released
+			signedAnswer("x")(w, q)
+		}
+		w := startRelayerWith(newGuard(), []handler{held}, relayer.WithAccounts(limit), relayer.WithMaxInFlight(1))
+		DeferCleanup(release)
+		w.relay.SetTable(accountTable(2, "k1"))
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			Expect(get(w, "/read/1", "k1").StatusCode).To(Equal(200))
+		}()
+		Eventually(func() int { return w.attemptsAt("/read/1") }).Should(Equal(1))
+		Expect(get(w, "/read/2", "k1").StatusCode).To(Equal(503))
+		Eventually(limit.refunded.Load).Should(BeEquivalentTo(1))
+		Expect(get(w, "/read/3", "k1").StatusCode).To(Equal(429))
+		release()
+		Eventually(done).Should(BeClosed())
+	})
+
 	It("without accounts in the configuration need no key", func() {
 		w := startRelayer(signedAnswer("x"))
 		a := get(w, "/read/1", "")
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -59,6 +59,7 @@
 		return t.handOver(w)
 	}
 	if t.clientGone() {
+		t.mayHaveRun = t.mayHaveRun || !t.info.Refused
 		t.assignment.Done(false)
 		t.recordSilence()
 		t.giveUp("client left")
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -93,6 +93,15 @@
 		writeStatus(w, http.StatusUnauthorized)
 		return
 	}
+	x := &exchange{
+		Relayer: r, writer: w, request: q, meta: meta, route: route,
+		account: account, hasAccounts: table.HasAccounts(), priority: priorityOf(account, route),
+		started: r.clock.Now(), log: log, tableVersion: table.Version, startEvent: meta.LastEvent,
+	}
+	if !x.takeCredit(q.Context()) {
+		return
+	}
+	defer x.settleCredit()
 	select {
 	case r.inFlight <- struct{}{}:
 		defer func() { <-r.inFlight }()
@@ -105,15 +114,6 @@
 		r.refuse(w, busyRetryAfter, "too_many")
 		return
 	}
-	x := &exchange{
-		Relayer: r, writer: w, request: q, meta: meta, route: route,
-		account: account, hasAccounts: table.HasAccounts(), priority: priorityOf(account, route),
-		started: r.clock.Now(), log: log, tableVersion: table.Version, startEvent: meta.LastEvent,
-	}
-	if !x.takeCredit(q.Context()) {
-		return
-	}
-	defer x.settleCredit()
 	if x.startEvent != "" {
 		r.meter.Add(MetricTakenUp, 1)
 	}
