--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -19,6 +19,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"primrosehook/allotter"
 	"primrosehook/balancer"
 	"primrosehook/coordinator"
 	"primrosehook/framer"
@@ -45,7 +46,10 @@
 	inFlight := map[string]balancer.InFlight{"s1": {RunningStreams: 3, PrefillTokens: 1460, CacheTokens: 9000, Requests: 4, RecentPromptTokens: 2200}}
 	queues := []balancer.Queue{{Service: "llm", Key: "m0", Waiting: []int{1, 0, 2}, Granted: 1.5}}
 	record := tailer.Record{Offset: 41, Key: "k", Value: []byte("value")}
+	entitlement := allotter.Entitlement{Fraction: 0.125, Left: time.Second}
 	return map[string]any{
+		"allot request": allotter.AllotRequest{Instance: "front-1.5f", Items: []allotter.Item{{Account: "a", Version: 7, Rate: 2700, Burst: 900, Need: 1500, Ahead: 300, Back: 200}}},
+		"allot reply":   allotter.AllotReply{NotArbiter: true, Grants: []allotter.Grant{{Amount: 1800, Wait: time.Second}}},
 		"exchange request": coordinator.Report{
 			Instance: "front-1.5f", Address: "10.1.0.38:7380", Link: 20, Members: 99,
 			Demand:   []balancer.Demand{{Service: "llm", Key: "m0/a1", Arrived: 3, Waiting: 2, Build: "v2"}},
@@ -55,6 +59,7 @@
 				Survivals: []quarantiner.PartAge{{Part: 10, Age: time.Second}}, Quarantines: []quarantiner.PartVerdict{part}, Refused: []uint64{9},
 			},
 			Limits: []throttler.Statement{limit}, Unavailable: []string{"s2-a"}, Waiting: true, Deputy: true, Queues: queues, Build: upgrader.Build{Revision: "1a2b3c4d5e6f", Formats: 1},
+			Accounts: &allotter.Statement{Held: entitlement, Delegated: entitlement},
 		},
 		"exchange reply": coordinator.Reply{
 			HoldsLease: true, Fence: 5, Instances: 9, Members: []string{"10.1.0.38:7380"}, InFlight: inFlight,
@@ -66,6 +71,7 @@
 				Suspected: []uint64{12}, Watched: []uint64{13}, Trials: []uint64{14},
 			},
 			Limits: []throttler.Statement{limit}, Holder: "10.1.0.39:7380", LeaseFresh: true, Queues: queues, Builds: map[string]int{"1a2b3c4d5e6f (formats 1)": 9},
+			Entitlement: &entitlement,
 		},
 		"lease entry":    coordinator.Entry{Instance: "front-1.5f", Machine: "front-1", Address: "10.1.0.38:7380", Era: 2, Fence: 5, Release: true, Clear: true},
 		"config request": coordinator.ConfigQuery{Offset: 41, From: 100},
