Clients of streams that don't read are disconnected, without blame for the server

A client that did not read stopped the reading from the server, which cut the answer off after some seconds; the server counted as failed, and the request was repeated. Up to 64 KiB of a stream now wait for its client beyond the buffers of the connection, and a client that takes more than 3 s for 4 KiB is disconnected, logged as a slow client and counted in streams_ended_for_slow_client. The watch for silent servers does not count the time in which the client stopped the reading. Checked with a client that stops reading 64 MiB, and one that pauses and then gets all of 16 MiB.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
 
 	"go.uber.org/zap"
@@ -136,9 +135,7 @@
 				t.recordProgress()
 				t.meta.LastEvent = splitter.LastID()
 				if !t.writeEvents(t.answer, out) {
-					t.answer.Close(false)
-					t.assignment.Done(false)
-					t.giveUp("client left")
+					t.dropClient()
 					return false
 				}
 			}
@@ -184,6 +181,10 @@
 // streamBroke handles a stream that ended early. It reports whether the stream
 // may be resumed at another server.
 func (t *attempt) streamBroke(w *watchdog, err error) bool {
+	if t.outbox.Load().tooSlow() {
+		t.dropClient()
+		return false
+	}
 	if w.isReplaced() {
 		t.meter.Add(MetricResumed, 1)
 		return t.handOver(w)
@@ -211,8 +212,8 @@
 	return false
 }
 
-// writeEvents sends events to the client, after the header if it is the first
-// write. It reports whether the client is still connected.
+// writeEvents gives events to the outbox of the client, after the header if they are the first ones.
+// It reports whether the client is still connected and reads fast enough.
 func (x *exchange) writeEvents(a *connector.Answer, b []byte) bool {
 	now := x.clock.Now()
 	if !x.headerSent {
@@ -222,13 +223,10 @@
 		x.meter.Observe(MetricFirst+x.route.Kind.String(), x.firstByte.Sub(x.started))
 		x.copyHeader(a)
 		x.writer.WriteHeader(a.StatusCode)
+		x.outbox.Store(startOutbox(x.writer, x.clock, x.slowClientTimeout))
 	} else if pause := now.Sub(x.lastWrite); pause > x.longestPause {
 		x.longestPause, x.longestPauseAt = pause, x.lastWrite.Sub(x.started)
 	}
 	x.lastWrite = now
-	if _, err := x.writer.Write(b); err != nil {
-		x.log.Info("relay: client left", zap.Error(err))
-		return false
-	}
-	return http.NewResponseController(x.writer).Flush() == nil
+	return x.outbox.Load().push(b)
 }
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -226,6 +226,7 @@
 	x.departure.presentAt = x.started
 	defer context.AfterFunc(x.request.Context(), x.recordDeparture)()
 	defer context.AfterFunc(x.requests, x.endUnanswered)()
+	defer x.endOutbox()
 	ctx, span := x.tracer.Start(tracer.Extract(ctx, x.request.Header), "relay")
 	defer span.End()
 	x.context = ctx
@@ -383,6 +384,8 @@
 	fields = append(fields, zap.String("why", why), zap.Bool("may_have_run", x.mayHaveRun), zap.Duration("after", x.clock.Since(x.started)))
 	x.log.Info("relay: gave up", append(fields, x.decisionFields()...)...)
 	switch {
+	case x.slowClient:
+		panic(http.ErrAbortHandler)
 	case x.clientGone():
 		x.meter.Add(MetricClientLeft, 1)
 		panic(http.ErrAbortHandler)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -119,6 +119,7 @@
 	MetricRefused    = "requests_refused_"
 	MetricFailed     = "requests_failed"
 	MetricClientLeft = "requests_left_by_client"
+	MetricSlowClient = "streams_ended_for_slow_client"
 	// MetricLeftBeforeSend counts requests whose client had left when they were to be sent,
 	// MetricLeftBeforeSendFor is for how long it was known then.
 	MetricLeftBeforeSend    = "sends_after_client_left"
@@ -181,6 +182,8 @@
 	retryRatio  float64
 	retrySlack  float64
 	retryWindow time.Duration
+	// slowClientTimeout is how long a client may take for writeChunk bytes of a stream.
+	slowClientTimeout time.Duration
 }
 
 // discardMeter is a Meter that discards everything.
@@ -287,6 +290,11 @@
 // WithTracer traces each request and each attempt in a span.
 func WithTracer(t trace.Tracer) Option { return func(r *Relayer) { r.tracer = t } }
 
+// WithSlowClientTimeout sets how long clients may stop the writing of a stream.
+func WithSlowClientTimeout(d time.Duration) Option {
+	return func(r *Relayer) { r.slowClientTimeout = d }
+}
+
 // WithMaxInFlight limits the number of concurrent requests.
 func WithMaxInFlight(count int) Option {
 	return func(r *Relayer) { r.inFlight = make(chan struct{}, count) }
@@ -296,7 +304,7 @@
 func New(codec Codec, fleet *balancer.Fleet, suspects Suspects, clock clockwork.Clock, log *zap.Logger, options ...Option) *Relayer {
 	r := &Relayer{
 		codec: codec, fleet: fleet, suspects: suspects, clock: clock, log: log,
-		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, sequence: unordered{}, pauses: keptPauses{}, accounts: uncapped{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, tracer: tracer.NewNoop(),
+		inFlight: make(chan struct{}, 1000), budgets: map[string]*limiter.RetryWindow{}, probes: map[string]bool{}, meter: discardMeter{}, throttle: unlimited{}, origins: noOrigins{}, sparer: noneBrittle{}, sequence: unordered{}, pauses: keptPauses{}, accounts: uncapped{}, parts: noPartSuspects{}, retryWindow: defaultRetryWindow, slowClientTimeout: slowClientTimeout, tracer: tracer.NewNoop(),
 	}
 	r.waits, r.endWaits = context.WithCancel(context.Background())
 	r.requests, r.endRequests = context.WithCancel(context.Background())
@@ -428,6 +436,10 @@
 	headerSent bool
 	// streaming is set once events are sent to the client.
 	streaming atomic.Bool
+	// outbox holds what waits for the client of a stream, nil before its first event. slowClient is
+	// set once the client was found to be too slow.
+	outbox     atomic.Pointer[outbox]
+	slowClient bool
 	// context ends with the request's, at its deadline, and when its client is found to have
 	// left, for which cancel is called.
 	context context.Context
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -203,7 +203,12 @@
 	if w.stopped || w.failover != nil {
 		return
 	}
-	silent := w.exchange.clock.Since(w.lastReceived)
+	// While the client does not read, nothing is read from the server either.
+	heard := w.lastReceived
+	if held := w.exchange.outbox.Load().heldUntil(); held.After(heard) {
+		heard = held
+	}
+	silent := w.exchange.clock.Since(heard)
 	soft := w.softTimeout()
 	if silent < soft {
 		w.timer.Reset(soft - silent)
