What is known of an earlier start of a server does not count for the present one

In-flight counts, evidence of speed and speeds were exchanged by server ID, and requests at the earlier start of a server changed the counts and the failure rate of the present one. Requests at an earlier start change nothing at the present one. Where registrations tell no start time, a sequence that falls by more than 3 is a new start; before, such a registration was ignored until the sequence had caught up.

The map fields st of reports and replies are new; builds that don't know them are unaffected.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -155,6 +155,8 @@
 	eventTokens, sampleStreams int
 	// paces are the usual paces of the models.
 	paces *estimator.Paces
+	// starts are the servers that have started again under their ID.
+	starts StartTable
 	// candidates is the buffer of Choose.
 	candidates []candidate
 }
@@ -173,7 +175,10 @@
 	c.sorted = c.sorted[:0]
 	for _, r := range list {
 		s, ok := c.servers[r.ID]
-		if !ok || s.Incarnation != r.Incarnation {
+		if !ok || StartedAgain(s.Server, r) {
+			if ok {
+				c.starts.Record(now, r)
+			}
 			s = &server{latency: c.latency, lastByte: new(atomic.Int64), joinedAt: c.joined(now, r.StartedAt)}
 		}
 		s.Server = r
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -393,7 +393,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		c.MarkNotLoaded(f.clock.Now(), a.ID, a.request.Key())
 	}
 }
@@ -403,7 +403,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		c.MarkUnreachable(f.clock.Now(), a.ID)
 	}
 }
@@ -483,7 +483,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok && !a.firstEventSeen {
+	if c, ok := a.core(); ok && !a.firstEventSeen {
 		a.firstEventSeen, a.firstEventAt = true, f.clock.Now()
 		c.RecordFirstEvent(a.ID, a.request, f.clock.Since(a.sent))
 		f.dispatch(a.service)
@@ -525,7 +525,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		c.Cancel(a.ID, a.request)
 		f.dispatch(a.service)
 	}
@@ -536,7 +536,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c, ok := f.cores[a.service]
+	c, ok := a.core()
 	if !ok {
 		return EngineLoad{EventTokens: defaultEventTokens}
 	}
@@ -548,7 +548,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		c.RecordStreamEnd(a.request.MaxOutputTokens, events)
 	}
 }
@@ -559,7 +559,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		c.RecordReservation(f.clock.Now(), a.ID, wait, 0)
 	}
 	f.dispatch(a.service)
@@ -571,7 +571,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		c.ClearReservation(a.ID)
 	}
 	f.dispatch(a.service)
@@ -585,7 +585,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.queue(a.service).RevokeGrant(now, a.request.queueKey())
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		c.Cancel(a.ID, a.request)
 		c.RecordReservation(now, a.ID, pause, pause)
 	}
@@ -600,7 +600,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.queue(a.service).RevokeGrant(now, a.request.queueKey())
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		c.Cancel(a.ID, a.request)
 		c.SetRateLimited(a.ID, now.Add(pause))
 	}
@@ -612,7 +612,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok {
+	if c, ok := a.core(); ok {
 		now := f.clock.Now()
 		c.RecordDone(now, a.ID, a.request, a.firstEventSeen, failed, now.Sub(a.sent))
 		f.recordFinished(a, now.Sub(a.sent))
@@ -680,13 +680,14 @@
 	return n
 }
 
-// UpdatePeers replaces the in-flight counts of the peers, by server ID.
-func (f *Fleet) UpdatePeers(inFlight map[string]InFlight) {
+// UpdatePeers replaces the in-flight counts of the peers, by server ID. Those of earlier starts of a
+// server are passed over.
+func (f *Fleet) UpdatePeers(inFlight map[string]InFlight, starts Starts) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for _, c := range f.cores {
-		c.UpdatePeers(now, inFlight)
+		c.UpdatePeers(now, filterStarts(c, now, inFlight, starts))
 	}
 	f.dispatchAll()
 }
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -126,7 +126,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok && c.isCurrent(a) {
+	if c, ok := a.core(); ok {
 		c.RecordLoad(f.clock.Now(), a.ID, r)
 	}
 }
@@ -136,14 +136,8 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok && c.isCurrent(a) {
+	if c, ok := a.core(); ok {
 		c.MarkFull(f.clock.Now(), a.ID)
 		f.dispatchAfter(a.service, fullPause)
 	}
 }
-
-// isCurrent reports whether the server of an assignment has not started again since.
-func (c *Core) isCurrent(a *Assignment) bool {
-	s, ok := c.servers[a.ID]
-	return ok && s.Incarnation == a.Incarnation
-}
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -105,7 +105,7 @@
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c, ok := f.cores[a.service]; ok && a.firstEventSeen {
+	if c, ok := a.core(); ok && a.firstEventSeen {
 		now := f.clock.Now()
 		c.RecordPace(now, a.ID, a.request, events, now.Sub(a.firstEventAt))
 	}
@@ -125,12 +125,13 @@
 	return all
 }
 
-// UpdateSpeeds replaces the speeds by the evidence of all instances, in per cent by server ID.
-func (f *Fleet) UpdateSpeeds(percent map[string]int) {
+// UpdateSpeeds replaces the speeds by the evidence of all instances, in per cent by server ID. Those
+// of earlier starts of a server are passed over.
+func (f *Fleet) UpdateSpeeds(percent map[string]int, starts Starts) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for _, c := range f.cores {
-		c.UpdateSpeeds(now, percent)
+		c.UpdateSpeeds(now, filterStarts(c, now, percent, starts))
 	}
 }
--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -74,6 +74,9 @@
 	totalQueues balancer.Queues
 	// totalPaces sums the evidence of all members of the speed of each server.
 	totalPaces map[string]balancer.Pace
+	// present are the registered servers by ID, starts those that have started again of late.
+	present map[string]registrar.Server
+	starts  balancer.StartTable
 	// addresses are the members' addresses in the order of deputies,
 	// addressesDigest their digest; both are rebuilt when they change.
 	addresses       []string
@@ -128,7 +131,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	m := &member{address: r.Address, link: r.Link, reportedAt: now, inFlight: r.InFlight, waiting: map[demandKey]int{}, unavailable: r.Unavailable, queues: r.Queues, paces: r.Paces, build: r.Build.String()}
+	m := &member{address: r.Address, link: r.Link, reportedAt: now, inFlight: ofPresentStarts(c, now, r.InFlight, r.Starts), waiting: map[demandKey]int{}, unavailable: r.Unavailable, queues: r.Queues, paces: ofPresentStarts(c, now, r.Paces, r.Starts), build: r.Build.String()}
 	old, ok := c.members[r.Instance]
 	if ok {
 		c.subtractInFlight(old)
@@ -218,7 +221,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	c.expireMembers(now)
-	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds(), Speeds: c.speeds(), SpeedsKnown: true}
+	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds(), Speeds: c.speeds(), SpeedsKnown: true, Starts: c.starts.Recent(now)}
 	if m, ok := c.members[r.Instance]; ok {
 		for id, f := range m.inFlight {
 			if left := out.InFlight[id].Sub(f); left != (balancer.InFlight{}) {
@@ -312,6 +315,7 @@
 	if len(c.records) > maxRemovals+len(servers) {
 		maps.DeleteFunc(c.records, func(_ string, x tailer.Record) bool { return x.Value == nil })
 	}
+	c.recordStarts(c.clock.Now(), servers)
 	c.servers = servers
 	if len(list) > 0 {
 		c.triggerPlan()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -105,6 +105,9 @@
 	Queues []balancer.Queue `msgpack:"wq,omitempty"`
 	// Paces is what streams told of the speed of servers, by server ID.
 	Paces map[string]balancer.Pace `msgpack:"pc,omitempty"`
+	// Starts are the servers that have started again of late, as the instance knows them: InFlight
+	// and Paces are of these starts.
+	Starts balancer.Starts `msgpack:"st,omitempty"`
 	// Build is the build that the instance runs.
 	Build upgrader.Build `msgpack:"bd"`
 	// Accounts is what the instance may use of the caps of client accounts, nil while the
@@ -154,6 +157,9 @@
 	// SpeedsKnown is set by builds that add up paces.
 	Speeds      map[string]int `msgpack:"sp,omitempty"`
 	SpeedsKnown bool           `msgpack:"sk,omitempty"`
+	// Starts are the servers that have started again of late, as the sender knows them: InFlight and
+	// Speeds are of these starts.
+	Starts balancer.Starts `msgpack:"st,omitempty"`
 	// Builds is how many instances run each build.
 	Builds map[string]int `msgpack:"bs,omitempty"`
 	// Entitlement is what the instance may use of the caps of client accounts, nil if the report
--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -105,7 +105,7 @@
 		c.staleDeputy = deputy
 	}
 	if float64(r.Instances) >= minReportedShare*float64(len(c.deputyOrder)) {
-		c.Fleet.UpdatePeers(r.InFlight)
+		c.Fleet.UpdatePeers(r.InFlight, r.Starts)
 		c.Fleet.UpdatePeerQueues(r.Queues)
 		c.applySpeeds(r)
 	}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -266,7 +266,7 @@
 		r := Report{
 			Instance: c.Instance, Address: c.Address, Link: c.LinkMbps, Members: c.membersDigest, Demand: demand, InFlight: c.Fleet.OwnInFlight(),
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
-			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy, Queues: c.Fleet.OwnQueues(), Paces: c.Fleet.OwnPaces(), Build: c.build,
+			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy, Queues: c.Fleet.OwnQueues(), Paces: c.Fleet.OwnPaces(), Starts: c.Fleet.Starts(), Build: c.build,
 		}
 		accountsSent := c.stateAccounts(ctx, &r, address)
 		sent := c.Clock.Now()
@@ -440,7 +440,7 @@
 		c.peerAddresses.Store(&r.Members)
 		c.OnMembers(r.Members)
 	}
-	c.Fleet.UpdatePeers(r.InFlight)
+	c.Fleet.UpdatePeers(r.InFlight, r.Starts)
 	c.Fleet.UpdatePeerQueues(r.Queues)
 	c.applySpeeds(r)
 	c.builds.Store(&r.Builds)
--- a/coordinator/speeds.go
+++ b/coordinator/speeds.go
@@ -43,6 +43,6 @@
 // applySpeeds applies the speeds of servers in a reply, unless its sender does not know any.
 func (c *Coordinator) applySpeeds(r Reply) {
 	if r.SpeedsKnown {
-		c.Fleet.UpdateSpeeds(r.Speeds)
+		c.Fleet.UpdateSpeeds(r.Speeds, r.Starts)
 	}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -115,11 +115,11 @@
 		return false
 	}
 	old, ok := c.entries[s.ID]
-	if ok && old.server.Incarnation == s.Incarnation && s.Heartbeat < old.server.Heartbeat {
+	if ok && old.server.Incarnation == s.Incarnation && s.Heartbeat < old.server.Heartbeat && !beginsAnew(s, old.server.Heartbeat) {
 		old.offset = offset
 		return false
 	}
-	if last, ended := c.ended[s.Incarnation]; ended && s.Heartbeat <= last {
+	if last, ended := c.ended[s.Incarnation]; ended && s.Heartbeat <= last && !beginsAnew(s, last) {
 		// The registration dates from before the server left and was written late.
 		return false
 	}
@@ -138,6 +138,15 @@
 	return true
 }
 
+// maxLateHeartbeats is how many heartbeats a registration that is written late may be behind.
+const maxLateHeartbeats = 3
+
+// beginsAnew reports whether the sequence of a server, whose registration does not tell when it
+// started, shows that it has started again since a heartbeat.
+func beginsAnew(s Server, last int64) bool {
+	return s.StartedAt.IsZero() && last-s.Heartbeat > maxLateHeartbeats
+}
+
 // Remove applies the removal at an offset, and reports whether it is new.
 func (c *Core) Remove(now time.Time, id string, offset int64) bool {
 	if c.stale(id, offset) {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -94,6 +94,28 @@
 		Expect(core.Servers(now)[0].Incarnation).To(Equal("a@2"))
 	})
 
+	It("takes a sequence that begins anew for a new start if the start time is not known", func() {
+		// Guards against a server that keeps its ID and address, tells no start time and is taken for
+		// what it was before until its sequence has caught up.
+		read(0)
+		core.Put(now, 1, server("a", 7))
+		late := server("a", 5)
+		late.Draining = true
+		Expect(core.Put(now, 2, late)).To(BeFalse())
+		again := server("a", 1)
+		again.Draining = true
+		Expect(core.Put(now, 3, again)).To(BeTrue())
+		Expect(core.Servers(now)[0].Draining).To(BeTrue())
+		core.Remove(now, "a", 4)
+		Expect(core.Put(now, 5, server("a", 0))).To(BeFalse())
+		Expect(ids()).To(BeEmpty())
+		known := server("b", 7)
+		known.StartedAt = now
+		core.Put(now, 6, known)
+		known.Heartbeat, known.Draining = 1, true
+		Expect(core.Put(now, 7, known)).To(BeFalse())
+	})
+
 	It("ignores a page that is older than the known state", func() {
 		read(0)
 		core.Put(now, 10, server("a", 7))
