--- a/balancer/ramp.go
+++ b/balancer/ramp.go
@@ -42,12 +42,17 @@
 // a common cause, such as a broken link of this instance, then don't overload the servers that are
 // left.
 func (c *Core) addFailureCosts(now time.Time, candidates []candidate) {
-	removable := 0.0
 	var failed []int
 	for i, x := range candidates {
 		if x.server.failureRate(now) > 0 {
 			failed = append(failed, i)
 		}
+	}
+	if len(failed) == 0 {
+		return
+	}
+	removable := 0.0
+	for _, x := range candidates {
 		removable += x.speed - spareShare*c.demandOn(now, x.server)
 	}
 	slices.SortFunc(failed, func(i, j int) int {
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -154,7 +154,8 @@
 		t.recordSurvival()
 		if n, err := strconv.Atoi(splitter.LastID()); err == nil {
 			t.assignment.RecordStreamEnd(n)
-			if t.resumeAfter == "" {
+			// A stream that the client held up says nothing of the server's pace.
+			if t.resumeAfter == "" && t.outbox.Load().heldUntil().IsZero() {
 				t.assignment.RecordPace(n)
 			}
 		}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -49,7 +49,8 @@
 
 func (plainCodec) ParseAnswer(status int, h http.Header) relayer.AnswerInfo {
 	seconds, _ := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	return relayer.AnswerInfo{Leaving: h.Get("Leave") != "", RetryAfter: time.Duration(seconds * float64(time.Second)), ID: h.Get("Id"), Signed: h.Get("Sign") != "", Refused: h.Get("Refused") != "" || status == 421, NotLoaded: status == 421, RateLimit: relayer.RateLimit{Named: h.Get("Limit") != "", PerSecond: 2}}
+	running, _ := strconv.Atoi(h.Get("Running"))
+	return relayer.AnswerInfo{Load: relayer.Load{Known: running > 0, Running: running}, Leaving: h.Get("Leave") != "", RetryAfter: time.Duration(seconds * float64(time.Second)), ID: h.Get("Id"), Signed: h.Get("Sign") != "", Refused: h.Get("Refused") != "" || status == 421, NotLoaded: status == 421, RateLimit: relayer.RateLimit{Named: h.Get("Limit") != "", PerSecond: 2}}
 }
 
 func (plainCodec) AnswerHeader(h http.Header) http.Header { return http.Header{"Sign": h["Sign"]} }
