--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -35,6 +35,9 @@
 	// MaxWait is the longest time that the request can spend in the queue for a
 	// busy server and still meet its latency objective.
 	MaxWait time.Duration
+	// MaxEventGap is the objective for the longest pause between two events of a stream, zero for
+	// none.
+	MaxEventGap time.Duration
 	// NeedsReservation is set if the request needs a reservation in the
 	// server's schedule before it is sent there.
 	NeedsReservation bool
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -27,11 +27,13 @@
 	crossZoneCost = 3.0
 	// failureCost is the cost of a server that failed all its latest requests.
 	failureCost = 4000.0
-	// tolerablePause is how long a prefill may make running streams pause without making them
-	// late: most of the longest pause that still meets the objective. maxPaused bounds how many
-	// streams count.
-	tolerablePause = 200.0
-	maxPaused      = 8
+	// tolerableShare is the share of the longest pause that still meets the objective for which a
+	// prefill may make running streams pause; the steps that make an event take the rest.
+	// defaultEventGap is that pause, in milliseconds, for requests without an objective. maxPaused
+	// bounds how many streams count.
+	tolerableShare  = 2.0 / 3
+	defaultEventGap = 300.0
+	maxPaused       = 8
 	// maxJitter bounds the random cost that spreads the choice among servers of
 	// nearly the same cost.
 	maxJitter = 2.0
@@ -414,7 +416,7 @@
 	cost += max(s.latency-2*c.latency, 0)
 	// The request's own prefill takes longer on a slower server, and makes each stream that runs
 	// there pause for as long.
-	cost += prefill*(1/speed-1) + max(prefill/speed-tolerablePause, 0)*float64(min(f.RunningStreams, maxPaused))
+	cost += prefill*(1/speed-1) + max(prefill/speed-q.tolerablePause(), 0)*float64(min(f.RunningStreams, maxPaused))
 	return cost + (c.prefillQueue(now, s, f, speed)+runningCost*float64(f.RunningStreams))/speed
 }
 
--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -101,6 +101,17 @@
 		Expect(count["a"]).To(And(BeNumerically(">", 11), BeNumerically("<", 44)))
 	})
 
+	It("avoids a server on which the prompt stops running streams for longer than the objective", func() {
+		// The load: a prompt of 5,000 tokens, which takes 0.23 s; two servers without a queue, one of
+		// which runs eight streams, and the other 40 ms further away by its speed.
+		core.UpdateSpeeds(now, map[string]int{"b": 85})
+		core.UpdatePeers(now, map[string]balancer.InFlight{"a": {Requests: 8, RunningStreams: 8}})
+		long := balancer.Request{Model: "m", PromptTokens: 5000, MaxEventGap: 300 * time.Millisecond}
+		Expect(chosen(long)).To(Equal(map[string]int{"b": 40}))
+		long.MaxEventGap = time.Second
+		Expect(chosen(long)).To(Equal(map[string]int{"a": 40}))
+	})
+
 	It("takes the slots from the report if the registration names none", func() {
 		// The load: a server with 3 slots that reports 3 running requests, two of them unknown here.
 		s := server("a", "z1", "m")
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -78,6 +78,14 @@
 	return tokens / PrefillRate
 }
 
+// tolerablePause returns for how long, in milliseconds, the prefill may stop running streams.
+func (q Request) tolerablePause() float64 {
+	if q.MaxEventGap > 0 {
+		return tolerableShare * float64(q.MaxEventGap) / float64(time.Millisecond)
+	}
+	return tolerableShare * defaultEventGap
+}
+
 // levelOf returns the cost up to which the candidates can be filled with an amount of work.
 func levelOf(candidates []candidate, work float64) float64 {
 	low, high := math.Inf(1), math.Inf(-1)
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -150,6 +150,7 @@
 		Model: x.meta.Model, Adapter: x.meta.Adapter, PromptTokens: x.meta.PromptTokens, OutputTokens: x.expectedOutput(), MaxOutputTokens: x.meta.MaxOutputTokens,
 		Account: accountName(x.account), Priority: x.priority, TargetTime: x.started.Add(x.route.LatencyTarget), Deadline: x.waitDeadline(),
 		MaxWait:          max(time.Duration(targetWaitShare*float64(x.route.LatencyTarget)), minWait),
+		MaxEventGap:      x.route.MaxEventGap,
 		NeedsReservation: x.pacer != nil && x.meta.Model != "" && x.route.MaxEventGap > 0,
 	}
 	if n := len(x.meta.Parts); n > 1 {
