--- a/crowder/crowd_test.go
+++ b/crowder/crowd_test.go
@@ -221,6 +221,23 @@
 		n.expectReady()
 	})
 
+	// Guards against a full port that closes connections whose request was passed on.
+	It("cuts no request in progress for many new connections", func() {
+		n := startInstance(program, GinkgoT().TempDir(), memoryMB)
+		n.engine.WorkTime = 3 * time.Second
+		codes := make(chan int, 20)
+		for i := range cap(codes) {
+			go func() { codes <- n.send(fmt.Sprint("busy-", i), 100) }()
+		}
+		time.Sleep(500 * time.Millisecond)
+		c := &crowd{instance: n}
+		defer c.leave()
+		c.gather(func(int, io.Writer) error { return nil })
+		for range cap(codes) {
+			Eventually(codes, "20s").Should(Receive(Equal(http.StatusOK)))
+		}
+	})
+
 	// Guards against a budget that refuses what the configuration allows: the smallest instance,
 	// the largest body that the platform's sites allow, a server that takes its time.
 	It("serves a single body of 4 MiB to a slow server with 144 MB", func() {
