Messages of peers are charged to the memory budget until they are handled

Any number of connections to the peers' port could each hold an unfinished message of up to 16 MiB. Parts are charged before they are allocated; one that stalls is closed when others need its memory. Shares of the budget: a half, a quarter, 15 and 10 %.

--- a/crowder/crowd_test.go
+++ b/crowder/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -221,6 +222,22 @@
 		n.expectReady()
 	})
 
+	// Guards against messages to the peers' port that stop short of their end.
+	It("lives within its limits beside many messages that stop short", func() {
+		n := startInstance(program, GinkgoT().TempDir(), memoryMB)
+		c := &crowd{instance: n, address: n.control}
+		defer c.leave()
+		c.gather(func(_ int, w io.Writer) error {
+			if _, err := w.Write(binary.BigEndian.AppendUint32(nil, maxBody)); err != nil {
+				return err
+			}
+			return writePieces(w, maxBody-short, 64<<10)
+		})
+		n.expectWithinLimits()
+		n.expectServed("small", 100)
+		n.expectReady()
+	})
+
 	// Guards against a full port that closes connections whose request was passed on.
 	It("cuts no request in progress for many new connections", func() {
 		n := startInstance(program, GinkgoT().TempDir(), memoryMB)
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -273,7 +273,7 @@
 	checks := checkServer(http.HandlerFunc(e.ready), checkers)
 	readers := newGate("metrics", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
 	metricsServer := checkServer(e.metrics, readers)
-	messages := messenger.NewServer(e.log, messenger.WithMaxConns(maxPeerConnections(e.initial)), messenger.WithMaxQueuedBytes(int(memoryBytesOf(e.initial)/peerQueueShare)))
+	messages := messenger.NewServer(e.log, messenger.WithMaxConns(maxPeerConnections(e.initial)), messenger.WithMemory(e.memory), messenger.WithMaxQueuedBytes(int(memoryBytesOf(e.initial)/peerQueueShare)))
 	e.coordinator.Serve(messages)
 	e.pacer.Serve(messages)
 	e.throttler.Serve(messages)
--- a/entryassembler/gate.go
+++ b/entryassembler/gate.go
@@ -24,13 +24,13 @@
 	// instances.
 	smallestMemory = 144
 	// connectionBytes is charged for each connection: its goroutine and its buffers.
-	connectionBytes = 16 << 10
+	connectionBytes = 8 << 10
 	// minConnections is the least limit of clients' connections. maxCheckConnections limits
 	// those to the port for readiness checks, and to that for metrics.
 	minConnections      = 100
 	maxCheckConnections = 64
 	// checkBudget is the budget of each of these ports, apart from that of clients: an instance
-	// that is short of memory still answers there. A quarter is for connections and heads.
+	// that is short of memory still answers there. 0.15 of it is for connections and heads.
 	checkBudget         = 8 << 20
 	maxCheckHeaderBytes = 8 << 10
 	// descriptorsPerPeer and minPeerConnections limit connections of peers: twice as many as
@@ -176,7 +176,7 @@
 		g.log.Info("entry: port is full", zap.String("port", g.name), zap.Int("open", open), zap.Int("limit", g.max), zap.Bool("closes_one", victim != nil), zap.Int("since_last_line", n))
 	}
 	if victim == nil {
-		g.memory.EndStalled()
+		g.memory.EndStalled(reserver.Body)
 		return false
 	}
 	_ = victim.Close() // its reader reports it
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -29,6 +29,7 @@
 	ErrLength  = eris.New("frame length is out of bounds")
 	ErrVersion = eris.New("peer message version is unknown")
 	ErrBody    = eris.New("frame body is malformed")
+	ErrMemory  = eris.New("there is no memory for the frame")
 )
 
 // Message is the content of a frame.
@@ -72,6 +73,12 @@
 // Read reads one frame. With ErrVersion the message's ID is valid, so that the
 // sender can be sent an error.
 func Read(r io.Reader) (Message, error) {
+	return ReadCharged(r, func(int) bool { return true })
+}
+
+// ReadCharged is Read for memory that is charged: each part of the body is allocated only if
+// charge allows its number of bytes. Otherwise the error is ErrMemory.
+func ReadCharged(r io.Reader, charge func(n int) bool) (Message, error) {
 	var head [lengthSize]byte
 	var m Message
 	if _, err := io.ReadFull(r, head[:]); err != nil {
@@ -81,7 +88,7 @@
 	if length == 0 || length > MaxFrame {
 		return m, ErrLength
 	}
-	body, err := readBody(r, int(length))
+	body, err := readBody(r, int(length), charge)
 	if err != nil {
 		return m, err
 	}
@@ -96,10 +103,13 @@
 
 // readBody reads a body in chunks, so that memory is allocated only as bytes
 // arrive.
-func readBody(r io.Reader, length int) ([]byte, error) {
+func readBody(r io.Reader, length int, charge func(int) bool) ([]byte, error) {
 	var body []byte
 	for len(body) < length {
 		step := min(readChunk, length-len(body))
+		if !charge(step) {
+			return nil, ErrMemory
+		}
 		start := len(body)
 		body = append(body, make([]byte, step)...)
 		if _, err := io.ReadFull(r, body[start:]); err != nil {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -59,6 +59,7 @@
 	queuedBytes       int
 	concurrentPerConn int
 	conns             int
+	memory            *reserver.Reserver
 }
 
 // Option sets one option of a Client or a Server.
@@ -106,6 +107,10 @@
 	return func(o *options) { o.concurrentPerConn = messages }
 }
 
+// WithMemory sets the budget that a Server charges messages to until they are handled. Without
+// one they are bounded by connection only.
+func WithMemory(m *reserver.Reserver) Option { return func(o *options) { o.memory = m } }
+
 // WithMaxConns limits the open connections of a Server.
 func WithMaxConns(count int) Option { return func(o *options) { o.conns = count } }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -24,6 +24,7 @@
 	"primrosehook/judge"
 	"primrosehook/launcher"
 	"primrosehook/messenger"
+	"primrosehook/reserver"
 )
 
 // peer is a server with the message kinds that the tests use.
@@ -475,6 +476,22 @@
 		works(p)
 	})
 
+	// Guards against messages that stop short and hold the memory of others, or of the process.
+	It("closes a connection whose message stops short once there is no memory", func() {
+		memory := reserver.New(20*1024*1024/10, reserver.WithStallTime(50*time.Millisecond)) // 200 KiB for messages
+		p := startPeer(messenger.WithMemory(memory))
+		short := dialRaw(p.addr)
+		head := binary.BigEndian.AppendUint32(nil, 1<<20)
+		_, err := short.Write(append(head, make([]byte, 190<<10)...))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int64 { return memory.Held(reserver.Message) }, "10s").Should(BeNumerically(">", 180<<10))
+		time.Sleep(100 * time.Millisecond)
+		_, _ = dialRaw(p.addr).Write(append(head, make([]byte, 64<<10)...)) // may be cut off
+		Eventually(closedByPeer(short), "10s").Should(BeTrue())
+		Eventually(func() int64 { return memory.Held(reserver.Message) }, "10s").Should(BeNumerically("<=", 128<<10))
+		works(p)
+	})
+
 	// Guards against connections that send nothing and keep peers away.
 	It("closes a connection that has sent nothing in favor of a peer", func() {
 		p := startPeer(messenger.WithMaxConns(1))
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -14,6 +14,7 @@
 
 	"primrosehook/framer"
 	"primrosehook/judge"
+	"primrosehook/reserver"
 )
 
 // Serve accepts connections until the listener closes or the context ends.
@@ -107,12 +108,16 @@
 	defer idle.Stop()
 	r := bufio.NewReader(l.conn)
 	for {
-		m, err := framer.Read(r)
+		var held *reserver.Reservation
+		m, err := framer.ReadCharged(r, func(n int) bool { return l.charge(&held, n) })
+		if err != nil || !held.Keep() {
+			held.Release()
+		}
 		if errors.Is(err, framer.ErrVersion) {
 			l.refuseVersion(m)
 			return
 		}
-		if err != nil {
+		if err != nil || held.Ended() {
 			l.server.log.Debug("messenger: connection ended", zap.Error(err))
 			return
 		}
@@ -121,11 +126,25 @@
 		l.server.counters.messagesReceived.Add(1)
 		if h, ok := l.server.streamHandler(m.Kind); ok {
 			idle.Stop()
+			held.Release()
 			l.serveStream(ctx, r, m, h)
 			return
 		}
-		l.dispatch(ctx, m)
+		l.dispatch(ctx, m, held)
+	}
+}
+
+// charge reserves n more bytes for a message that is read, and reports false if there is no
+// memory for them. A message that stops arriving has not run, so its connection may be closed.
+func (l *serverConn) charge(held **reserver.Reservation, n int) bool {
+	if *held != nil || l.server.options.memory == nil {
+		(*held).Progress(n)
+		return (*held).Grow(int64(n))
 	}
+	first, ok := l.server.options.memory.Acquire(reserver.Message, int64(n))
+	first.OnReclaim(l.out.closeConn)
+	*held = first
+	return ok
 }
 
 // refuseVersion replies to a peer with an unsupported message version and then
@@ -141,26 +160,29 @@
 
 // dispatch handles a message on its own goroutine, or refuses it if a limit is
 // reached.
-func (l *serverConn) dispatch(ctx context.Context, m framer.Message) {
+func (l *serverConn) dispatch(ctx context.Context, m framer.Message, held *reserver.Reservation) {
 	size := int64(len(m.Body))
 	active := l.activeBytes.Load()
 	if active > 0 && active+size > int64(l.server.options.queuedBytes) {
+		held.Release()
 		l.send(m.ID, busyReply())
 		return
 	}
 	select {
 	case l.slots <- struct{}{}:
 	default:
+		held.Release()
 		l.send(m.ID, busyReply())
 		return
 	}
 	select {
 	case l.server.slots <- struct{}{}:
 		l.activeBytes.Add(size)
-		work := &handlerCall{conn: l, message: m}
+		work := &handlerCall{conn: l, message: m, held: held}
 		go work.run(ctx)
 	default:
 		<-l.slots
+		held.Release()
 		l.send(m.ID, busyReply())
 	}
 }
@@ -195,11 +217,13 @@
 type handlerCall struct {
 	conn    *serverConn
 	message framer.Message
+	held    *reserver.Reservation
 }
 
 func (a *handlerCall) run(ctx context.Context) {
 	defer func() { <-a.conn.server.slots }()
 	defer func() { <-a.conn.slots }()
+	defer a.held.Release()
 	defer a.conn.activeBytes.Add(-int64(len(a.message.Body)))
 	h, ok := a.conn.server.handler(a.message.Kind)
 	if !ok {
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -16,6 +16,7 @@
 	"primrosehook/balancer"
 	"primrosehook/matcher"
 	"primrosehook/quarantiner"
+	"primrosehook/reserver"
 	"primrosehook/tracer"
 )
 
@@ -107,7 +108,7 @@
 		defer func() { <-r.inFlight }()
 	default:
 		// A request whose body makes no progress makes room for later ones.
-		r.memory.EndStalled()
+		r.memory.EndStalled(reserver.Body)
 		if n, ok := r.crowded.Sample(r.clock); ok {
 			log.Info("relay: too many requests in flight", zap.Int("limit", cap(r.inFlight)), zap.Int("refused_since_last_line", n))
 		}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -31,23 +31,25 @@
 	Connection
 	// Detour is a connection to a server that is served for a peer.
 	Detour
+	// Message is a message of a peer, until it is handled.
+	Message
 	kinds
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Body, Answer, Head, Connection, Detour} }
+func Kinds() []Kind { return []Kind{Body, Answer, Head, Connection, Detour, Message} }
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
-	return [kinds]string{"body", "answer", "head", "connection", "detour"}[k]
+	return [kinds]string{"body", "answer", "head", "connection", "detour", "message"}[k]
 }
 
 const (
 	// SmallBytes is the largest body that is charged to the room for small ones.
 	SmallBytes = 64 << 10
-	// smallShare and connectionShare are the parts of the budget for small bodies, and for
-	// connections, heads and detours.
-	smallShare, connectionShare = 0.25, 0.25
+	// smallShare, connectionShare and messageShare are the parts of the budget for small bodies,
+	// for connections, heads and detours, and for messages of peers.
+	smallShare, connectionShare, messageShare = 0.25, 0.15, 0.1
 	// progressBytes is how much has to arrive to count as progress: 4 KiB within stallTime is
 	// what a link of 32 kbit/s carries.
 	progressBytes = 4 << 10
@@ -60,6 +62,7 @@
 	largeRoom = iota
 	smallRoom
 	connectionRoom
+	messageRoom
 	rooms
 )
 
@@ -104,10 +107,11 @@
 func (r *Reserver) Resize(total int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	small, connections := int64(smallShare*float64(total)), int64(connectionShare*float64(total))
-	r.rooms[largeRoom].limit = total - small - connections
+	small, connections, messages := int64(smallShare*float64(total)), int64(connectionShare*float64(total)), int64(messageShare*float64(total))
+	r.rooms[largeRoom].limit = total - small - connections - messages
 	r.rooms[smallRoom].limit = small
 	r.rooms[connectionRoom].limit = connections
+	r.rooms[messageRoom].limit = messages
 }
 
 // Largest returns the size of the largest body that can ever be reserved.
@@ -144,6 +148,8 @@
 	switch {
 	case k == Head || k == Connection || k == Detour:
 		return connectionRoom
+	case k == Message:
+		return messageRoom
 	case k == Body && n <= SmallBytes:
 		return smallRoom
 	}
@@ -177,12 +183,12 @@
 	}
 }
 
-// EndStalled ends the reservation that has stalled for longest, of whatever kind, if there is
-// one and no other one is ending yet. It is for a lack of something else than memory that the
-// holder has too.
-func (r *Reserver) EndStalled() {
+// EndStalled ends the reservation of a kind that has stalled for longest, if there is one and
+// no other one is ending yet. It is for a lack of something else than memory that the holder
+// has too.
+func (r *Reserver) EndStalled(kind Kind) {
 	r.mu.Lock()
-	ended := r.endStalled(1, func(*Reservation) bool { return true })
+	ended := r.endStalled(1, func(o *Reservation) bool { return o.kind == kind })
 	r.mu.Unlock()
 	for _, reclaim := range ended {
 		reclaim()
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -78,6 +78,20 @@
 		Expect(ended).To(Equal([]string{"trickle"}))
 	})
 
+	// Guards against requests that stop short and hold places or connections, not memory.
+	It("ends one body at a time when something else than memory is short", func() {
+		_, ok := r.Acquire(reserver.Message, 1)
+		Expect(ok).To(BeTrue())
+		clock.Advance(time.Millisecond)
+		acquire("first", 1)
+		clock.Advance(time.Millisecond)
+		acquire("second", 1)
+		clock.Advance(time.Minute)
+		r.EndStalled(reserver.Body)
+		r.EndStalled(reserver.Body)
+		Expect(ended).To(Equal([]string{"first"}))
+	})
+
 	It("never ends what was passed on", func() {
 		Expect(acquire("passed on", 2*large).Keep()).To(BeTrue())
 		clock.Advance(time.Hour)
