Operators see entitlements, and why a request got 401 or 429

Metrics of an instance's fraction, the age of its arbiter's last answer, and of who delegates to it. explain -log says in a sentence why a request was refused for its account, and failures draws these lines too. Status has nothing to add: an instance on the platform serves metrics only. API.md is left as it is: it lists the own API, which has no client accounts.

go test ./cmd/primrosehook ./allotter: passed.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -112,6 +112,8 @@
 	// replied is the instance that answered the last report, silent one that did not answer
 	// a call since.
 	replied, silent string
+	// repliedAt is when an arbiter last answered a report, zero if none has.
+	repliedAt time.Time
 	// avoided is until when instances get no entitlement delegated: they do not know them, or
 	// their answers to reports do not count.
 	avoided map[string]time.Time
@@ -257,7 +259,7 @@
 	if sender != a.replied {
 		a.log.Info("allot: arbiter", zap.String("member", sender), zap.Float64("fraction", a.holding.fraction))
 	}
-	a.replied, a.members = sender, members
+	a.replied, a.repliedAt, a.members = sender, a.boot.Now(), members
 	if a.silent == sender {
 		a.silent = ""
 	}
@@ -352,6 +354,8 @@
 	Fraction float64
 	Left     time.Duration
 	Arbiter  string
+	// Age is the time since an arbiter last answered a report, negative if none has.
+	Age time.Duration
 	// Members is how many instances delegate to this one, Delegated the sum of their fractions.
 	Members   int
 	Delegated float64
@@ -363,7 +367,10 @@
 	defer a.mu.Unlock()
 	now := a.boot.Now()
 	held := a.holding.Held(now)
-	s := Status{Fraction: held.Fraction, Left: held.Left, Arbiter: a.arbiter(now)}
+	s := Status{Fraction: held.Fraction, Left: held.Left, Arbiter: a.arbiter(now), Age: -time.Millisecond}
+	if !a.repliedAt.IsZero() {
+		s.Age = now.Sub(a.repliedAt)
+	}
 	s.Members, s.Delegated = a.role.Members(now)
 	return s
 }
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -112,6 +112,14 @@
 		Eventually(done, "5s").Should(BeClosed())
 	}, NodeTimeout(10*time.Second))
 
+	It("shows operators its fraction, its arbiter and the age of the last answer", func() {
+		fresh := allotter.New("a.1", "self", &heldPeer{}, clockwork.NewRealClock(), clocker.SystemClock{}, zap.NewNop())
+		Expect(fresh.Status().Age).To(BeNumerically("<", 0), "nobody has answered")
+		s := newDelegating(&heldPeer{}).Status()
+		Expect(s).To(And(HaveField("Fraction", 0.5), HaveField("Arbiter", "peer"), HaveField("Members", 0)))
+		Expect(s.Age).To(And(BeNumerically(">=", 0), BeNumerically("<", 5*time.Second)))
+	})
+
 	// Guards against a sum above one when an instance comes back from a deputy to the lease
 	// holder, and that lowers its fraction while the deputy may still use the larger one.
 	It("reports the larger fraction that another instance may still use", func() {
--- a/cmd/primrosehook/failed_requests.go
+++ b/cmd/primrosehook/failed_requests.go
@@ -23,6 +23,12 @@
 	maxEventsShown = 6
 )
 
+// The lines on requests that are refused for their client account.
+const (
+	lineNoKey   = "relay: key is missing or unknown"
+	lineOverCap = "relay: account is over its cap"
+)
+
 // serverEvent is a log line about a server or a model rather than a request.
 type serverEvent struct {
 	logLine
@@ -69,7 +75,7 @@
 	err = scanLines(f, func(text string) {
 		switch {
 		case strings.Contains(text, "relay: gave up"), strings.Contains(text, "relay: request is quarantined"),
-			strings.Contains(text, "relay: too many"):
+			strings.Contains(text, "relay: too many"), strings.Contains(text, lineNoKey), strings.Contains(text, lineOverCap):
 			var l logLine
 			if l.decode(text) {
 				failed = append(failed, l)
@@ -116,6 +122,22 @@
 	return found[max(len(found)-maxEventsShown, 0):]
 }
 
+// accountCause returns why a request was refused for its client account, empty if it was not.
+func (l logLine) accountCause() string {
+	switch l.Message {
+	case lineNoKey:
+		what := "its key belongs to no account"
+		if missing, _ := l.fields["missing"].(bool); missing {
+			what = "it did not have exactly one key"
+		}
+		return fmt.Sprintf("refused with 401, since %s in version %v of the configuration, and route %v is not public; it did not run", what, l.fields["config"], l.fields["route"])
+	case lineOverCap:
+		return fmt.Sprintf("refused with 429, since account %v was over its cap in version %v of the configuration: the request counts %v, which the account would have again after %v s; it did not run",
+			l.fields["account"], l.fields["config"], l.fields["usage"], l.fields["wait"])
+	}
+	return ""
+}
+
 // cause returns one sentence about why a request failed.
 func (l logLine) cause() string {
 	text := func(name string) string { v, _ := l.fields[name].(string); return v }
@@ -128,6 +150,8 @@
 		last = fmt.Sprintf("attempt %d at %s: %s", n, l.Tries[n-1].Server, l.Tries[n-1].Outcome)
 	}
 	switch why := text("why"); {
+	case l.accountCause() != "":
+		return l.accountCause()
 	case strings.Contains(l.Message, "quarantined"):
 		return "refused, since it was present when servers crashed"
 	case strings.Contains(l.Message, "too many"):
--- a/cmd/primrosehook/log_lines.go
+++ b/cmd/primrosehook/log_lines.go
@@ -94,6 +94,9 @@
 		_, _ = fmt.Fprintf(out, " %s=%v", name, l.fields[name])
 	}
 	_, _ = fmt.Fprintln(out)
+	if why := l.accountCause(); why != "" {
+		_, _ = fmt.Fprintf(out, "    %s\n", why)
+	}
 	for i, t := range l.Tries {
 		_, _ = fmt.Fprintf(out, "    attempt %d after %d ms at %s: %s\n", i+1, t.At, t.Server, t.Outcome)
 		_, _ = fmt.Fprintf(out, "        chosen among %d holders; %d requests and %d prompt tokens in flight there (told %d ms ago, registration read %d ms ago)\n",
--- a/cmd/primrosehook/log_lines_test.go
+++ b/cmd/primrosehook/log_lines_test.go
@@ -32,6 +32,22 @@
 			"        chosen among 2 holders; 7 requests and 90 prompt tokens in flight there (told 40 ms ago, registration read 500 ms ago)\n"))
 	})
 
+	// Guards against a client whose request was refused with 401 or 429 and nobody can say why.
+	It("says why the account of a request was refused", func() {
+		log := writeTempFile(`{"ts":1,"msg":"relay: key is missing or unknown","instance":"front-1","request":"q1","missing":false,"route":"chat","config":7}
+{"ts":1,"msg":"relay: key is missing or unknown","instance":"front-1","request":"q2","missing":true,"route":"chat","config":7}
+{"ts":1,"msg":"relay: account is over its cap","instance":"front-1","request":"q3","account":"a","usage":1500,"wait":0.25,"config":7}
+`)
+		for id, why := range map[string]string{
+			"q1": "refused with 401, since its key belongs to no account in version 7 of the configuration, and route chat is not public; it did not run",
+			"q2": "refused with 401, since it did not have exactly one key in version 7",
+			"q3": "refused with 429, since account a was over its cap in version 7 of the configuration: the request counts 1500, which the account would have again after 0.25 s; it did not run",
+		} {
+			Expect(string(runCommand(0, "explain", "-log", log, "request", id).Out.Contents())).To(ContainSubstring("    " + why))
+		}
+		Expect(string(runCommand(0, "explain", "-log", log, "failures").Out.Contents())).To(And(ContainSubstring("3 lines on failures"), ContainSubstring("q3: refused with 429")))
+	})
+
 	It("explains why a request may have no log lines", func() {
 		s := runCommand(1, "explain", "-log", writeTempFile(requestLog), "request", "q9")
 		Expect(string(s.Err.Contents())).To(ContainSubstring("not sampled"))
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"runtime"
 	"slices"
 
@@ -27,6 +28,10 @@
 		"servers_slow":            func() int64 { return int64(e.fleet.SlowServers()) },
 		"server_connections_made": e.fleet.Dials.Count,
 		"memory_bytes":            memoryBytes,
+		"allot_fraction_permille": func() int64 { return permille(e.allotter.Status().Fraction) },
+		"allot_arbiter_age_ms":    func() int64 { return e.allotter.Status().Age.Milliseconds() },
+		"allot_members":           func() int64 { return int64(e.allotter.Status().Members) },
+		"allot_members_permille":  func() int64 { return permille(e.allotter.Status().Delegated) },
 	}
 }
 
@@ -65,6 +70,9 @@
 	return int64(m.Sys)
 }
 
+// permille returns a fraction in parts of a thousand.
+func permille(fraction float64) int64 { return int64(math.Round(fraction * 1000)) }
+
 func boolValue(b bool) int64 {
 	if b {
 		return 1
