Own API: small bodies have room beside large ones, and bodies that stall are ended

64 bodies of unknown length that stopped short kept all requests out until their upload time of 10 s was over.

--- a/server/input_test.go
+++ b/server/input_test.go
@@ -114,6 +114,26 @@
 		Expect(sendRequest("POST", url, chatBody).status).To(Equal(200))
 	})
 
+	// Guards against bodies that stop short and keep others away until their time is over.
+	It("serves others beside bodies that stop short, and ends those", func() {
+		limits := server.DefaultLimits()
+		limits.MaxTotalBodyBytes = 3 << 20 // 2 MiB for large bodies
+		c := newHarness(server.WithLimits(limits))
+		DeferCleanup(c.close)
+		for range 2 {
+			conn, err := net.Dial("tcp", c.callers.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		url := c.callers.URL + "/v1/chat/completions"
+		large := func() int { return sendRequest("POST", url, chatBody+strings.Repeat(" ", 100<<10)).status }
+		Eventually(large).Should(Equal(503))
+		Expect(sendRequest("POST", url, chatBody).status).To(Equal(200))
+		Eventually(large, "5s", "100ms").Should(Equal(200))
+	})
+
 	It("is limited in the number of open requests; further ones are refused with a retry delay", func() {
 		b.engines["e1"].stalls = true
 		b.dispatcher.engines = []string{"e1"}
--- a/server/parse.go
+++ b/server/parse.go
@@ -16,6 +16,7 @@
 
 	"primrosehook/driver"
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/ruler"
 )
 
@@ -127,31 +128,57 @@
 
 // reserveMemory reserves memory for a body until the request ends. For a body
 // of unknown length it reserves the largest size allowed.
-func (s *Server) reserveMemory(c echo.Context) error {
+func (s *Server) reserveMemory(c echo.Context) (*reserver.Reservation, error) {
 	size := c.Request().ContentLength
 	if size < 0 || size > s.limits.MaxBodyBytes {
 		size = s.limits.MaxBodyBytes
 	}
-	if s.bodyBytes.Add(size) > s.limits.MaxTotalBodyBytes {
-		s.bodyBytes.Add(-size)
-		return judge.Unavailable("bodies", "instance holds too many large requests", time.Second)
+	held, ok := s.memory.Acquire(reserver.Body, size)
+	if !ok {
+		return nil, errBodies()
 	}
 	if a, ok := c.(*requestContext); ok {
-		a.reservedBytes += size
+		a.held = held
 	}
-	return nil
+	return held, nil
+}
+
+// errBodies refuses a request since there is no memory for its body, or since that stalled and
+// others need its memory.
+func errBodies() error {
+	return judge.Unavailable("bodies", "instance holds too many large requests", time.Second)
+}
+
+// countedBody records the progress of a body.
+type countedBody struct {
+	io.Reader
+	held *reserver.Reservation
+}
+
+// Read implements io.Reader.
+func (b countedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.held.Progress(n)
+	return n, err
 }
 
 // readBody reads a request body within the limits of size and time.
 func (s *Server) readBody(c echo.Context) ([]byte, error) {
-	if err := s.reserveMemory(c); err != nil {
-		return nil, err
-	}
 	control := http.NewResponseController(c.Response())
 	// Response recorders of tests do not support deadlines; a live connection
-	// does.
+	// does. It also bounds the wait for the rest of a body that is refused.
 	_ = control.SetReadDeadline(s.clock.Now().Add(s.limits.UploadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.limits.MaxBodyBytes))
+	held, err := s.reserveMemory(c)
+	if err != nil {
+		return nil, err
+	}
+	// Any time that has passed makes the read that is waiting fail.
+	held.OnReclaim(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	body, err := io.ReadAll(countedBody{Reader: http.MaxBytesReader(c.Response(), c.Request().Body, s.limits.MaxBodyBytes), held: held})
+	if held.Ended() || err == nil && !held.Keep() {
+		c.Response().Header().Set("Connection", "close")
+		return nil, errBodies()
+	}
 	var size *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/server/server.go
+++ b/server/server.go
@@ -23,6 +23,7 @@
 	"primrosehook/judge"
 	"primrosehook/lister"
 	"primrosehook/peeker"
+	"primrosehook/reserver"
 	"primrosehook/ruler"
 	"primrosehook/sender"
 	"primrosehook/tracer"
@@ -53,11 +54,11 @@
 	statuses   map[string]Status
 	checks     map[string]Check
 
-	metrics   *expvar.Map
-	counters  counters
-	inFlight  inFlightCounts
-	bodyBytes atomic.Int64
-	leaving   atomic.Bool
+	metrics  *expvar.Map
+	counters counters
+	inFlight inFlightCounts
+	memory   *reserver.Reserver
+	leaving  atomic.Bool
 }
 
 // Limits bounds the resources of requests.
@@ -65,7 +66,7 @@
 	// MaxBodyBytes is the largest request body in bytes.
 	MaxBodyBytes int64
 	// MaxTotalBodyBytes is the largest total size of the bodies of all open
-	// requests, in bytes.
+	// requests, in bytes. A third of it is for bodies of up to 64 KiB.
 	MaxTotalBodyBytes int64
 	// MaxAnswerBytes is the largest answer that is buffered instead of
 	// streamed, in bytes.
@@ -99,6 +100,18 @@
 	}
 }
 
+// bodyShare is the part of a memory budget that is for bodies, small ones and large ones.
+const bodyShare = 0.75
+
+// publishMemory publishes the bytes that bodies hold, and how many were refused and ended.
+func (s *Server) publishMemory() {
+	own := new(expvar.Map).Init()
+	for name, read := range map[string]func(reserver.Kind) int64{"held": s.memory.Held, "refused": s.memory.Refused, "ended": s.memory.Ended} {
+		own.Set(name+"_body", expvar.Func(func() any { return read(reserver.Body) }))
+	}
+	s.metrics.Set("memory", own)
+}
+
 // New returns a server. Routes whose dependency is not set respond with 503.
 func New(clock clockwork.Clock, options ...Option) *Server {
 	s := &Server{
@@ -118,7 +131,9 @@
 	if s.quarantine != nil {
 		s.statuses["quarantine"] = s.quarantine.Status
 	}
+	s.memory = reserver.New(int64(float64(s.limits.MaxTotalBodyBytes)/bodyShare), reserver.WithClock(clock))
 	s.counters.publish(s.metrics)
+	s.publishMemory()
 	return s
 }
 
@@ -223,18 +238,18 @@
 			return judge.Unavailable("connections", "instance has too many open requests", time.Second)
 		}
 		a := &requestContext{Context: c}
-		err := next(a)
-		s.bodyBytes.Add(-a.reservedBytes)
-		return err
+		// Releases what is held even if the handler is aborted.
+		defer func() { a.held.Release() }()
+		return next(a)
 	}
 }
 
 // requestContext is the context of a request with the memory reserved for its
-// body, in bytes. It replaces echo's key-value store, which allocates a map for
+// body. It replaces echo's key-value store, which allocates a map for
 // each request.
 type requestContext struct {
 	echo.Context
-	reservedBytes int64
+	held *reserver.Reservation
 }
 
 // ruleList returns the version and the rule list in force. If there is none, it
