--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -56,6 +56,9 @@
 	// noArbiterWait is when a request is told to come back that no arbiter could answer: a
 	// delegation has lapsed by then.
 	noArbiterWait = 500 * time.Millisecond
+	// maxRefundAge is how long after it was taken an amount may be given back: the tolerance of caps
+	// covers usage that comes so much later than it was granted.
+	maxRefundAge = time.Second
 	// maxCaches bounds the accounts whose usage at this instance is kept.
 	maxCaches = 4096
 )
@@ -390,36 +393,46 @@
 	account  *matcher.Account
 	version  int64
 	amount   float64
+	// takenAt is when the amount was taken.
+	takenAt time.Time
 }
 
 // Acquire takes an amount of the account's cap as a version of the configuration states it. If
 // that is more than the cap allows, it returns the time until it may be had.
 func (a *Allotter) Acquire(ctx context.Context, account *matcher.Account, version int64, amount float64) (*Credit, time.Duration, bool) {
-	wait, ok := a.acquire(ctx, account, version, amount, 0)
+	wait, ok := a.acquire(ctx, account, version, amount)
 	if !ok {
 		a.meter.Add(MetricRefused+a.names.label(account.Name), 1)
 		return nil, wait, false
 	}
 	a.meter.Add(MetricAdmitted+a.names.label(account.Name), 1)
-	return &Credit{allotter: a, account: account, version: version, amount: amount}, 0, true
+	return &Credit{allotter: a, account: account, version: version, amount: amount, takenAt: a.boot.Now()}, 0, true
 }
 
-// Renew takes the amount again, as of now, and gives back what was taken before.
+// Renew takes the amount again, as of now. What was taken before is not given back: an account could
+// otherwise send what it was granted in some seconds together with what it gets in their place.
 func (c *Credit) Renew(ctx context.Context) (time.Duration, bool) {
-	return c.allotter.acquire(ctx, c.account, c.version, c.amount, c.amount)
+	wait, ok := c.allotter.acquire(ctx, c.account, c.version, c.amount)
+	if ok {
+		c.takenAt = c.allotter.boot.Now()
+	}
+	return wait, ok
 }
 
-// Refund gives the amount back: its request has certainly not run.
+// Refund gives the amount back: its request has certainly not run. Amounts that were taken long ago
+// are not given back, for the same reason.
 func (c *Credit) Refund() {
 	a := c.allotter
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.usage(a.boot.Now(), c.account.Name).back += c.amount
+	if now := a.boot.Now(); now.Sub(c.takenAt) <= maxRefundAge {
+		a.usage(now, c.account.Name).back += c.amount
+	}
 }
 
-// acquire takes an amount and gives another one back.
-func (a *Allotter) acquire(ctx context.Context, account *matcher.Account, version int64, amount, back float64) (time.Duration, bool) {
-	item := Item{Account: account.Name, Version: version, Rate: account.RatePerSecond, Burst: account.Burst, Need: amount, Back: back}
+// acquire takes an amount.
+func (a *Allotter) acquire(ctx context.Context, account *matcher.Account, version int64, amount float64) (time.Duration, bool) {
+	item := Item{Account: account.Name, Version: version, Rate: account.RatePerSecond, Burst: account.Burst, Need: amount}
 	deadline := a.clock.Now().Add(longestWait)
 	for {
 		wait, ok := a.take(ctx, item)
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -134,6 +134,53 @@
 	})
 })
 
+var _ = Describe("Credit of a request that waits", func() {
+	// The load: requests of one account that wait for seconds and are then sent together. Guards
+	// against a cap that is exceeded since what they had taken was given back when they took it again.
+	It("is taken anew, and what was taken long ago is not given back", func(ctx context.Context) {
+		boot := &steppedBoot{now: time.Unix(1000, 0)}
+		a := allotter.New("a.1", "self", &heldPeer{}, clockwork.NewRealClock(), boot, zap.NewNop())
+		a.BeginTerm(false, allotter.Entitled{})
+		sent := a.Now()
+		e := a.Reported("a.1", "self", a.State("self", time.Hour), true, 1)
+		a.Replied(sent, "self", &e, true, 1)
+		a.Reported("a.1", "self", a.State("self", time.Hour), true, 1)
+		boot.now = boot.now.Add(2 * time.Second)
+		account := &matcher.Account{Name: "x", RatePerSecond: 1000, Burst: 1000}
+		var taken []*allotter.Credit
+		for range 10 {
+			c, _, ok := a.Acquire(ctx, account, 1, 100)
+			Expect(ok).To(BeTrue())
+			taken = append(taken, c)
+		}
+		boot.now = boot.now.Add(1500 * time.Millisecond)
+		renewed := 0
+		for _, c := range taken {
+			if _, ok := c.Renew(ctx); ok {
+				renewed++
+			}
+		}
+		Expect(renewed).To(Equal(10), "by the credit of the second and a half")
+		for range 10 {
+			taken[0].Refund()
+		}
+		boot.now = boot.now.Add(10 * time.Millisecond)
+		late, _, ok := a.Acquire(ctx, account, 1, 1000)
+		Expect(ok).To(BeTrue(), "refunded within a second")
+		boot.now = boot.now.Add(1100 * time.Millisecond)
+		late.Refund()
+		_, _, ok = a.Acquire(ctx, account, 1, 1000)
+		Expect(ok).To(BeTrue(), "the rate of that time alone")
+		_, _, ok = a.Acquire(ctx, account, 1, 500)
+		Expect(ok).To(BeFalse(), "the late refund does not count")
+	}, NodeTimeout(20*time.Second))
+})
+
+// steppedBoot is a clock that moves when told so.
+type steppedBoot struct{ now time.Time }
+
+func (b *steppedBoot) Now() time.Time { return b.now }
+
 var _ = Describe("Shares of a holder that had the lease before", func() {
 	// Guards against a cap that is exceeded by instances that are cut off: nobody else held the
 	// lease between the two terms, and what this instance had assigned was taken for free.
