Requests wait beyond their objective for capacity that none on time needs

Callers whose predicted wait was longer than 0.7 of their objective were refused, also after a short burst on servers with free capacity, and came back to be refused again.

Package admitter decides: a request that will be late waits behind those that can be on time, if its turn comes within 0.7 of what its client bears, by the capacity (requests in flight over the time that each holds a slot) less the rate of requests on time. Otherwise it is refused at once. Refused ones come back one after the other, at half of this instance's part of the rate and not before their time. What waits although it will be late is reviewed every 100 ms and refused once its turn is too far off. Late requests follow the ten priorities in balancer.Queue.Waiting, which builds that do not know them pass over.

--- /dev/null
+++ b/balancer/admission.go
@@ -0,0 +1,157 @@
+package balancer
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"primrosehook/admitter"
+	"primrosehook/decayer"
+)
+
+const (
+	// trafficHalfLife is the half-life of the rates by which it is decided whether requests on time
+	// need all capacity. It spans several bursts of about a second.
+	trafficHalfLife = 5 * time.Second
+	// holdingWeight is the weight of the latest request in the mean time for which requests hold a
+	// slot.
+	holdingWeight = 0.05
+	// capacityMargin is the share of the capacity by that mean that is counted on: requests hold
+	// their slots for longer while all are in use.
+	capacityMargin = 0.8
+	// minTrafficRate is the rate per second below which nothing is remembered of a key.
+	minTrafficRate = 0.001
+	// reviewInterval is the pause between reviews of the requests that wait although they will be
+	// late. It is the share of a client's time that one is held in vain at most.
+	reviewInterval = 100 * time.Millisecond
+)
+
+// traffic is what is known of the requests of one key that got a server.
+type traffic struct {
+	// granted counts those of this instance, onTime those of them that could be on time. Both
+	// decay with trafficHalfLife, and peers is a mean of the peers' rates over that time.
+	granted, onTime decayer.Counter
+	peers           float64
+	peersAt         time.Time
+	// holding is the mean time in seconds for which requests hold a slot, zero if it is not known.
+	holding float64
+	returns admitter.Returns
+}
+
+// updatePeers records the peers' rate of grants.
+func (t *traffic) updatePeers(now time.Time, rate float64) {
+	weight := 1.0
+	if !t.peersAt.IsZero() {
+		weight = 1 - math.Exp2(-now.Sub(t.peersAt).Seconds()/trafficHalfLife.Seconds())
+	}
+	t.peers, t.peersAt = t.peers+weight*(rate-t.peers), now
+}
+
+// peersRate returns the mean of the peers' rate of grants, zero once it is too old.
+func (t *traffic) peersRate(now time.Time) float64 {
+	if now.Sub(t.peersAt) >= peersTTL {
+		return 0
+	}
+	return t.peers
+}
+
+// onTimeRate returns the rate at which requests that could be on time got a server, at all
+// instances. The peers' share of such requests is taken to be this instance's. Without any, all
+// are taken to have been on time.
+func (t *traffic) onTimeRate(now time.Time) float64 {
+	share := (t.onTime.Value(now, trafficHalfLife) + 1) / (t.granted.Value(now, trafficHalfLife) + 1)
+	return share * (t.granted.Rate(now, trafficHalfLife) + t.peersRate(now))
+}
+
+// ownRate returns the rate at which requests of this instance can get a server, of the rate of all.
+func (t *traffic) ownRate(now time.Time, rate float64) float64 {
+	own := t.granted.Rate(now, trafficHalfLife)
+	return rate * (own + minReportedRate) / (own + t.peersRate(now) + minReportedRate)
+}
+
+func (t *traffic) recordHolding(held time.Duration) {
+	if t.holding == 0 {
+		t.holding = held.Seconds()
+		return
+	}
+	t.holding += holdingWeight * (held.Seconds() - t.holding)
+}
+
+// traffic returns what is known of the requests of a key.
+func (wq *WaitQueue) traffic(key string) *traffic {
+	t, ok := wq.keys[key]
+	if !ok {
+		t = &traffic{}
+		wq.keys[key] = t
+	}
+	return t
+}
+
+// forgetIdle drops what is known of keys that were not requested for long.
+func (wq *WaitQueue) forgetIdle(now time.Time) {
+	maps.DeleteFunc(wq.keys, func(_ string, t *traffic) bool {
+		return t.granted.Rate(now, trafficHalfLife)+t.peersRate(now) < minTrafficRate
+	})
+}
+
+// load returns what a request meets. InFlight is the number of requests in flight at the replicas.
+func (wq *WaitQueue) load(now time.Time, q Request, inFlight int) admitter.Load {
+	key := q.queueKey()
+	t := wq.traffic(key)
+	late := q
+	late.late = true
+	l := admitter.Load{OnTimeRate: t.onTimeRate(now)}
+	l.Ahead, l.Rate = wq.ahead(now, q)
+	l.LateAhead, _ = wq.ahead(now, late)
+	if t.holding > 0 {
+		l.Capacity = capacityMargin * float64(inFlight) / t.holding
+	}
+	return l
+}
+
+// decide decides whether a request that no server has room for now waits. f.mu must be held.
+func (f *Fleet) decide(now time.Time, service string, q Request) (admitter.Decision, admitter.Load) {
+	_, inFlight, _, _ := f.core(service).sumReplicas(now, q.Key())
+	load := f.queue(service).load(now, q, inFlight)
+	return admitter.Decide(admitter.Request{OnTimeWait: q.MaxWait, LongestWait: q.Deadline.Sub(now)}, load), load
+}
+
+// returnDelay returns after how long a request that was refused for want of room should come back.
+// f.mu must be held.
+func (f *Fleet) returnDelay(now time.Time, service string, q Request) time.Duration {
+	d, load := f.decide(now, service, q)
+	t := f.queue(service).traffic(q.queueKey())
+	return t.returns.Reserve(now, d.RetryAfter, t.ownRate(now, load.Rate))
+}
+
+// refuseHopeless refuses the waiting requests that will be late and whose turn, as it looks now,
+// comes only after their clients have left: to hold them on costs more than to refuse them.
+// f.mu must be held.
+func (f *Fleet) refuseHopeless(now time.Time, service string) {
+	wq := f.queue(service)
+	if len(wq.waiters) == 0 || now.Sub(wq.reviewedAt) < reviewInterval {
+		return
+	}
+	wq.reviewedAt = now
+	var hopeless []*Waiter
+	for _, w := range wq.waiters {
+		if w.awaitsReplica || lateRank(now, w.Request) == 0 {
+			continue
+		}
+		_, inFlight, _, _ := f.core(service).sumReplicas(now, w.Key())
+		load := wq.load(now, w.Request, inFlight)
+		// The request itself is among those that are counted.
+		load.LateAhead--
+		if wait, ok := admitter.LateWait(load); ok && wait > w.Deadline.Sub(now) || !ok && load.LateAhead >= 1 {
+			hopeless = append(hopeless, w)
+		}
+	}
+	for _, w := range hopeless {
+		wq.Remove(w)
+		wq.reviewed++
+		w.granted <- nil
+	}
+}
+
+// Late reports whether the request waited although it was predicted to be late.
+func (a *Assignment) Late() bool { return a.request.late }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -48,6 +48,8 @@
 	// Build is the only build that may run the request, empty for any: that which began
 	// its stream.
 	Build string
+	// late is set for a request that waits although it will be late.
+	late bool
 }
 
 // PrefillTokens returns the estimated number of prompt tokens that have to be
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -270,7 +270,7 @@
 		q := request("hot", 0, 2*time.Second).Request
 		Expect(wq.Predict(now, q)).To(Equal(2 * time.Second))
 		for range 20 {
-			wq.RecordGrant(now, "hot")
+			wq.RecordGrant(now, balancer.Request{Model: "hot"})
 		}
 		Expect(wq.Predict(now, q)).To(BeNumerically("<", 700*time.Millisecond))
 		Expect(wq.Predict(now, request("idle", 0, time.Second).Request)).To(BeZero())
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"primrosehook/admitter"
 	"primrosehook/connector"
 	"primrosehook/matcher"
 	"primrosehook/registrar"
@@ -247,8 +248,8 @@
 }
 
 // Await is like Take, but waits until a server has capacity or has loaded the
-// model, unless stop is closed. It returns at once if the predicted wait is longer
-// than the request's MaxWait. Once the context has ended it returns no server.
+// model, unless stop is closed. It returns at once if package admitter refuses the
+// request. Once the context has ended it returns no server.
 func (f *Fleet) Await(ctx context.Context, stop <-chan struct{}, service string, q Request) (*Assignment, Status) {
 	if ctx.Err() != nil {
 		return nil, Ended
@@ -309,13 +310,15 @@
 	a, status := f.take(service, q)
 	switch status {
 	case Found:
-		queue.RecordGrant(now, q.queueKey())
+		queue.RecordGrant(now, q)
 		delete(f.absentSince, demandKey{service, q.Key(), ""})
 		return a, nil, Found
 	case Full:
-		if queue.Predict(now, q) > q.MaxWait {
+		d, _ := f.decide(now, service, q)
+		if !d.Verdict.Waits() {
 			return nil, nil, Full
 		}
+		q.late = d.Verdict == admitter.Late
 	case NotLoaded:
 		if wait := f.loadWait(now, service, q); wait > q.Deadline.Sub(now) {
 			f.missed[demandKey{service, q.Key(), q.Build}]++
@@ -359,6 +362,7 @@
 
 // dispatch assigns servers to the waiting requests of a service.
 func (f *Fleet) dispatch(service string) {
+	f.refuseHopeless(f.clock.Now(), service)
 	f.queue(service).Serve(f.clock.Now(), func(w *Waiter) bool {
 		a, status := f.take(service, w.Request)
 		if status != Found {
@@ -422,8 +426,8 @@
 }
 
 // RetryDelay predicts how soon a request that was just refused could be served:
-// the excess of the predicted wait in the queue over the request's MaxWait, the time
-// of a cold load, or the time until a rate limit allows it.
+// when package admitter would admit it behind the refused ones that come back before, the
+// time of a cold load, or the time until a rate limit allows it.
 func (f *Fleet) RetryDelay(service string, q Request, status Status) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -437,7 +441,7 @@
 		now := f.clock.Now()
 		return max(f.core(service).PauseEnd(now, q.Key()).Sub(now), 0)
 	}
-	return max(f.queue(service).Predict(f.clock.Now(), q)-q.MaxWait, 0)
+	return f.returnDelay(f.clock.Now(), service, q)
 }
 
 // Congestion is what a refusal is based on, for the log.
@@ -452,6 +456,11 @@
 	// PredictedWait how long one more would wait.
 	Queued        int
 	PredictedWait time.Duration
+	// Decision is what would be decided on the request, by Load. Reviewed counts the requests of
+	// the service that were refused while they waited, since their turn came too late.
+	Decision admitter.Decision
+	Load     admitter.Load
+	Reviewed int
 }
 
 // Congestion returns the load that a request would meet now.
@@ -460,7 +469,8 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	queue := f.queue(service)
-	s := Congestion{Queued: queue.Len(), PredictedWait: queue.Predict(now, q)}
+	s := Congestion{Queued: queue.Len(), PredictedWait: queue.Predict(now, q), Reviewed: queue.reviewed}
+	s.Decision, s.Load = f.decide(now, service, q)
 	if c, ok := f.cores[service]; ok {
 		s.Replicas, s.InFlight, s.PrefillTokens, s.PeersAge = c.sumReplicas(now, q.Key())
 	}
@@ -584,7 +594,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	f.queue(a.service).RevokeGrant(now, a.request.queueKey())
+	f.queue(a.service).RevokeGrant(now, a.request)
 	if c, ok := a.core(); ok {
 		c.Cancel(a.ID, a.request)
 		c.RecordReservation(now, a.ID, pause, pause)
@@ -599,7 +609,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	f.queue(a.service).RevokeGrant(now, a.request.queueKey())
+	f.queue(a.service).RevokeGrant(now, a.request)
 	if c, ok := a.core(); ok {
 		c.Cancel(a.ID, a.request)
 		c.SetRateLimited(a.ID, now.Add(pause))
@@ -628,6 +638,7 @@
 	key := demandKey{a.service, a.request.Key(), ""}
 	done := f.finished[key]
 	f.finished[key] = finishedRequests{done.count + 1, done.held + held}
+	f.queue(a.service).traffic(a.request.queueKey()).recordHolding(held)
 }
 
 // TakeDemand returns the demand since the last call, and resets the counts of
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -32,18 +32,25 @@
 // WaitQueue holds the requests of one service that wait for a server. They are
 // served by priority, then those that can still meet their latency objective
 // before those that can't, then by target time. Serving late requests first would
-// make the next ones late as well. Requests whose predicted wait would make them
-// late are refused before they are queued. It is not safe for concurrent use.
+// make the next ones late as well. Package admitter decides which requests are queued.
+// It is not safe for concurrent use.
 type WaitQueue struct {
 	waiters []*Waiter
 	grants  map[string]*decayer.Counter
+	// keys is what is known of the requests of each key.
+	keys map[string]*traffic
+	// reviewedAt is when waiting requests were last reviewed, reviewed how many were refused then.
+	reviewedAt time.Time
+	reviewed   int
 	// peers are the queues of the peers by key as of peersAt.
 	peers   map[string]Queue
 	peersAt time.Time
 }
 
 // NewWaitQueue returns an empty queue.
-func NewWaitQueue() *WaitQueue { return &WaitQueue{grants: map[string]*decayer.Counter{}} }
+func NewWaitQueue() *WaitQueue {
+	return &WaitQueue{grants: map[string]*decayer.Counter{}, keys: map[string]*traffic{}}
+}
 
 // Len returns how many requests wait.
 func (wq *WaitQueue) Len() int { return len(wq.waiters) }
@@ -51,6 +58,13 @@
 // Predict returns how long a request would wait, from the number of requests for
 // the same model that would go before it and the recent rate of grants, here and at the peers.
 func (wq *WaitQueue) Predict(now time.Time, q Request) time.Duration {
+	ahead, rate := wq.ahead(now, q)
+	return time.Duration(ahead / rate * float64(time.Second))
+}
+
+// ahead returns how many requests for the same model would go before a request, and the rate at
+// which such requests get a server.
+func (wq *WaitQueue) ahead(now time.Time, q Request) (count, rate float64) {
 	ahead := 0
 	key := q.queueKey()
 	for _, w := range wq.waiters {
@@ -58,15 +72,14 @@
 			ahead++
 		}
 	}
-	rate := 0.0
 	if g, ok := wq.grants[key]; ok {
 		rate = g.Rate(now, grantHalfLife)
 	}
 	if p, ok := wq.peers[key]; ok && now.Sub(wq.peersAt) < peersTTL {
-		ahead += p.ahead(q.Priority)
+		ahead += p.ahead(q.Priority, lateRank(now, q) > 0)
 		rate += p.Granted
 	}
-	return time.Duration(float64(ahead) / max(rate, minGrantRate) * float64(time.Second))
+	return float64(ahead), max(rate, minGrantRate)
 }
 
 // Add adds a request to the queue.
@@ -100,13 +113,19 @@
 			blocked[key] = true
 			return false
 		}
-		wq.RecordGrant(now, key)
+		wq.RecordGrant(now, w.Request)
 		return true
 	})
 }
 
 // RecordGrant counts a request that was granted a server.
-func (wq *WaitQueue) RecordGrant(now time.Time, key string) {
+func (wq *WaitQueue) RecordGrant(now time.Time, q Request) {
+	key := q.queueKey()
+	t := wq.traffic(key)
+	t.granted.Add(now, trafficHalfLife, 1)
+	if lateRank(now, q) == 0 {
+		t.onTime.Add(now, trafficHalfLife, 1)
+	}
 	g, ok := wq.grants[key]
 	if !ok {
 		g = &decayer.Counter{}
@@ -116,7 +135,13 @@
 }
 
 // RevokeGrant reverts RecordGrant for a request that was not sent after all.
-func (wq *WaitQueue) RevokeGrant(now time.Time, key string) {
+func (wq *WaitQueue) RevokeGrant(now time.Time, q Request) {
+	key := q.queueKey()
+	t := wq.traffic(key)
+	t.granted.Add(now, trafficHalfLife, -min(1, t.granted.Value(now, trafficHalfLife)))
+	if lateRank(now, q) == 0 {
+		t.onTime.Add(now, trafficHalfLife, -min(1, t.onTime.Value(now, trafficHalfLife)))
+	}
 	if g, ok := wq.grants[key]; ok {
 		g.Add(now, grantHalfLife, -min(1, g.Value(now, grantHalfLife)))
 	}
@@ -128,7 +153,7 @@
 }
 
 func lateRank(now time.Time, q Request) int {
-	if now.After(q.TargetTime) {
+	if q.late || now.After(q.TargetTime) {
 		return 1
 	}
 	return 0
--- a/balancer/queues.go
+++ b/balancer/queues.go
@@ -17,23 +17,32 @@
 	Service  string
 	// Key is what the requests have in common of which either all or none can be sent.
 	Key string
-	// Waiting is the number of requests by priority, without the last ones that are zero.
+	// Waiting is the number of requests by priority, without the last ones that are zero. After
+	// those of maxPriority come, by priority too, the requests that wait although they will be
+	// late. Builds that do not know of these pass over them.
 	Waiting []int
 	// Granted is how many requests got a server lately, per second.
 	Granted float64
 }
 
-// ahead returns how many requests of a queue go before one of a priority.
-func (q Queue) ahead(priority int) int {
+// ahead returns how many requests of a queue go before one of a priority, which will be late or not.
+func (q Queue) ahead(priority int, late bool) int {
 	n := 0
-	for p, count := range q.Waiting {
-		if p <= priority {
+	for i, count := range q.Waiting {
+		p, isLate := i%lateIndex, i >= lateIndex
+		if p < priority || p == priority && (late || !isLate) {
 			n += count
 		}
 	}
 	return n
 }
 
+// lateIndex is the index in Queue.Waiting of the late requests of priority zero.
+const lateIndex = maxPriority + 1
+
+// waiting returns how many requests wait.
+func (q Queue) waiting() int { return q.ahead(maxPriority, true) }
+
 // queueID identifies a queue of all instances.
 type queueID struct{ service, key string }
 
@@ -57,7 +66,7 @@
 			waiting[p] = max(waiting[p]+times*n, 0)
 		}
 		sum.Waiting = waiting
-		if sum.Granted < minReportedRate && sum.ahead(maxPriority) == 0 {
+		if sum.Granted < minReportedRate && sum.waiting() == 0 {
 			delete(q, id)
 			continue
 		}
@@ -76,7 +85,7 @@
 func (q Queues) List() []Queue {
 	var list []Queue
 	for _, x := range q {
-		if x.ahead(maxPriority) > 0 {
+		if x.waiting() > 0 {
 			list = append(list, x)
 		}
 	}
@@ -86,6 +95,7 @@
 
 // list returns the queues by key, with those of which requests were granted a server lately.
 func (wq *WaitQueue) list(now time.Time, service string) []Queue {
+	wq.forgetIdle(now)
 	byKey := map[string]*Queue{}
 	get := func(key string) *Queue {
 		q, ok := byKey[key]
@@ -106,6 +116,9 @@
 	for _, w := range wq.waiters {
 		q := get(w.queueKey())
 		p := min(max(w.Priority, 0), maxPriority)
+		if lateRank(now, w.Request) > 0 {
+			p += lateIndex
+		}
 		for len(q.Waiting) <= p {
 			q.Waiting = append(q.Waiting, 0)
 		}
@@ -147,5 +160,6 @@
 			wq.peers = map[string]Queue{}
 		}
 		wq.peers[q.Key], wq.peersAt = q, now
+		wq.traffic(q.Key).updatePeers(now, q.Granted)
 	}
 }
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -94,6 +94,8 @@
 		zap.Int("holders", s.Replicas), zap.Int("in_flight", s.InFlight), zap.Int("reading_tokens", s.PrefillTokens),
 		zap.Int64("others_age_ms", s.PeersAge.Milliseconds()), zap.Int("waiting_here", s.Queued),
 		zap.Duration("predicted_wait", s.PredictedWait), zap.Duration("longest_wait", x.query.MaxWait),
+		zap.Stringer("verdict", s.Decision.Verdict), zap.Float64("late_ahead", s.Load.LateAhead), zap.Float64("capacity", s.Load.Capacity),
+		zap.Float64("on_time_rate", s.Load.OnTimeRate), zap.Int("refused_while_waiting", s.Reviewed),
 	}
 }
 
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -42,9 +42,9 @@
 	// streamWaitShare is the largest share of clientStreamTimeout that a
 	// streaming request may wait for a server.
 	streamWaitShare = 0.8
-	// targetWaitShare is the share of the latency objective that a request may
-	// wait for a busy server; the rest is left for prefill. Waits of up to
-	// minWait are always allowed.
+	// targetWaitShare is the share of the latency objective for which a request can
+	// wait for a busy server and be on time; the rest is left for prefill. Waits of up
+	// to minWait count as on time. Package admitter decides on longer ones.
 	targetWaitShare = 0.7
 	minWait         = 100 * time.Millisecond
 	// maxUnreachable is how many servers, beyond the route's attempts, a request
@@ -249,7 +249,7 @@
 			}
 			if assignment == nil {
 				x.backlog = x.fleet.RetryDelay(x.service, x.query, status)
-				x.awaitsLoad = status == balancer.NotLoaded
+				x.awaitsTurn = status == balancer.NotLoaded || status == balancer.Full
 				x.giveUp("no server", append(x.refusalFields(), zap.Stringer("status", status), zap.Duration("backlog", x.backlog))...)
 				return
 			}
@@ -403,8 +403,8 @@
 		writeStatus(x.writer, http.StatusBadGateway)
 	default:
 		earliest := earliestRetry
-		if x.awaitsLoad {
-			// Before the model is loaded it would be refused again.
+		if x.awaitsTurn {
+			// Before the model is loaded, or it is its turn, it would be refused again.
 			earliest = 1
 		}
 		x.refuseFrom(x.writer, max(x.backlog, busyRetryAfter), earliest, "no_server")
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -132,6 +132,7 @@
 	MetricResumed           = "streams_resumed"
 	MetricTakenUp           = "streams_taken_up"
 	MetricRateLimited       = "sends_held_by_rate_limit"
+	MetricAdmittedLate      = "requests_admitted_late"
 	MetricServerFull        = "sends_refused_by_full_servers"
 	MetricSpared            = "sends_held_for_brittle_servers"
 	MetricTurnTaken         = "sends_held_for_another_suspect"
@@ -469,6 +470,6 @@
 	// backlog is the estimated time until a server is free, for a request that
 	// got none.
 	backlog time.Duration
-	// awaitsLoad is set if it got none since no server has its model loaded.
-	awaitsLoad bool
+	// awaitsTurn is set if it got none since no server has its model loaded, or all are full.
+	awaitsTurn bool
 }
--- a/relayer/wait.go
+++ b/relayer/wait.go
@@ -25,6 +25,9 @@
 		if assignment == nil {
 			return nil, status
 		}
+		if assignment.Late() {
+			x.meter.Add(MetricAdmittedLate, 1)
+		}
 		sendable := x.waitForSlot(assignment) && x.withinRateLimit(assignment) && x.admitted(assignment)
 		switch {
 		case sendable && x.context.Err() != nil:
