Batch work leaves slots free for the urgent requests that are expected

Callers of interactive work waited for batch work to end, which takes seconds, where it had taken all slots of a server.

A batch request that waits no longer keeps urgent ones for the same model from being offered a server. In a review, half of the peers' late requests count as served before.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -33,6 +33,8 @@
 	granted, onTime decayer.Counter
 	peers           float64
 	peersAt         time.Time
+	// urgent counts those of this instance that were not patient, and decays alike.
+	urgent decayer.Counter
 	// holding is the mean time in seconds for which requests hold a slot, zero if it is not known.
 	holding float64
 	returns admitter.Returns
@@ -103,7 +105,9 @@
 // the requests of this instance that go before it.
 func (wq *WaitQueue) comesTooLate(now time.Time, w *Waiter, l admitter.Load) bool {
 	if p, ok := wq.peers[w.queueKey()]; ok && now.Sub(wq.peersAt) < peersTTL {
-		l.LateAhead += float64(p.ahead(w.Priority, true))
+		// Of the peers' late requests half go before it, as far as is known.
+		onTime := float64(p.ahead(w.Priority, false))
+		l.LateAhead += onTime + (float64(p.ahead(w.Priority, true))-onTime)/2
 	}
 	wait, ok := admitter.LateWait(l)
 	return ok && wait > w.Deadline.Sub(now) || !ok && l.LateAhead >= 1
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -50,6 +50,10 @@
 	Build string
 	// late is set for a request that waits although it will be late.
 	late bool
+	// patient is set if the target time was far off when the request arrived, reserved is how many
+	// slots of each server, by its ID, it must then leave free.
+	patient  bool
+	reserved map[string]int
 }
 
 // PrefillTokens returns the estimated number of prompt tokens that have to be
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -393,7 +393,7 @@
 		return true
 	}
 	slots := c.slots(now, s)
-	return float64(f.PrefillTokens) > prefillLimit*c.speed(now, s) || slots > 0 && f.Requests >= slots ||
+	return float64(f.PrefillTokens) > prefillLimit*c.speed(now, s) || slots > 0 && f.Requests >= slots-q.reserved[s.ID] ||
 		c.cacheTokens > 0 && float64(f.CacheTokens+q.PromptTokens+q.OutputTokens) > maxCacheShare*float64(c.cacheTokens)
 }
 
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -82,7 +82,8 @@
 
 // Serve calls offer for the waiting requests in order. Offer reports whether the
 // request was granted a server; it then leaves the queue. Once a request could
-// not be served, the others with the same key are not offered.
+// not be served, the others with the same key are not offered, but for urgent ones
+// after a patient one.
 func (wq *WaitQueue) Serve(now time.Time, offer func(w *Waiter) bool) {
 	if len(wq.waiters) == 0 {
 		return
@@ -92,14 +93,20 @@
 	for _, r := range ordered {
 		wq.waiters = append(wq.waiters, r.waiter)
 	}
-	blocked := map[string]bool{}
+	type group struct {
+		key     string
+		patient bool
+	}
+	blocked := map[group]bool{}
 	wq.waiters = slices.DeleteFunc(wq.waiters, func(w *Waiter) bool {
 		key := w.queueKey()
-		if blocked[key] {
+		if blocked[group{key, w.patient}] {
 			return false
 		}
 		if !offer(w) {
-			blocked[key] = true
+			// Slots that a patient request leaves free are for the urgent ones.
+			blocked[group{key, true}] = true
+			blocked[group{key, false}] = blocked[group{key, false}] || !w.patient
 			return false
 		}
 		wq.RecordGrant(now, w.Request)
@@ -113,6 +120,7 @@
 	key := q.queueKey()
 	t := wq.traffic(key)
 	t.use.serve(q)
+	t.recordUrgent(now, q, 1)
 	t.granted.Add(now, trafficHalfLife, 1)
 	if lateRank(now, q) == 0 {
 		t.onTime.Add(now, trafficHalfLife, 1)
@@ -129,6 +137,7 @@
 func (wq *WaitQueue) RevokeGrant(now time.Time, q Request) {
 	key := q.queueKey()
 	t := wq.traffic(key)
+	t.recordUrgent(now, q, -1)
 	t.granted.Add(now, trafficHalfLife, -min(1, t.granted.Value(now, trafficHalfLife)))
 	if lateRank(now, q) == 0 {
 		t.onTime.Add(now, trafficHalfLife, -min(1, t.onTime.Value(now, trafficHalfLife)))
