--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -26,6 +26,11 @@
 	reviewInterval = 100 * time.Millisecond
 )
 
+// competes reports whether capacity that requests on time leave is given out among those that will be
+// late, and slots are kept free for urgent ones: where client accounts share the servers. Elsewhere
+// requests that waited to be answered late made others late.
+func (q Request) competes() bool { return q.Account != "" }
+
 // traffic is what is known of the requests of one key that got a server.
 type traffic struct {
 	// granted counts those of this instance, onTime those of them that could be on time. Both
@@ -138,6 +143,10 @@
 func (f *Fleet) decide(now time.Time, service string, q Request) (admitter.Decision, admitter.Load) {
 	_, inFlight, _, _ := f.core(service).sumReplicas(now, q.Key())
 	load := f.queue(service).load(now, q, inFlight)
+	if !q.competes() {
+		// Only requests on time wait then.
+		load.Capacity = 0
+	}
 	return admitter.Decide(admitter.Request{OnTimeWait: q.MaxWait, LongestWait: q.Deadline.Sub(now)}, load), load
 }
 
@@ -145,6 +154,9 @@
 // f.mu must be held.
 func (f *Fleet) returnDelay(now time.Time, service string, q Request) time.Duration {
 	d, load := f.decide(now, service, q)
+	if !q.competes() {
+		return d.RetryAfter
+	}
 	t := f.queue(service).traffic(q.queueKey())
 	return t.returns.Reserve(now, d.RetryAfter, t.ownRate(now, load.Rate))
 }
@@ -168,7 +180,7 @@
 			_, inFlight, _, _ := f.core(service).sumReplicas(now, w.Key())
 			l = wq.capacity(now, key, inFlight)
 		}
-		if r.late > 0 && !w.awaitsReplica && wq.comesTooLate(now, w, l) {
+		if r.late > 0 && w.competes() && !w.awaitsReplica && wq.comesTooLate(now, w, l) {
 			hopeless = append(hopeless, w)
 			continue
 		}
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -307,7 +307,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	q.patient = q.isPatient(now)
+	q.patient = q.competes() && q.isPatient(now)
 	queue := f.queue(service)
 	a, status := f.takeUnlessHeld(now, service, q)
 	switch status {
