Scan large events of a stream once

Cause: for each read the splitter copied and searched all of the incomplete event, and for each event the rest of the buffer for the other kind of line end. The work was quadratic in the size of an event, which the server chooses (up to 1 MiB).

Bytes are searched once now, and the incomplete event grows in place.

--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -57,13 +57,17 @@
 // complete, without the events that were already returned. The error is ErrGap,
 // ErrLarge or ErrForeign.
 func (s *Splitter) Push(b []byte) ([]byte, error) {
-	data := b
+	data, scanned := b, 0
 	if len(s.partial) > 0 {
-		data = slices.Concat(s.partial, b)
+		scanned = len(s.partial)
+		s.partial = append(s.partial, b...)
+		data = s.partial
 	}
-	end := completeLen(data)
+	end := completeLen(data, scanned)
 	if end == 0 {
-		s.partial = append([]byte(nil), data...)
+		if scanned == 0 {
+			s.partial = slices.Clone(b)
+		}
 		if len(s.partial) > maxEventBytes {
 			return nil, ErrLarge
 		}
@@ -110,14 +114,20 @@
 	return out, nil
 }
 
-// completeLen returns the length of the complete events at the start of b.
-func completeLen(b []byte) int {
+// maxBlankLine is the length of the longest sequence that ends an event.
+const maxBlankLine = len("\r\n\r\n")
+
+// completeLen returns the length of the complete events at the start of b. No event
+// ends within the first scanned bytes: searching them again for each read would take
+// time quadratic in the length of an event.
+func completeLen(b []byte, scanned int) int {
+	from := max(scanned-maxBlankLine+1, 0)
 	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
+	if i := bytes.LastIndex(b[from:], []byte("\n\n")); i >= 0 {
+		end = from + i + 2
 	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+	if i := bytes.LastIndex(b[from:], []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, from+i+4)
 	}
 	return end
 }
@@ -125,14 +135,21 @@
 // firstEventLen returns the length of the first event in b, which must contain
 // a complete one.
 func firstEventLen(b []byte) int {
-	end := len(b)
-	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 {
-		end = min(end, i+4)
+	for i := 0; i < len(b); i++ {
+		next := bytes.IndexByte(b[i:], '\n')
+		if next < 0 {
+			break
+		}
+		i += next
+		rest := b[i+1:]
+		if bytes.HasPrefix(rest, []byte("\n")) {
+			return i + 2
+		}
+		if i > 0 && b[i-1] == '\r' && bytes.HasPrefix(rest, []byte("\r\n")) {
+			return i + 3
+		}
 	}
-	return end
+	return len(b)
 }
 
 // isComment reports whether an event has comments and empty lines only.
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,6 +33,38 @@
 		}
 	})
 
+	It("splits events that end with either kind of line", func() {
+		for _, all := range []string{
+			"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n",
+			"id: 1\ndata: a\r\n\nid: 2\ndata: b\n\r\n\n",
+		} {
+			for size := 1; size <= len(all); size++ {
+				s := streamer.NewSplitterAfter("")
+				var out strings.Builder
+				for at := 0; at < len(all); at += size {
+					out.WriteString(push(s, all[at:min(at+size, len(all))]))
+				}
+				Expect(out.String()).To(Equal(all))
+			}
+		}
+	})
+
+	// Guards against work that is quadratic in the length of an event: a server that sends a
+	// large event in small pieces would keep the instance busy for all other clients.
+	It("copies a large event that arrives in small pieces a few times only", func() {
+		event := "id: 1\ndata: " + strings.Repeat("x", 512<<10) + "\n\n"
+		s := streamer.NewSplitterAfter("")
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		n := 0
+		for at := 0; at < len(event); at += 512 {
+			n += len(push(s, event[at:min(at+512, len(event))]))
+		}
+		runtime.ReadMemStats(&after)
+		Expect(n).To(Equal(len(event)))
+		Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 16*len(event)))
+	})
+
 	It("keeps back an incomplete event", func() {
 		s := streamer.NewSplitterAfter("")
 		Expect(push(s, tokenEvent(1)+"id: 2\ndata: to")).To(Equal(tokenEvent(1)))
