Send a request that needs a turn to one server at a time

A request that may have crashed the servers lost of late takes a turn, and is at one server at a time. While its server was silent, though, the failover sent it to a second one: it asked only whether a crash counts against the request, which is not known yet while the first crash is being confirmed. Traced under load: a request with a turn was silent for 0.4 s at the server that it had crashed, and crashed a second one.

The failover now asks the same question as the turn does. The new spec saw two servers reached before, and one now.

--- a/relayer/quarantine_test.go
+++ b/relayer/quarantine_test.go
@@ -218,6 +218,17 @@
 		clients.Wait()
 	})
 
+	// Guards against a second server lost under a request whose first one is silent since it
+	// has crashed, while the loss of others already has such requests sent one at a time.
+	It("is not sent to a second server while the first one is silent and others were lost", func() {
+		late := delayedAnswer(1200*time.Millisecond, "late")
+		w := startRelayerWith(newGuard(), []handler{late, late, late})
+		w.fleet.Update(w.servers[:2])
+		code, body, err := w.send("GET", "/read/1", "")
+		Expect([]any{code, body, err}).To(Equal([]any{200, "late", nil}))
+		Expect(w.attemptsAt("/read/1")).To(Equal(1))
+	})
+
 	// Guards against sending a request on after its quarantine has begun, which may be
 	// while it waits or is being repeated.
 	Describe("whose quarantine begins while it is in progress", func() {
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -272,9 +272,10 @@
 
 // reserveOther takes a server of a build that is not excluded, and a retry from the budget.
 // It returns nil, and takes neither, if either is unavailable, the client has left, the request
-// is quarantined or marked by a crash, the server names a rate limit or is brittle.
+// is quarantined, marked by a crash or needs a turn, the server names a rate limit or is brittle.
+// A request that needs a turn is at one server at a time: it may be what ended those lost of late.
 func (x *exchange) reserveOther(excluded []string, build string) *balancer.Assignment {
-	if !x.lookForClient() || x.trial || x.isQuarantined() || x.isMarked() {
+	if !x.lookForClient() || x.trial || x.isQuarantined() || x.isMarked() || x.mayCrash() {
 		return nil
 	}
 	q := x.query
