Free a place at a brittle server's gate only for requests that were let through

An instance whose call to the owner of a gate is not answered in time reports the end of its request, since it may have been let through. The owner took each such report for the end of a request in flight. It then counted too few, let too many through, and learned a limit of one from the refusals.

Calls and ends have an ID now. The end of a request that was not let through frees nothing, and a request whose end is known is not let through later. An end without an ID, of an earlier build, counts as before.

--- a/sparer/model_test.go
+++ b/sparer/model_test.go
@@ -135,12 +135,17 @@
 	m.after(0, next)
 	m.after(span/3, func() { m.room = 2 })
 	for len(m.queue) > 0 && m.queue[0].at.Before(end) {
-		e := heap.Pop(&m.queue).(event)
-		m.now = e.at
-		e.do()
+		m.step()
 	}
 }
 
+// step has the next event happen.
+func (m *model) step() {
+	e := heap.Pop(&m.queue).(event)
+	m.now = e.at
+	e.do()
+}
+
 // playFromFull is play with a server that is full of requests that were sent before the
 // instances knew that it is brittle.
 func (m *model) playFromFull(instances int, perSecond float64, span time.Duration) {
--- a/sparer/sparer.go
+++ b/sparer/sparer.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,10 +50,12 @@
 )
 
 // AdmitRequest asks the owner of a server's gate to let one request through. Bears is how many
-// refusals the server bears in a second.
+// refusals the server bears in a second. ID is drawn anew for each call, zero if it is not
+// specified.
 type AdmitRequest struct {
 	Incarnation string `msgpack:"s"`
 	Bears       int    `msgpack:"b"`
+	ID          uint64 `msgpack:"i,omitempty"`
 }
 
 // AdmitReply answers an AdmitRequest. Without Admitted, Wait is the time until the request may
@@ -62,11 +65,13 @@
 	Wait     time.Duration `msgpack:"w"`
 }
 
-// EndedRequest reports the end of an admitted request, or that the server refused it.
+// EndedRequest reports the end of an admitted request, or that the server refused it. ID is that
+// of its AdmitRequest: without an answer to that, the request may not have been admitted.
 type EndedRequest struct {
 	Incarnation string `msgpack:"s"`
 	Bears       int    `msgpack:"b"`
 	Refused     bool   `msgpack:"r"`
+	ID          uint64 `msgpack:"i,omitempty"`
 }
 
 // Peers calls other instances.
@@ -93,10 +98,10 @@
 	gates     map[string]*gate
 }
 
-// gate is a Gate at which requests are held back. ended has a value after the end of one that
+// gate is a gate at which requests are held back. ended has a value after the end of one that
 // was let through.
 type gate struct {
-	Gate
+	Admissions
 	ended chan struct{}
 }
 
@@ -187,6 +192,7 @@
 		if owner == s.self {
 			break
 		}
+		q.ID = newID()
 		var r AdmitReply
 		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 		err := s.peers.Call(callCtx, owner, kindAdmit, q, &r)
@@ -215,10 +221,14 @@
 
 // admitHere decides with this instance's own gate.
 func (s *Sparer) admitHere(ctx context.Context, q AdmitRequest) (pass *Pass, wait time.Duration, ok bool) {
+	q.ID = newID()
 	r := s.Decide(ctx, q)
 	return s.newPass(s.self, q), r.Wait, r.Admitted
 }
 
+// newID returns a random ID other than zero.
+func newID() uint64 { return max(rand.Uint64(), 1) }
+
 // recordContact records that another instance has replied, or asked this one.
 func (s *Sparer) recordContact() {
 	s.mu.Lock()
@@ -269,7 +279,7 @@
 	defer s.mu.Unlock()
 	g = s.gate(q.Incarnation)
 	now := s.clock.Now()
-	r.Wait, r.Admitted = g.Take(now, q.Bears)
+	r.Wait, r.Admitted = g.Admit(now, q.ID, q.Bears)
 	return g, r, !r.Admitted && g.Full(now)
 }
 
@@ -278,11 +288,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.gate(q.Incarnation)
-	if q.Refused {
-		g.Refuse(s.clock.Now(), q.Bears)
+	if !g.Record(s.clock.Now(), q.ID, q.Bears, q.Refused) || q.Refused {
 		return
 	}
-	g.Release(s.clock.Now())
 	select {
 	case g.ended <- struct{}{}:
 	default:
@@ -335,7 +343,7 @@
 }
 
 func (s *Sparer) newPass(owner string, q AdmitRequest) *Pass {
-	return &Pass{sparer: s, owner: owner, report: EndedRequest{Incarnation: q.Incarnation, Bears: q.Bears}}
+	return &Pass{sparer: s, owner: owner, report: EndedRequest{Incarnation: q.Incarnation, Bears: q.Bears, ID: q.ID}}
 }
 
 // End reports the end of the request, or that the server refused it for want of room. Further
