Relayer: end streams whose key is revoked if strict-revoke is set

Callers kept a stream that had begun after its key was revoked, whatever the setting strict-revoke said.

Cause: keys were checked on arrival only.

With strict-revoke, the instance ends the streaming requests whose key belongs to no account of the new version and whose route is not public, as soon as the version is in force there. Connections are aborted; what has certainly not run gets 401. It counts as a client that left, not against the server.

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -198,7 +198,7 @@
 	e.pauses = &pauses{fleet: e.fleet, detourer: e.detourer, peers: e.peers, clock: clock, log: log}
 	e.sequencer = sequencer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, e.suspects, clock, log,
-		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer), relayer.WithPauses(e.pauses), relayer.WithAccounts(accounts{e.allotter}), relayer.WithMemory(e.memory),
+		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer), relayer.WithPauses(e.pauses), relayer.WithAccounts(accounts{e.allotter}), relayer.WithStrictRevoke(s.StrictRevoke), relayer.WithMemory(e.memory),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
 		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
 	e.registry = newRegistry(e.fleet, clock, log)
--- a/relayer/departure.go
+++ b/relayer/departure.go
@@ -71,9 +71,10 @@
 // recordDeparture records that the request's context has ended.
 func (x *exchange) recordDeparture() { x.departure.record(x.clock.Now(), false) }
 
-// clientGone reports whether the client is known to have closed its connection.
+// clientGone reports whether nothing is to be sent to the client any more: it is known to have closed
+// its connection, or its key was revoked.
 func (x *exchange) clientGone() bool {
-	if x.request.Context().Err() != nil {
+	if x.request.Context().Err() != nil || x.revoked.Load() {
 		return true
 	}
 	d := &x.departure
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -232,6 +232,7 @@
 	ctx, span := x.tracer.Start(tracer.Extract(ctx, x.request.Header), "relay")
 	defer span.End()
 	x.context = ctx
+	defer x.watchKey()()
 	x.countRequest(x.service)
 	x.fleet.RecordArrival(x.service, x.query)
 	var next *attempt
@@ -387,6 +388,8 @@
 	fields = append(fields, zap.String("why", why), zap.Bool("may_have_run", x.mayHaveRun), zap.Duration("after", x.clock.Since(x.started)))
 	x.log.Info("relay: gave up", append(fields, x.decisionFields()...)...)
 	switch {
+	case x.revoked.Load():
+		x.endForKey()
 	case x.slowClient:
 		panic(http.ErrAbortHandler)
 	case x.clientGone():
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -126,6 +126,7 @@
 	MetricLeftBeforeSendFor = "client_left_before_send_ms"
 	MetricUnmatched         = "requests_without_route"
 	MetricUnauthorized      = "requests_without_valid_key"
+	MetricRevoked           = "streams_ended_for_revoked_key"
 	MetricOverCap           = "requests_over_account_cap"
 	MetricRepeatOverCap     = "repeats_over_account_cap"
 	MetricRetried           = "attempts_repeated"
@@ -186,6 +187,7 @@
 	retryWindow time.Duration
 	// slowClientTimeout is how long a client may take for writeChunk bytes of a stream.
 	slowClientTimeout time.Duration
+	streams           keyedStreams
 }
 
 // discardMeter is a Meter that discards everything.
@@ -342,6 +344,7 @@
 			return false
 		}
 		if r.table.CompareAndSwap(old, t) {
+			r.endRevoked(t)
 			for name, s := range t.Services {
 				if s.Engine != nil {
 					r.fleet.SetCacheTokens(name, s.Engine.CacheTokens)
@@ -408,6 +411,8 @@
 	hasAccounts bool
 	credit      Credit
 	creditAt    time.Time
+	// revoked is set once the key of a stream was revoked that ends for it.
+	revoked atomic.Bool
 	// creditUsed is set once the request may have run with the credit.
 	creditUsed bool
 	priority   int
