Allotter: ask a silent former arbiter only once to give an entitlement back

Since an arbiter counts as silent after three calls, up to three reports in a row would each wait 100 ms for a former arbiter that has frozen.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -317,7 +317,10 @@
 	}
 	if err != nil {
 		// The delegation lapses by itself.
-		a.recordUnanswered(former, err)
+		a.meter.Add(MetricUnanswered, 1)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.recordSilence(former, err)
 		return
 	}
 	a.mu.Lock()
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -112,6 +112,17 @@
 		Eventually(done, "5s").Should(BeClosed())
 	}, NodeTimeout(10*time.Second))
 
+	// The load: a former arbiter that has frozen. Guards against reports that wait for it again and again.
+	It("asks a former arbiter without an answer only once to give the entitlement back", func(ctx context.Context) {
+		p := &heldPeer{silent: true}
+		a := newDelegating(p)
+		a.Replied(a.Now(), "other", &allotter.Entitlement{Fraction: 0.5, Left: term}, true, 2)
+		for range 3 {
+			a.Release(ctx, "other")
+		}
+		Expect(p.calls()).To(HaveLen(1))
+	})
+
 	It("shows operators its fraction, its arbiter and the age of the last answer", func() {
 		fresh := allotter.New("a.1", "self", &heldPeer{}, clockwork.NewRealClock(), clocker.SystemClock{}, zap.NewNop())
 		Expect(fresh.Status().Age).To(BeNumerically("<", 0), "nobody has answered")
--- a/allotter/credit.go
+++ b/allotter/credit.go
@@ -318,12 +318,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.unanswered++
-	unknown := messenger.IsUnknownKind(err)
-	if a.unanswered < maxUnanswered && !unknown {
-		return
+	if a.unanswered >= maxUnanswered || messenger.IsUnknownKind(err) {
+		a.recordSilence(arbiter, err)
 	}
+}
+
+// recordSilence records that an arbiter counts as silent. a.mu must be held.
+func (a *Allotter) recordSilence(arbiter string, err error) {
 	if a.silent != arbiter {
-		a.log.Info("allot: arbiter does not answer", zap.String("member", arbiter), zap.Bool("unknown_kind", unknown), zap.Error(err))
+		a.log.Info("allot: arbiter does not answer", zap.String("member", arbiter), zap.Bool("unknown_kind", messenger.IsUnknownKind(err)), zap.Error(err))
 	}
 	a.silent = arbiter
 }
