Allotter: count no lapsed delegation when credit is given back

The credit since the last call was added by the former sum of the fractions, though a delegation had lapsed meanwhile: its instance used that part elsewhere.

--- a/allotter/arbiter.go
+++ b/allotter/arbiter.go
@@ -184,15 +184,20 @@
 // hundreds of members that costs more than a grant.
 const sumRefresh = 20 * time.Millisecond
 
+// refreshIfOld computes the sum of the valid delegations unless that was done a short time before.
+func (a *Arbiter) refreshIfOld(now time.Time) {
+	if now.Sub(a.sumAt) > sumRefresh {
+		a.refresh(now)
+	}
+}
+
 // Grant answers what an instance asks. It reports false if the instance does not delegate to
 // this arbiter.
 func (a *Arbiter) Grant(now time.Time, instance string, items []Item) ([]Grant, bool) {
 	if d, ok := a.members[instance]; !ok || !now.Before(d.until) {
 		return nil, false
 	}
-	if now.Sub(a.sumAt) > sumRefresh {
-		a.refresh(now)
-	}
+	a.refreshIfOld(now)
 	grants := make([]Grant, len(items))
 	for i, x := range items {
 		grants[i] = a.grant(now, x)
@@ -205,6 +210,8 @@
 	if d, ok := a.members[instance]; !ok || !now.Before(d.until) {
 		return
 	}
+	// A delegation that has lapsed since the last call adds no credit.
+	a.refreshIfOld(now)
 	for _, l := range late {
 		if b, ok := a.buckets[l.Account]; ok && l.valid() {
 			b.putBack(now, b.advance(now, a.sum), l.Amount, l.Age)
--- a/allotter/waits_test.go
+++ b/allotter/waits_test.go
@@ -94,4 +94,20 @@
 		Entry("after 1.5 s", 300000.0, 1500*time.Millisecond), Entry("after 8 s", 300000.0, 8*time.Second),
 		Entry("after 20 s", 300000.0, 20*time.Second), Entry("of a small account", 60000.0, 1500*time.Millisecond),
 	)
+
+	// Guards against credit of a delegation that has lapsed, which its instance uses elsewhere.
+	It("add no credit of delegations that have lapsed when they give theirs back", func() {
+		start := time.Unix(1000, 0)
+		r := allotter.NewArbiter()
+		r.Delegate(start, "a", allotter.Entitlement{Fraction: 0.5, Left: time.Hour})
+		r.Delegate(start, "b", allotter.Entitlement{Fraction: 0.5, Left: time.Second})
+		item := allotter.Item{Account: "x", Version: 1, Rate: 1000, Burst: 10000}
+		r.Grant(start, "a", []allotter.Item{item})
+		now := start.Add(5 * time.Second)
+		r.PutBack(now, "a", []allotter.Late{{Account: "x", Amount: 1, Age: time.Second}})
+		item.Need = 4000
+		g, ok := r.Grant(now, "a", []allotter.Item{item})
+		Expect(ok).To(BeTrue())
+		Expect(g[0].Amount).To(BeZero(), "half the rate for 5 s is 2,500")
+	})
 })
