Allotter: state the arbiter and the age of unused credit at the call

What was given back went to the arbiter of the call, which may be another than the one that had granted it, and its age did not count the wait for the call.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -161,7 +161,6 @@
 // call is one message to an arbiter.
 type call struct {
 	items     []Item
-	late      []Late
 	abandoned []bool
 	done      chan struct{}
 	grants    []Grant
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -112,6 +112,58 @@
 		Eventually(done, "5s").Should(BeClosed())
 	}, NodeTimeout(10*time.Second))
 
+	// Guards against unused credit that counts as granted later than it was: its bucket may have been
+	// full in between, and would have lost it.
+	It("gives credit ahead back with the time of its grant", func(ctx context.Context) {
+		boot := &steppedBoot{now: time.Unix(1000, 0)}
+		p := &heldPeer{release: make(chan struct{})}
+		close(p.release)
+		a := allotter.New("a.1", "self", p, clockwork.NewRealClock(), boot, zap.NewNop())
+		sent := a.Now()
+		a.State("peer", 10*time.Second)
+		a.Replied(sent, "peer", &allotter.Entitlement{Fraction: 0.5, Left: term}, true, 2)
+		for range 20 {
+			_, _, ok := a.Acquire(ctx, account, 1, 1000)
+			Expect(ok).To(BeTrue())
+		}
+		before := len(p.calls())
+		boot.now = boot.now.Add(300 * time.Millisecond)
+		c, _, ok := a.Acquire(ctx, account, 1, 1000)
+		Expect(ok).To(BeTrue())
+		Expect(p.calls()).To(HaveLen(before), "the credit was asked for ahead")
+		c.Refund()
+		boot.now = boot.now.Add(2 * time.Second)
+		_, _, ok = a.Acquire(ctx, account, 1, 1000)
+		Expect(ok).To(BeTrue())
+		late := p.calls()[before].Late
+		Expect(late).To(ContainElement(HaveField("Amount", 1000.0)))
+		Expect(late).To(HaveEach(HaveField("Age", 2300*time.Millisecond)))
+	}, NodeTimeout(10*time.Second))
+
+	// The load: a call that the arbiter holds while credit is given back. Guards against an age that does
+	// not count the wait for the next call, and so against credit of an earlier time that counts as fresh.
+	It("tells the age of unused credit at the call that gives it back", func(ctx context.Context) {
+		p := &heldPeer{release: make(chan struct{})}
+		close(p.release)
+		a := newDelegating(p)
+		c, _, ok := a.Acquire(ctx, account, 1, 1000)
+		Expect(ok).To(BeTrue())
+		p.release = make(chan struct{})
+		time.Sleep(50 * time.Millisecond)
+		var work sync.WaitGroup
+		work.Go(func() { a.Acquire(ctx, account, 1, 1) })
+		Eventually(p.calls, "1s", "1ms").Should(HaveLen(2))
+		c.Refund()
+		work.Go(func() { a.Acquire(ctx, account, 1, 2) })
+		time.Sleep(70 * time.Millisecond)
+		close(p.release)
+		work.Wait()
+		for _, q := range p.calls() {
+			Expect(q.Items).To(HaveEach(HaveField("Back", 0.0)))
+		}
+		Expect(p.calls()[2].Late).To(ConsistOf(And(HaveField("Amount", 1000.0), HaveField("Age", BeNumerically(">=", 120*time.Millisecond)))))
+	}, NodeTimeout(10*time.Second))
+
 	// The load: a former arbiter that has frozen. Guards against reports that wait for it again and again.
 	It("asks a former arbiter without an answer only once to give the entitlement back", func(ctx context.Context) {
 		p := &heldPeer{silent: true}
--- a/allotter/credit.go
+++ b/allotter/credit.go
@@ -21,7 +21,7 @@
 	account  *matcher.Account
 	version  int64
 	amount   float64
-	// takenAt is when the amount was taken, source the arbiter that granted it, empty if that is the
+	// takenAt is when the amount was granted, source the arbiter that granted it, empty if that is the
 	// own fraction.
 	takenAt time.Time
 	source  string
@@ -31,7 +31,9 @@
 type outcome struct {
 	ok     bool
 	denial Denial
-	source string
+	// takenAt is when the amount was granted, which is earlier for credit ahead.
+	takenAt time.Time
+	source  string
 	// again is set if an arbiter that does not count as silent did not answer.
 	again bool
 }
@@ -45,7 +47,7 @@
 		return nil, o.denial, false
 	}
 	a.meter.Add(MetricAdmitted+a.names.label(account.Name), 1)
-	return &Credit{allotter: a, account: account, version: version, amount: amount, takenAt: a.boot.Now(), source: o.source}, Denial{}, true
+	return &Credit{allotter: a, account: account, version: version, amount: amount, takenAt: o.takenAt, source: o.source}, Denial{}, true
 }
 
 // Renew gives the amount back and takes it again as of now: the request has certainly not run since it was
@@ -59,7 +61,7 @@
 func (c *Credit) Repeat(ctx context.Context) (Denial, bool) {
 	o := c.allotter.acquire(ctx, c.account, c.version, c.amount)
 	if o.ok {
-		c.takenAt, c.source = c.allotter.boot.Now(), o.source
+		c.takenAt, c.source = o.takenAt, o.source
 	}
 	return o.denial, o.ok
 }
@@ -119,13 +121,13 @@
 		defer a.mu.Unlock()
 		u.ahead -= item.Need
 		u.rate.Add(now, usageHalfLife, item.Need)
-		return outcome{ok: true, source: u.aheadSource}
+		return outcome{ok: true, takenAt: u.aheadUntil.Add(-aheadTTL), source: u.aheadSource}
 	}
 	target := a.arbiter(now)
-	late := u.takeReturns(now, target, &item)
 	switch target {
 	case a.self, "":
 		defer a.mu.Unlock()
+		late := u.takeReturns(now, target, &item)
 		from := a.role
 		if target == "" {
 			from = a.own
@@ -140,7 +142,7 @@
 	default:
 		item.Ahead = a.wantedAhead(now, u, item.Need)
 		a.mu.Unlock()
-		return a.ask(ctx, late, item)
+		return a.ask(ctx, item)
 	}
 }
 
@@ -167,7 +169,7 @@
 		u.ahead, u.aheadSource, u.aheadUntil = u.ahead+rest, source, now.Add(aheadTTL)
 	}
 	u.rate.Add(now, usageHalfLife, need)
-	return outcome{ok: true, source: source}
+	return outcome{ok: true, takenAt: now, source: source}
 }
 
 // takeGrace takes an amount of what may be used while no arbiter answers. An instance whose
@@ -211,13 +213,13 @@
 }
 
 // ask asks the arbiter, together with what else is asked for meanwhile.
-func (a *Allotter) ask(ctx context.Context, late []Late, item Item) outcome {
+func (a *Allotter) ask(ctx context.Context, item Item) outcome {
 	a.mu.Lock()
 	if a.next == nil {
 		a.next = &call{done: make(chan struct{})}
 	}
 	c, i := a.next, len(a.next.items)
-	c.items, c.late, c.abandoned = append(c.items, item), append(c.late, late...), append(c.abandoned, false)
+	c.items, c.abandoned = append(c.items, item), append(c.abandoned, false)
 	if !a.calling {
 		a.calling = true
 		go a.runCalls()
@@ -269,12 +271,20 @@
 	a.mu.Lock()
 	now := a.boot.Now()
 	c, target := a.next, a.arbiter(now)
+	var late []Late
 	a.next, a.lastCall, c.target = nil, now, target
+	remote := target != "" && target != a.self
+	if remote {
+		// The arbiter and the age of what is given back are those at the call.
+		for i := range c.items {
+			late = append(late, a.usage(now, c.items[i].Account).takeReturns(now, target, &c.items[i])...)
+		}
+	}
 	a.mu.Unlock()
 	var reply AllotReply
-	if target != "" && target != a.self {
+	if remote {
 		ctx, cancel := context.WithTimeout(context.Background(), allotTimeout)
-		err := a.peers.Call(ctx, target, kindAllot, AllotRequest{Instance: a.instance, Items: c.items, Late: c.late}, &reply)
+		err := a.peers.Call(ctx, target, kindAllot, AllotRequest{Instance: a.instance, Items: c.items, Late: late}, &reply)
 		cancel()
 		if err != nil {
 			a.recordUnanswered(target, err)
--- a/allotter/returns.go
+++ b/allotter/returns.go
@@ -47,7 +47,7 @@
 // putBack gives back credit of a request that has not run as if it had never been taken: what the
 // bucket would have lost since then, for being full, is lost. So the requests that are sent stay
 // within the rate and the burst over any time, however long they waited. The time of the grant is
-// known to a slot, which adds the rate of one slot.
+// known to a slot and the transit of a reply and a call, which adds the rate of that time.
 func (b *bucket) putBack(now time.Time, capacity, amount float64, age time.Duration) {
 	taken := now.Add(-age)
 	if age >= (roomSlots-1)*roomSlot || taken.Before(b.born) {
