--- a/relayer/accounts.go
+++ b/relayer/accounts.go
@@ -92,8 +92,13 @@
 	return CapDenial{}, true
 }
 
-// refuseToSend ends a request whose cap does not allow the next attempt.
+// refuseToSend ends a request whose cap does not allow the next attempt, or whose client left or key was
+// revoked while it waited for credit.
 func (x *exchange) refuseToSend(denial CapDenial) {
+	if x.clientGone() {
+		x.giveUp("client left while the request waited for credit")
+		return
+	}
 	if !x.mayHaveRun && !x.headerSent {
 		x.refuseOverCap(denial, "waited")
 		return
--- a/relayer/revoke_test.go
+++ b/relayer/revoke_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -87,4 +89,52 @@
 		Expect(time.Since(sent)).To(BeNumerically("<", 600*time.Millisecond))
 		Consistently(w.attemptCount, "300ms").Should(Equal(1))
 	})
+
+	// Guards against a stream that is refused for its account's cap, and counted so, when its key is
+	// revoked while it waits for credit.
+	It("gets 401 if it waits for credit", func() {
+		limit := &awaitedCap{waiting: make(chan struct{})}
+		late := func(rw http.ResponseWriter, q *http.Request) {
+			time.Sleep(1100 * time.Millisecond)
+			refuseOnce(rw, q)
+		}
+		w := startRelayerWith(newGuard(), []handler{late, late}, relayer.WithStrictRevoke(true), relayer.WithAccounts(limit))
+		table := streamTable(2, map[string]string{"k1": "a"})
+		account, _ := table.Account("k1")
+		account.RatePerSecond = 1
+		w.relay.SetTable(table)
+		go func() {
+			<-limit.waiting
+			w.relay.SetTable(streamTable(3, nil))
+		}()
+		q, err := http.NewRequest(http.MethodPost, w.proxy.URL+"/chat/1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		q.Host = "h"
+		q.Header.Set("Id", "1")
+		q.Header.Set("Key", "k1")
+		a, err := http.DefaultClient.Do(q)
+		Expect(err).NotTo(HaveOccurred())
+		_ = a.Body.Close()
+		Expect(a.StatusCode).To(Equal(401))
+	})
 })
+
+// awaitedCap is an Accounts that grants credit on arrival, and later none until the request ends.
+type awaitedCap struct {
+	waiting chan struct{}
+	once    sync.Once
+}
+
+func (c *awaitedCap) Acquire(context.Context, *matcher.Account, int64, float64) (relayer.Credit, relayer.CapDenial, bool) {
+	return c, relayer.CapDenial{}, true
+}
+
+func (c *awaitedCap) Renew(ctx context.Context) (relayer.CapDenial, bool) {
+	c.once.Do(func() { close(c.waiting) })
+	<-ctx.Done()
+	return relayer.CapDenial{Cause: "late_credit"}, false
+}
+
+func (c *awaitedCap) Repeat(ctx context.Context) (relayer.CapDenial, bool) { return c.Renew(ctx) }
+
+func (c *awaitedCap) Refund() {}
