Relayer: end streams for the table in use, not for the one just set

Of two versions set at once, the older one could end a stream whose key only the newer one has. The order of the two can't be set in a test.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -344,7 +344,7 @@
 			return false
 		}
 		if r.table.CompareAndSwap(old, t) {
-			r.endRevoked(t)
+			r.endRevoked()
 			for name, s := range t.Services {
 				if s.Engine != nil {
 					r.fleet.SetCacheTokens(name, s.Engine.CacheTokens)
--- a/relayer/revoke.go
+++ b/relayer/revoke.go
@@ -60,9 +60,13 @@
 	return end
 }
 
-// endRevoked ends the streams whose keys a table does not allow.
-func (r *Relayer) endRevoked(t *matcher.Table) {
-	for _, x := range r.streams.all() {
+// endRevoked ends the streams whose keys the table in use does not allow.
+func (r *Relayer) endRevoked() {
+	// The table is loaded after the list is read: an older one than that which allowed a stream may
+	// not have its key.
+	list := r.streams.all()
+	t := r.table.Load()
+	for _, x := range list {
 		x.endIfRevoked(t)
 	}
 }
