Relayer: don't answer 401 while a second server may run the request

A stream whose key was revoked while its first server refused it, and a second one had got it already, was answered as not run. The failover is ended, and its state counted, before the request is given up.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -39,6 +39,7 @@
 	t.recordFailure()
 	t.merge(t)
 	if t.clientGone() {
+		w.abandon()
 		t.giveUp("client left")
 		return false
 	}
@@ -63,6 +64,7 @@
 		}
 		t.assignment.Done(false)
 		t.recordSilence()
+		w.abandon()
 		t.giveUp("client left")
 		return false
 	}
--- a/relayer/revoke_test.go
+++ b/relayer/revoke_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -117,6 +118,50 @@
 		_ = a.Body.Close()
 		Expect(a.StatusCode).To(Equal(401))
 	})
+
+	// The load: a server that refuses and does not end its answer, and a second one that is silent.
+	// Guards against 401, which says that nothing has run, while the second server may run the request.
+	It("gets no answer if a second server may run it", func() {
+		sent := make(chan struct{})
+		refuse := func(rw http.ResponseWriter, q *http.Request) {
+			refuseOnce(rw, q)
+			_ = http.NewResponseController(rw).Flush()
+			<-q.Context().Done()
+		}
+		silent := func(_ http.ResponseWriter, q *http.Request) {
+			_, _ = io.Copy(io.Discard, q.Body)
+			close(sent)
+			<-q.Context().Done()
+		}
+		var refused atomic.Bool
+		either := func(rw http.ResponseWriter, q *http.Request) {
+			if refused.CompareAndSwap(false, true) {
+				refuse(rw, q)
+				return
+			}
+			silent(rw, q)
+		}
+		w := startRelayerWith(newGuard(), []handler{either, either}, relayer.WithStrictRevoke(true))
+		table := streamTable(2, map[string]string{"k1": "a"})
+		route, _ := table.Match("h", "/chat/1")
+		route.LatencyTarget, route.MaxEventGap = 200*time.Millisecond, 100*time.Millisecond
+		w.relay.SetTable(table)
+		go func() {
+			<-sent
+			w.relay.SetTable(streamTable(3, nil))
+		}()
+		q, err := http.NewRequest(http.MethodPost, w.proxy.URL+"/chat/1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		q.Host = "h"
+		q.Header.Set("Id", "1")
+		q.Header.Set("Key", "k1")
+		a, err := http.DefaultClient.Do(q)
+		if err == nil {
+			_ = a.Body.Close()
+		}
+		Expect(sent).To(BeClosed())
+		Expect(err).To(HaveOccurred(), "an answer says that the request has not run")
+	})
 })
 
 // awaitedCap is an Accounts that grants credit on arrival, and later none until the request ends.
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -120,6 +120,18 @@
 		w.exchange.query.Exclude = append(w.exchange.query.Exclude, t.assignment.ID)
 	}
 	w.rejected = nil
+	if w.failover != nil {
+		// Its server has accepted the request.
+		w.exchange.mayHaveRun = true
+	}
+}
+
+// abandon ends the watch of a request that is given up, with its failover.
+func (w *watchdog) abandon() {
+	w.mu.Lock()
+	w.abandonFailover()
+	w.mu.Unlock()
+	w.settle()
 }
 
 // successor returns the attempt whose server has accepted the request, nil if
