--- a/crowder/instance_test.go
+++ b/crowder/instance_test.go
@@ -60,9 +60,13 @@
 // instance is a process of an entry instance on stand-ins of the platform.
 type instance struct {
 	front, ready, control string
-	engine                *faker.ModelServer
-	process               *exec.Cmd
-	exited                chan struct{}
+	// path is what ordinary requests ask for, readyPath what readiness checks do.
+	path, readyPath string
+	// served is the status of an ordinary request that is served.
+	served  int
+	engine  *faker.ModelServer
+	process *exec.Cmd
+	exited  chan struct{}
 }
 
 // maxBodyOf returns the limit of bodies of an instance with a memory in MB: that of the sites
@@ -102,26 +106,31 @@
 	server := httptest.NewServer(engine)
 	DeferCleanup(server.Close)
 	records.Put(platform.TopicServers, engine.ID, engine.Registration("api", server.Listener.Addr().String(), "z1", "ready", 1))
-	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), engine: engine, exited: make(chan struct{})}
+	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/form/1", readyPath: "/-/readiness", served: http.StatusOK, engine: engine}
 	file := filepath.Join(dir, "settings.toml")
 	text := fmt.Sprintf(settings, n.control, n.front, n.ready, n.control, memory, maxDescriptors, store.Listener.Addr().String())
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
-	n.process = exec.Command(program, "entry", "-settings", file)
-	n.process.Stdout, n.process.Stderr = GinkgoWriter, GinkgoWriter
-	Expect(n.process.Start()).To(Succeed())
+	n.start(exec.Command(program, "entry", "-settings", file))
+	n.expectReady()
+	return n
+}
+
+// start starts the process, which is killed at the end of the test.
+func (n *instance) start(process *exec.Cmd) {
+	n.process, n.exited = process, make(chan struct{})
+	process.Stdout, process.Stderr = GinkgoWriter, GinkgoWriter
+	Expect(process.Start()).To(Succeed())
 	go n.runWait()
 	DeferCleanup(func() {
-		_ = n.process.Process.Kill()
+		_ = process.Process.Kill()
 		<-n.exited
 	})
-	n.expectReady()
-	return n
 }
 
 // expectReady waits until the instance answers readiness checks.
 func (n *instance) expectReady() {
 	Eventually(func() int {
-		p, err := http.Get("http://" + n.ready + "/-/readiness")
+		p, err := http.Get("http://" + n.ready + n.readyPath)
 		if err != nil {
 			return 0
 		}
@@ -159,7 +168,7 @@
 
 // send sends a request with a body of a size on a connection of its own.
 func (n *instance) send(id string, size int) int {
-	q, err := http.NewRequest(http.MethodPost, "http://"+n.front+"/form/1", bytes.NewReader(make([]byte, size)))
+	q, err := http.NewRequest(http.MethodPost, "http://"+n.front+n.path, bytes.NewReader(make([]byte, size)))
 	Expect(err).NotTo(HaveOccurred())
 	q.Host, q.Close = "h", true
 	q.Header.Set("Primrosehook-Request-Id", id)
@@ -178,7 +187,7 @@
 	Eventually(func() int {
 		try++
 		return n.send(fmt.Sprint(what, "-", try), size)
-	}, "30s", "300ms").Should(Equal(http.StatusOK), what)
+	}, "30s", "300ms").Should(Equal(n.served), what)
 }
 
 // expectWithinLimits checks that the process lives and is within the limits of its settings.
