Limits of connections and memory shares in packages of their own

The system's own API is to have the limits of the entry instance. What limits the connections to a port moves from entryassembler to package acceptor, and what follows from a process's memory and descriptors to reserver.Machine.

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"primrosehook/acceptor"
 	"primrosehook/allotter"
 	"primrosehook/balancer"
 	"primrosehook/clocker"
@@ -51,9 +52,6 @@
 	// registryReadsPerDrain is how often the registry is read within the time
 	// within which new requests to a draining server must stop.
 	registryReadsPerDrain = 6
-	// memoryLimitShare is the part of the process's memory limit that is the
-	// garbage collector's soft limit.
-	memoryLimitShare = 0.7
 	// headerTimeout and idleTimeout limit clients' connections. idleTimeout is
 	// longer than the operator allows clients to keep connections idle.
 	headerTimeout  = 5 * time.Second
@@ -78,16 +76,20 @@
 	// retryBudgetShare is the share of the retry budget that is used: it is
 	// below 1 because the instances' windows are not aligned.
 	retryBudgetShare = 0.8
-	// descriptorsPerRequest allows for the client's connection, the server's
-	// and an idle one.
-	descriptorsPerRequest = 3
-	// descriptorsPerDetour limits the detours that are served for peers to a quarter of the
-	// descriptors, each with the peer's connection and the server's.
-	descriptorsPerDetour = 8
-	// reservedDescriptors are the open files that can't be used for sockets.
-	reservedDescriptors = 250
+	// maxCheckConnections limits the connections to the port for readiness checks, and those to
+	// that for metrics. checkBudget is the budget of each of these ports, apart from that of
+	// clients: an instance that is short of memory still answers there. 0.15 of it is for
+	// connections and heads.
+	maxCheckConnections = 64
+	checkBudget         = 8 << 20
+	maxCheckHeaderBytes = 8 << 10
 )
 
+// machineOf returns what the process may use by its settings.
+func machineOf(s platform.Settings) reserver.Machine {
+	return reserver.Machine{Memory: int64(s.Memory) << 20, Descriptors: s.Descriptors}
+}
+
 // Entry is one entry instance.
 type Entry struct {
 	// initial are the settings at the start, current those in effect.
@@ -122,7 +124,7 @@
 	replacements    *registrar.Replacements
 	metrics         *exporter.Registry
 	memory          *reserver.Reserver
-	closedConns     atomicCounts
+	closedConns     acceptor.Counts
 	stopping        atomic.Bool
 	work            sync.WaitGroup
 }
@@ -161,7 +163,7 @@
 	for _, f := range set {
 		f(&o)
 	}
-	debug.SetMemoryLimit(memoryLimit(s))
+	debug.SetMemoryLimit(machineOf(s).CollectorLimit())
 	e := newEntry(s, clock, log, o)
 	return e.serve(ctx)
 }
@@ -169,13 +171,13 @@
 func newEntry(s platform.Settings, clock clockwork.Clock, log *zap.Logger, o options) *Entry {
 	log = log.With(zap.String("instance", s.Instance))
 	e := &Entry{initial: s, source: o.settingsSource, clock: clock, log: log, metrics: exporter.New()}
-	e.memory = reserver.New(memoryBudget(s), reserver.WithClock(clock))
+	e.memory = reserver.New(machineOf(s).Budget(), reserver.WithClock(clock))
 	e.current.Store(&s)
 	e.store = platform.NewStore(s.Store, sender.NewClient())
 	toPeers := []messenger.Option{messenger.WithMaxSilence(time.Second)}
 	detours := []detourer.Option{
 		detourer.WithDirect(o.dialer), detourer.WithMeter(e.metrics), detourer.WithMemory(e.memory),
-		detourer.WithMaxServed(max((s.Descriptors-reservedDescriptors)/descriptorsPerDetour, 32)),
+		detourer.WithMaxServed(machineOf(s).MaxDetours()),
 	}
 	if o.peerDialer != nil {
 		toPeers = append(toPeers, messenger.WithDialer(o.peerDialer))
@@ -200,7 +202,7 @@
 	e.relayer = relayer.New(platform.Codec{}, e.fleet, e.suspects, clock, log,
 		relayer.WithMeter(e.metrics), relayer.WithTracer(o.tracer), relayer.WithPacer(e.pacer), relayer.WithThrottler(e.throttler), relayer.WithPartSuspects(e.parts), relayer.WithOrigins(e.pinner), relayer.WithSparer(e.sparer), relayer.WithSequencer(e.sequencer), relayer.WithPauses(e.pauses), relayer.WithAccounts(accounts{e.allotter}), relayer.WithStrictRevoke(s.StrictRevoke), relayer.WithMemory(e.memory),
 		relayer.WithRetries(s.RetryWindow, s.RetryRatio*retryBudgetShare, slack),
-		relayer.WithMaxInFlight(max((s.Descriptors-reservedDescriptors)/descriptorsPerRequest, 100)))
+		relayer.WithMaxInFlight(machineOf(s).MaxInFlight()))
 	e.registry = newRegistry(e.fleet, clock, log)
 	e.config = &configuration{relayer: e.relayer, log: log}
 	startDelay := coordinator.StartDelay(s.Link, s.Control, s.Seeds)
@@ -264,16 +266,16 @@
 	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	clients := newGate("front", maxConnections(e.initial), e.memory, &e.closedConns, e.clock, e.log)
-	checkers := newGate("ready", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
+	clients := acceptor.New("front", machineOf(e.initial).MaxConnections(), e.memory, &e.closedConns, e.clock, e.log)
+	checkers := acceptor.New("ready", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
 	clientServer := &http.Server{
-		Handler: http.HandlerFunc(e.front), ConnContext: peeker.WithClient, ConnState: clients.observe, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: acceptor.Handler(http.HandlerFunc(e.front), e.clock), ConnContext: peeker.WithClient, ConnState: acceptor.Observe, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(e.log),
 	}
-	checks := checkServer(http.HandlerFunc(e.ready), checkers)
-	readers := newGate("metrics", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
-	metricsServer := checkServer(e.metrics, readers)
-	messages := messenger.NewServer(e.log, messenger.WithMaxConns(maxPeerConnections(e.initial)), messenger.WithMemory(e.memory), messenger.WithMaxQueuedBytes(int(memoryBytesOf(e.initial)/peerQueueShare)))
+	checks := checkServer(http.HandlerFunc(e.ready))
+	readers := acceptor.New("metrics", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
+	metricsServer := checkServer(e.metrics)
+	messages := messenger.NewServer(e.log, messenger.WithMaxConns(machineOf(e.initial).MaxPeerConnections()), messenger.WithMemory(e.memory), messenger.WithMaxQueuedBytes(machineOf(e.initial).MaxPeerQueue()))
 	e.coordinator.Serve(messages)
 	e.pacer.Serve(messages)
 	e.throttler.Serve(messages)
@@ -284,8 +286,8 @@
 	e.sequencer.Serve(messages)
 	e.pauses.Serve(messages)
 	failed := make(chan error, 2)
-	e.start(func() { e.listen(clientServer, clients.listen(front), failed) })
-	e.start(func() { e.listen(checks, checkers.listen(ready), failed) })
+	e.start(func() { e.listen(clientServer, clients.Listen(front), failed) })
+	e.start(func() { e.listen(checks, checkers.Listen(ready), failed) })
 	e.start(func() { e.tails.config.Run(work) })
 	e.start(func() { e.tails.registry.Run(work) })
 	e.start(func() { e.coordinator.Run(work) })
@@ -338,16 +340,16 @@
 
 // checkServer returns the server of a port that only the operator's own programs use. They send
 // no bodies.
-func checkServer(h http.Handler, g *gate) *http.Server {
-	return &http.Server{Handler: h, ConnState: g.observe, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCheckHeaderBytes}
+func checkServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ConnState: acceptor.Observe, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCheckHeaderBytes}
 }
 
 // listenMetrics serves the metrics. A failure is only logged, since clients can
 // be served without metrics.
-func (e *Entry) listenMetrics(s *http.Server, g *gate) {
+func (e *Entry) listenMetrics(s *http.Server, g *acceptor.Acceptor) {
 	l, err := net.Listen("tcp", e.initial.Metrics)
 	if err == nil {
-		err = s.Serve(g.listen(l))
+		err = s.Serve(g.Listen(l))
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		e.log.Warn("entry: metrics are not served", zap.Error(err))
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -47,9 +47,9 @@
 		all["memory_refused_"+kind.String()] = func() int64 { return e.memory.Refused(kind) }
 		all["memory_ended_"+kind.String()] = func() int64 { return e.memory.Ended(kind) }
 	}
-	all["connections_closed_idle"] = e.closedConns.idle.Load
-	all["connections_closed_head_overdue"] = e.closedConns.heads.Load
-	all["connections_closed_head_memory"] = e.closedConns.headMemory.Load
+	all["connections_closed_idle"] = e.closedConns.Idle.Load
+	all["connections_closed_head_overdue"] = e.closedConns.Heads.Load
+	all["connections_closed_head_memory"] = e.closedConns.HeadMemory.Load
 	maps.Copy(all, more)
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		e.metrics.Gauge(name, all[name])
--- a/entryassembler/reload.go
+++ b/entryassembler/reload.go
@@ -73,8 +73,8 @@
 	next.Grace, next.Drain, next.Memory = s.Grace, s.Drain, s.Memory
 	next.RetryRatio, next.RetrySlack = s.RetryRatio, s.RetrySlack
 	e.current.Store(&next)
-	debug.SetMemoryLimit(memoryLimit(next))
-	e.memory.Resize(memoryBudget(next))
+	debug.SetMemoryLimit(machineOf(next).CollectorLimit())
+	e.memory.Resize(machineOf(next).Budget())
 	e.updateRetryShare()
 	if len(later) > 0 && !slices.Equal(later, e.pendingSettings) || len(live) > 0 || signaled {
 		e.log.Info("entry: settings have changed", zap.Strings("in_force", live), zap.Strings("at_next_start", later))
@@ -100,8 +100,3 @@
 	}
 	return live, later
 }
-
-// memoryLimit returns the garbage collector's soft limit in bytes.
-func memoryLimit(s platform.Settings) int64 {
-	return int64(float64(s.Memory) * memoryLimitShare * (1 << 20))
-}
