Spec of bodies that stop short: both hold their memory before others are sent

The test's own request of 100 KiB was accepted before the second of the two bodies that fill the memory; that one was refused then, and the memory never was full. The product did what it has to. The spec now waits until both hold 1 MiB each by the metrics, and the first large request after that must get 503, which bounds no real time.

--- a/server/input_test.go
+++ b/server/input_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -118,7 +120,8 @@
 	It("serves others beside bodies that stop short, and ends those", func() {
 		limits := server.DefaultLimits()
 		limits.MaxTotalBodyBytes = 3 << 20 // 2 MiB for large bodies
-		c := newHarness(server.WithLimits(limits))
+		metrics := new(expvar.Map).Init()
+		c := newHarness(server.WithLimits(limits), server.WithMetrics(metrics))
 		DeferCleanup(c.close)
 		for range 2 {
 			conn, err := net.Dial("tcp", c.callers.Listener.Addr().String())
@@ -127,9 +130,13 @@
 			_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n")
 			Expect(err).NotTo(HaveOccurred())
 		}
+		// A request that is sent before both are accepted takes the memory of one of them, which is
+		// refused then.
+		held := func() string { return metrics.Get("memory").(*expvar.Map).Get("held_body").String() }
+		Eventually(held, "10s").Should(Equal(strconv.Itoa(2 << 20)))
 		url := c.callers.URL + "/v1/chat/completions"
 		large := func() int { return sendRequest("POST", url, chatBody+strings.Repeat(" ", 100<<10)).status }
-		Eventually(large).Should(Equal(503))
+		Expect(large()).To(Equal(503))
 		Expect(sendRequest("POST", url, chatBody).status).To(Equal(200))
 		Eventually(large, "5s", "100ms").Should(Equal(200))
 	})
