The system's own API is within the memory and descriptors of its process

What callers saw: with 64 MiB and 400 descriptors the process took 73 to 84 MiB for bodies and 264 MiB for messages of peers, and idle connections took all descriptors. Its bodies had 64 MiB whatever the machine has, and nothing else was charged. Now it has the budget, the limits of connections and of peers of the entry instance, from -memory and -descriptors or the process's own limits. Prompts are charged with the copies that parsing makes, answers as they grow and before they are read.

--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -53,6 +53,10 @@
 
 	// MaxBodyBytes is the largest request body in bytes.
 	MaxBodyBytes int
+	// MemoryMB and Descriptors are the memory and the open files that the process may use; 0 stands
+	// for its own limits.
+	MemoryMB    int
+	Descriptors int
 	// MaxOpenRequests is the largest number of requests open at once.
 	MaxOpenRequests int
 	// MaxTokens is the largest number of tokens of an answer; DefaultMaxTokens is the
--- a/configurer/table.go
+++ b/configurer/table.go
@@ -43,6 +43,8 @@
 func limits(s *Settings) []Setting {
 	return []Setting{
 		intSetting("body", "1048576", "largest request body in bytes", &s.MaxBodyBytes, 1<<10, 64<<20),
+		intSetting("memory", "0", "memory of the process in MB; 0 for its own limits", &s.MemoryMB, 0, 1<<24),
+		intSetting("descriptors", "0", "open files of the process; 0 for its own limit", &s.Descriptors, 0, 1<<24),
 		intSetting("open", "8192", "requests that may be open at once", &s.MaxOpenRequests, 1, 1<<20),
 		intSetting("tokens", "32768", "most tokens of an answer", &s.MaxTokens, 1, 1<<20),
 		intSetting("default-tokens", "1024", "most tokens for a request that names no number", &s.DefaultMaxTokens, 1, 1<<20),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,13 +18,16 @@
 	"github.com/jonboulle/clockwork"
 
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/sender"
 )
 
 // Size limits, in bytes.
 const (
 	// MaxBody is the largest body of a call or a response, in bytes.
-	MaxBody       = 4 << 20
+	MaxBody = 4 << 20
+	// firstBytes is the first step in which an answer of unknown length is charged and allocated.
+	firstBytes    = 4 << 10
 	maxLoadReport = 64 << 10
 )
 
@@ -37,6 +40,9 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// Held is what the answer's body is charged to before it is read, nil for nothing. Its holder
+	// releases it.
+	Held *reserver.Reservation
 }
 
 // Answer is the response of a service, whatever its status.
@@ -103,7 +109,12 @@
 	if refusal, ok := refusalOf(p); ok {
 		return Answer{}, refusal
 	}
-	body, err := io.ReadAll(io.LimitReader(p.Body, MaxBody+1))
+	first := firstRead(p.ContentLength)
+	call.Held.Force(first)
+	body, err := reserver.ReadAll(io.LimitReader(p.Body, MaxBody+1), first, MaxBody+1, call.Held, func(n int64) bool {
+		call.Held.Force(n)
+		return true
+	})
 	if err == nil && sender.EndsWithConnection(p) {
 		// A service that crashes ends its connections too, but takes no new one.
 		err = sender.Probe(ctx, c.clock, c.addr)
@@ -119,6 +130,14 @@
 	return Answer{Status: p.StatusCode, Header: StripHopHeaders(p.Header), Body: body}, nil
 }
 
+// firstRead returns the first size of the buffer for an answer with a declared length.
+func firstRead(declared int64) int64 {
+	if declared < 0 {
+		return firstBytes
+	}
+	return min(declared, MaxBody+1)
+}
+
 func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	if len(call.Body) > MaxBody {
 		r := judge.Invalid("size", "body is too large")
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -266,7 +266,7 @@
 	t.bodyRead = true
 	t.answerHeld, _ = t.memory.Acquire(reserver.Answer, 0) // nothing always fits
 	t.answerHeld.Force(firstBodyBytes)
-	t.answerBody, t.bodyErr = readInSteps(io.LimitReader(t.answer.Body, maxAnswerBytes+1), firstBodyBytes, maxAnswerBytes+1, t.answerHeld, t.forceAnswer)
+	t.answerBody, t.bodyErr = reserver.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes+1), firstBodyBytes, maxAnswerBytes+1, t.answerHeld, t.forceAnswer)
 	switch {
 	case len(t.answerBody) > maxAnswerBytes:
 		t.answerBody, t.bodyErr = nil, errAnswerTooLarge
--- a/relayer/body.go
+++ b/relayer/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -21,9 +20,6 @@
 	maxRestTime = 500 * time.Millisecond
 )
 
-// errNoMemory ends the reading of a body for which there is no memory.
-var errNoMemory = errors.New("no memory for the body")
-
 // readBody reads the whole body into memory, so that it can be sent more than once. A declared
 // length is reserved before the first byte is read, a body of unknown length in steps. It
 // reports false if the body is too large, or there is no memory for it; the client is answered
@@ -52,10 +48,10 @@
 	}
 	x.held = held
 	held.OnReclaim(x.endBody)
-	raw, err := readInSteps(http.MaxBytesReader(x.writer, x.request.Body, largest), first, largest, held, held.Grow)
+	raw, err := reserver.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, largest), first, largest, held, held.Grow)
 	var large *http.MaxBytesError
 	switch {
-	case held.Ended() || errors.Is(err, errNoMemory) || err == nil && !held.Keep():
+	case held.Ended() || errors.Is(err, reserver.ErrMemory) || err == nil && !held.Keep():
 		x.refuseForMemory(declared)
 		return false
 	case errors.As(err, &large):
@@ -69,39 +65,6 @@
 	return true
 }
 
-// readInSteps reads all of a body into a buffer of the size first, for which memory is
-// reserved. The buffer is doubled, up to a size, each time after the memory is reserved by grow.
-func readInSteps(body io.Reader, first, largest int64, held *reserver.Reservation, grow func(int64) bool) ([]byte, error) {
-	buffer := make([]byte, 0, first)
-	var probe [1]byte
-	for {
-		free := buffer[len(buffer):cap(buffer)]
-		if len(free) == 0 {
-			free = probe[:]
-		}
-		n, err := body.Read(free)
-		held.Progress(n)
-		if len(buffer) == cap(buffer) && n > 0 {
-			old := int64(cap(buffer))
-			larger := min(2*old, max(largest, old+1))
-			if !grow(larger) {
-				return nil, errNoMemory
-			}
-			buffer = append(make([]byte, 0, larger), buffer...)
-			held.Shrink(old)
-			buffer = append(buffer, probe[0])
-		} else {
-			buffer = buffer[:len(buffer)+n]
-		}
-		if errors.Is(err, io.EOF) {
-			return buffer, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 // endBody ends the reading of a body that makes no progress. Its client is refused.
 func (x *exchange) endBody() {
 	// Any time that has passed makes the read that is waiting fail.
--- a/serveassembler/metrics.go
+++ b/serveassembler/metrics.go
@@ -22,6 +22,14 @@
 	Goroutines int     `json:"goroutines"`
 }
 
+// ClosedConnections counts the connections that were closed for others: idle ones, those with a
+// head that was incomplete for too long, and those with a head for which there was no memory.
+type ClosedConnections struct {
+	Idle        int64 `json:"closed_idle"`
+	HeadOverdue int64 `json:"closed_head_overdue"`
+	HeadMemory  int64 `json:"closed_head_memory"`
+}
+
 // metrics returns the counters of all components except the server, which adds
 // its own.
 func (i *Instance) metrics() *expvar.Map {
@@ -33,6 +41,9 @@
 	m.Set("dispatcher", expvar.Func(func() any { return i.dispatch.State().Counts }))
 	m.Set("writer", expvar.Func(func() any { return i.writer.Stats() }))
 	m.Set("runner", expvar.Func(func() any { return i.jobs.runner.Stats() }))
+	m.Set("connections", expvar.Func(func() any {
+		return ClosedConnections{Idle: i.closed.Idle.Load(), HeadOverdue: i.closed.Heads.Load(), HeadMemory: i.closed.HeadMemory.Load()}
+	}))
 	m.Set("process", expvar.Func(func() any { return readProcess() }))
 	return m
 }
--- a/serveassembler/serveassembler.go
+++ b/serveassembler/serveassembler.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"primrosehook/acceptor"
 	"primrosehook/configurer"
 	"primrosehook/dispatcher"
 	"primrosehook/driver"
@@ -34,6 +36,7 @@
 	"primrosehook/publisher"
 	"primrosehook/quarantiner"
 	"primrosehook/recorder"
+	"primrosehook/reserver"
 	"primrosehook/ruler"
 	"primrosehook/runner"
 	"primrosehook/sender"
@@ -52,9 +55,14 @@
 // Instance is an entry instance.
 type Instance struct {
 	settings configurer.Settings
-	clock    clockwork.Clock
-	log      *zap.Logger
-	self     lister.Instance
+	// machine is what the process may use, memory its budget. closed counts the connections that
+	// were closed for others.
+	machine reserver.Machine
+	memory  *reserver.Reserver
+	closed  acceptor.Counts
+	clock   clockwork.Clock
+	log     *zap.Logger
+	self    lister.Instance
 
 	// http is the client for engines and services, platform that for the
 	// services of the platform.
@@ -83,7 +91,10 @@
 // for it.
 func Run(ctx context.Context, s configurer.Settings, log *zap.Logger, spans io.Writer) error {
 	clock := clockwork.NewRealClock()
-	i, err := New(ctx, s, clock, log, spans)
+	machine := reserver.OwnMachine().Or(int64(s.MemoryMB)<<20, s.Descriptors)
+	debug.SetMemoryLimit(machine.CollectorLimit())
+	log.Info("assembler: limits of the process", zap.Int64("memory_mb", machine.Memory>>20), zap.Int("descriptors", machine.Descriptors))
+	i, err := New(ctx, s, machine, clock, log, spans)
 	if err != nil {
 		return err
 	}
@@ -91,8 +102,9 @@
 }
 
 // New builds an instance. It does no I/O except that of the trace exporter.
-func New(ctx context.Context, s configurer.Settings, clock clockwork.Clock, log *zap.Logger, spans io.Writer) (*Instance, error) {
-	i := &Instance{settings: s, clock: clock, log: log, self: self(s, clock)}
+func New(ctx context.Context, s configurer.Settings, machine reserver.Machine, clock clockwork.Clock, log *zap.Logger, spans io.Writer) (*Instance, error) {
+	i := &Instance{settings: s, machine: machine, clock: clock, log: log, self: self(s, clock)}
+	i.memory = reserver.New(machine.Budget(), reserver.WithClock(clock))
 	traces, err := tracer.New(ctx, tracer.Settings{
 		Export: s.Trace, Endpoint: s.TraceURL, SampleRatio: s.TraceSampleRatio, Instance: i.self.Name, Zone: s.Zone,
 	}, spans)
@@ -142,7 +154,8 @@
 func (i *Instance) seed() uint64 { return xxhash.Sum64String(i.self.Name) }
 
 func (i *Instance) buildPeers() {
-	i.messages = messenger.NewServer(i.log, messenger.WithClock(i.clock))
+	i.messages = messenger.NewServer(i.log, messenger.WithClock(i.clock), messenger.WithMemory(i.memory),
+		messenger.WithMaxConns(i.machine.MaxPeerConnections()), messenger.WithMaxQueuedBytes(i.machine.MaxPeerQueue()))
 	i.peers = messenger.NewClient(i.clock)
 	i.watcher = watcher.New(i.self, i.seed(), i.instanceList, i.peers,
 		watcher.WithClock(i.clock), watcher.WithLogger(i.log))
@@ -224,13 +237,13 @@
 	s := i.settings
 	limits := server.DefaultLimits()
 	limits.MaxBodyBytes = int64(s.MaxBodyBytes)
-	limits.MaxOpenRequests = int64(s.MaxOpenRequests)
+	limits.MaxOpenRequests = int64(min(s.MaxOpenRequests, i.machine.MaxInFlight()))
 	limits.MaxTokens, limits.DefaultMaxTokens = s.MaxTokens, s.DefaultMaxTokens
 	limits.UploadTimeout, limits.StallTimeout, limits.CallTimeout, limits.WriteTimeout = s.BodyTimeout, s.StallTimeout, s.ServiceTimeout, s.WriteTimeout
 	limits.MaxAttempts = s.MaxAttempts
 	rules := &rulesPort{publisher: i.rules}
 	i.server = server.New(i.clock,
-		server.WithInstance(i.self), server.WithLog(i.log), server.WithLimits(limits), server.WithSeed(secret()),
+		server.WithInstance(i.self), server.WithLog(i.log), server.WithLimits(limits), server.WithMemory(i.memory), server.WithSeed(secret()),
 		server.WithRules(rules), server.WithPublisher(rules),
 		server.WithDispatcher(i.dispatch),
 		server.WithEngines(i.driver),
@@ -300,7 +313,7 @@
 	i.jobs.runner.Start(parts)
 	i.manager.Start(parts)
 	i.reader.Start(parts)
-	err = i.server.Run(ctx, callers, operators, server.ShutdownOptions{
+	err = i.server.Run(ctx, i.acceptCallers(callers), i.acceptOperators(operators), server.ShutdownOptions{
 		Linger: i.settings.Linger, Drain: i.settings.Drain, OnLeaving: i.watcher.Leave,
 	})
 	i.drain(parts)
@@ -310,6 +323,19 @@
 	return err
 }
 
+// operatorConnections limits the connections to the port for operators, operatorBudget is its budget
+// apart from that of clients: an instance that is short of memory still answers there.
+const operatorConnections, operatorBudget = 64, 8 << 20
+
+func (i *Instance) acceptCallers(l net.Listener) net.Listener {
+	return acceptor.New("callers", i.machine.MaxConnections(), i.memory, &i.closed, i.clock, i.log, acceptor.WithWriteTimeout(i.settings.WriteTimeout)).Listen(l)
+}
+
+func (i *Instance) acceptOperators(l net.Listener) net.Listener {
+	memory := reserver.New(operatorBudget, reserver.WithClock(i.clock))
+	return acceptor.New("operators", operatorConnections, memory, &i.closed, i.clock, i.log).Listen(l)
+}
+
 func (i *Instance) runMessages(ctx context.Context, l net.Listener) {
 	if err := i.messages.Serve(ctx, l); err != nil {
 		i.log.Debug("assembler: peer listener ended", zap.Error(err))
--- a/server/answer.go
+++ b/server/answer.go
@@ -10,6 +10,7 @@
 
 	"primrosehook/driver"
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/tracer"
 )
 
@@ -66,10 +67,14 @@
 
 // readGeneration reads and parses the body of a generation request.
 func (s *Server) readGeneration(c echo.Context, chat bool) (*generationRequest, error) {
-	body, err := s.readBody(c)
+	copies := s.copiesOfPrompt()
+	body, err := s.readBody(c, copies)
 	if err != nil {
 		return nil, err
 	}
+	if a, ok := c.(*requestContext); ok && copies > preparedCopies {
+		defer a.held.Shrink(int64(len(body)) * (copies - preparedCopies))
+	}
 	_, list, err := s.ruleList()
 	if err != nil {
 		return nil, err
@@ -100,7 +105,7 @@
 
 // respondJSON generates the answer and sends it as one JSON body.
 func (s *Server) respondJSON(ctx context.Context, c echo.Context, q *generationRequest) error {
-	b := &answerBuffer{maxBytes: s.limits.MaxAnswerBytes}
+	b := &answerBuffer{maxBytes: s.limits.MaxAnswerBytes, held: s.reserveAnswer(c)}
 	if err := s.generate(ctx, q, b); err != nil {
 		return err
 	}
@@ -114,6 +119,24 @@
 	tokens       int
 	promptTokens int
 	finish       string
+	// held is the memory of the text, charged in steps of answerStep before it grows.
+	held    *reserver.Reservation
+	charged int
+}
+
+// answerStep is the step in which the text of an answer is charged, answerCopies how many copies of
+// it there are at a time: the text, the buffer that it grew from and the encoded answer.
+const answerStep, answerCopies = 4 << 10, 3
+
+// reserveAnswer returns the reservation for the answer of a request, which holds nothing yet. It is
+// released at the end of the request.
+func (s *Server) reserveAnswer(c echo.Context) *reserver.Reservation {
+	a, ok := c.(*requestContext)
+	if !ok || !s.ownMemory {
+		return nil
+	}
+	a.answer, _ = s.memory.Acquire(reserver.Answer, 0) // nothing always fits
+	return a.answer
 }
 
 func (*answerBuffer) setOrigin(string, string) {}
@@ -124,6 +147,11 @@
 	if t.Text != "" || t.Finish == "" {
 		b.tokens++
 	}
+	for b.text.Len()+len(t.Text) > b.charged {
+		// The request was passed on: its answer is not cut off for memory.
+		b.held.Force(answerStep * answerCopies)
+		b.charged += answerStep
+	}
 	b.text.WriteString(t.Text)
 	b.promptTokens, b.finish = t.PromptTokens, t.Finish
 	if int64(b.text.Len()) > b.maxBytes {
--- a/server/jobs.go
+++ b/server/jobs.go
@@ -39,7 +39,7 @@
 // acceptJob responds with 202 once the job is durably accepted.
 func (s *Server) acceptJob(c echo.Context) error {
 	s.counters.requests.Add(1)
-	body, err := s.readBody(c)
+	body, err := s.readBody(c, s.copiesOfPrompt())
 	if err != nil {
 		return err
 	}
--- a/server/options.go
+++ b/server/options.go
@@ -8,6 +8,7 @@
 
 	"primrosehook/explainer"
 	"primrosehook/lister"
+	"primrosehook/reserver"
 )
 
 // Option configures a server.
@@ -23,6 +24,13 @@
 // WithLimits replaces the limits.
 func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
 
+// WithMemory sets the memory budget of the process. Bodies, the copies of them that are made of a
+// prompt, and answers are charged to it. Without one only bodies are charged, to a budget of
+// Limits.MaxTotalBodyBytes.
+func WithMemory(m *reserver.Reserver) Option {
+	return func(s *Server) { s.memory, s.ownMemory = m, true }
+}
+
 // WithSeed seeds the generator of request ids. Ids must neither repeat nor be
 // predictable, so a live instance takes its seed from the entropy source of the
 // operating system.
--- a/server/parse.go
+++ b/server/parse.go
@@ -126,12 +126,33 @@
 	} `json:"stream_options"`
 }
 
-// reserveMemory reserves memory for a body until the request ends. For a body
-// of unknown length it reserves the largest size allowed.
-func (s *Server) reserveMemory(c echo.Context) (*reserver.Reservation, error) {
-	size := c.Request().ContentLength
-	if size < 0 || size > s.limits.MaxBodyBytes {
-		size = s.limits.MaxBodyBytes
+// promptCopies is how often a prompt exists at a time: the body, the buffer in which it is decoded,
+// the text of its messages, and the prompt. preparedCopies remain once it is parsed: the prompt and
+// the request to the engine.
+const promptCopies, preparedCopies = 4, 2
+
+// copiesOfPrompt returns how often the body of a request for generation is charged.
+func (s *Server) copiesOfPrompt() int64 {
+	if s.ownMemory {
+		return promptCopies
+	}
+	return 1
+}
+
+// maxBody returns the size of the largest body that is taken if a number of copies is charged.
+func (s *Server) maxBody(copies int64) int64 {
+	if s.ownMemory {
+		return min(s.limits.MaxBodyBytes, s.memory.Largest()/copies)
+	}
+	return s.limits.MaxBodyBytes
+}
+
+// reserveMemory reserves memory for a number of copies of a body until the request ends. For a
+// body of unknown length it reserves the largest size allowed, once.
+func (s *Server) reserveMemory(c echo.Context, limit, copies int64) (*reserver.Reservation, error) {
+	size := c.Request().ContentLength * copies
+	if size < 0 {
+		size = limit
 	}
 	held, ok := s.memory.Acquire(reserver.Body, size)
 	if !ok {
@@ -162,19 +183,40 @@
 	return n, err
 }
 
-// readBody reads a request body within the limits of size and time.
-func (s *Server) readBody(c echo.Context) ([]byte, error) {
+// errTooLarge refuses a request whose body is larger than is taken.
+func errTooLarge(limit int64) error {
+	return &judge.Refusal{
+		Status: http.StatusRequestEntityTooLarge, Code: "body-size",
+		Reason: fmt.Sprintf("request body is over %d bytes", limit),
+	}
+}
+
+// readBody reads a request body within the limits of size and time, of which a number of copies
+// are charged.
+func (s *Server) readBody(c echo.Context, copies int64) ([]byte, error) {
 	control := http.NewResponseController(c.Response())
 	// Response recorders of tests do not support deadlines; a live connection
 	// does. It also bounds the wait for the rest of a body that is refused.
 	_ = control.SetReadDeadline(s.clock.Now().Add(s.limits.UploadTimeout))
-	held, err := s.reserveMemory(c)
+	declared, limit := c.Request().ContentLength, s.maxBody(copies)
+	if declared > limit {
+		c.Response().Header().Set("Connection", "close")
+		return nil, errTooLarge(limit)
+	}
+	held, err := s.reserveMemory(c, limit, copies)
 	if err != nil {
 		return nil, err
 	}
 	// Any time that has passed makes the read that is waiting fail.
 	held.OnReclaim(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
-	body, err := io.ReadAll(countedBody{Reader: http.MaxBytesReader(c.Response(), c.Request().Body, s.limits.MaxBodyBytes), held: held})
+	var b bytes.Buffer
+	// ReadFrom asks for bytes.MinRead more before it sees the end.
+	b.Grow(int(max(declared, 0)) + bytes.MinRead)
+	_, err = b.ReadFrom(countedBody{Reader: http.MaxBytesReader(c.Response(), c.Request().Body, limit), held: held})
+	body := b.Bytes()
+	if err == nil && declared < 0 && !resize(held, limit, int64(len(body))*copies) {
+		return nil, errBodies()
+	}
 	if held.Ended() || err == nil && !held.Keep() {
 		c.Response().Header().Set("Connection", "close")
 		return nil, errBodies()
@@ -185,10 +227,7 @@
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	case errors.As(err, &size):
-		return nil, &judge.Refusal{
-			Status: http.StatusRequestEntityTooLarge, Code: "body-size",
-			Reason: fmt.Sprintf("request body is over %d bytes", s.limits.MaxBodyBytes),
-		}
+		return nil, errTooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &judge.Refusal{
 			Status: http.StatusRequestTimeout, Code: "body-slow", RetryAfter: time.Second,
@@ -198,6 +237,16 @@
 	return nil, judge.Invalid("body-cut", "request body was cut")
 }
 
+// resize changes what is held for a body from one size to another. It reports false if there is no
+// memory.
+func resize(held *reserver.Reservation, from, to int64) bool {
+	if to > from {
+		return held.Grow(to - from)
+	}
+	held.Shrink(from - to)
+	return true
+}
+
 // parse parses and validates a body for a model of the rule list.
 func (s *Server) parse(body []byte, chat bool, client string, list *ruler.List) (*generationRequest, error) {
 	var p requestBody
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"primrosehook/acceptor"
 	"primrosehook/explainer"
 	"primrosehook/judge"
 	"primrosehook/lister"
@@ -58,7 +59,9 @@
 	counters counters
 	inFlight inFlightCounts
 	memory   *reserver.Reserver
-	leaving  atomic.Bool
+	// ownMemory is set if memory is the budget of the process.
+	ownMemory bool
+	leaving   atomic.Bool
 }
 
 // Limits bounds the resources of requests.
@@ -103,11 +106,14 @@
 // bodyShare is the part of a memory budget that is for bodies, small ones and large ones.
 const bodyShare = 0.75
 
-// publishMemory publishes the bytes that bodies hold, and how many were refused and ended.
+// publishMemory publishes by kind the bytes that are held, and how many reservations were refused
+// and ended.
 func (s *Server) publishMemory() {
 	own := new(expvar.Map).Init()
 	for name, read := range map[string]func(reserver.Kind) int64{"held": s.memory.Held, "refused": s.memory.Refused, "ended": s.memory.Ended} {
-		own.Set(name+"_body", expvar.Func(func() any { return read(reserver.Body) }))
+		for _, kind := range reserver.Kinds() {
+			own.Set(name+"_"+kind.String(), expvar.Func(func() any { return read(kind) }))
+		}
 	}
 	s.metrics.Set("memory", own)
 }
@@ -131,7 +137,9 @@
 	if s.quarantine != nil {
 		s.statuses["quarantine"] = s.quarantine.Status
 	}
-	s.memory = reserver.New(int64(float64(s.limits.MaxTotalBodyBytes)/bodyShare), reserver.WithClock(clock))
+	if !s.ownMemory {
+		s.memory = reserver.New(int64(float64(s.limits.MaxTotalBodyBytes)/bodyShare), reserver.WithClock(clock))
+	}
 	s.counters.publish(s.metrics)
 	s.publishMemory()
 	return s
@@ -199,8 +207,9 @@
 // write to a slow client has one.
 func (s *Server) NewHTTPServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           acceptor.Handler(h, s.clock),
 		ConnContext:       peeker.WithClient,
+		ConnState:         acceptor.Observe,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -239,17 +248,17 @@
 		}
 		a := &requestContext{Context: c}
 		// Releases what is held even if the handler is aborted.
-		defer func() { a.held.Release() }()
+		defer func() { a.held.Release(); a.answer.Release() }()
 		return next(a)
 	}
 }
 
 // requestContext is the context of a request with the memory reserved for its
-// body. It replaces echo's key-value store, which allocates a map for
+// body and its answer. It replaces echo's key-value store, which allocates a map for
 // each request.
 type requestContext struct {
 	echo.Context
-	held *reserver.Reservation
+	held, answer *reserver.Reservation
 }
 
 // ruleList returns the version and the rule list in force. If there is none, it
--- a/server/service.go
+++ b/server/service.go
@@ -44,14 +44,14 @@
 			Reason: fmt.Sprintf("service %q is not in the rule list", truncate(c.Param("service"))),
 		}
 	}
-	body, err := s.readBody(c)
+	body, err := s.readBody(c, 1)
 	if err != nil {
 		return err
 	}
 	q := c.Request()
 	call := forwarder.Call{
 		Method: q.Method, Path: servicePath(q.URL.EscapedPath()),
-		Query: q.URL.RawQuery, Header: forwarder.StripHopHeaders(q.Header), Body: body,
+		Query: q.URL.RawQuery, Header: forwarder.StripHopHeaders(q.Header), Body: body, Held: s.reserveAnswer(c),
 	}
 	// Rules match the cleaned path, as the service will interpret it, so that
 	// another spelling of a write, such as //receipts, is not treated as a
