Large answers are read in turn

Answers were charged to the memory budget, but nothing kept them from being read at once. Beyond 64 KiB an answer now waits until it fits or is the oldest, for half of the time that it has left at most; what a server says of its length is reserved once. Answers have a room of 15 % beside the budget, since bodies are held until their answers are delivered.

--- a/crowder/instance_test.go
+++ b/crowder/instance_test.go
@@ -28,7 +28,8 @@
 )
 
 const configuration = `{"version":3,"routes":[
- {"name":"form","host":"h","path-prefix":"/form/","kind":"idempotent","timeout-ms":4000,"target-latency-ms":100,"service":"api","max-attempts":2}],
+ {"name":"form","host":"h","path-prefix":"/form/","kind":"idempotent","timeout-ms":4000,"target-latency-ms":100,"service":"api","max-attempts":2},
+ {"name":"book","host":"h","path-prefix":"/book/","kind":"non_idempotent","timeout-ms":15000,"target-latency-ms":100,"service":"api","max-attempts":1}],
  "services":[{"name":"api"}],"limits":{"max-body-bytes":%d}}`
 
 const settings = `node = "front-0"
--- a/faker/model_server.go
+++ b/faker/model_server.go
@@ -30,6 +30,8 @@
 	Capacity int
 	WorkTime time.Duration
 	Brittle  string
+	// AnswerBytes is how many bytes an answer that is not a stream has beyond the request's body.
+	AnswerBytes int
 
 	mu         sync.Mutex
 	models     map[string][]string
@@ -283,6 +285,7 @@
 	h.Set("Primrosehook-Server-Signature", p.ID)
 	if model == "" {
 		_, _ = fmt.Fprintf(w, "%s ran %s", p.ID, body)
+		_, _ = w.Write(make([]byte, p.AnswerBytes))
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"net/textproto"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -27,7 +28,10 @@
 	// MaxBody is the largest body of a call or a response, in bytes.
 	MaxBody = 4 << 20
 	// firstBytes is the first step in which an answer of unknown length is charged and allocated.
-	firstBytes    = 4 << 10
+	firstBytes = 4 << 10
+	// maxTurn is how long an answer waits for memory before it is read without: a fifth of the
+	// standard time limit of a call.
+	maxTurn       = 2 * time.Second
 	maxLoadReport = 64 << 10
 )
 
@@ -110,9 +114,11 @@
 		return Answer{}, refusal
 	}
 	first := firstRead(p.ContentLength)
-	call.Held.Force(first)
+	turn, cancel := context.WithTimeout(ctx, maxTurn)
+	defer cancel()
+	call.Held.AwaitTurn(turn, first)
 	body, err := reserver.ReadAll(io.LimitReader(p.Body, MaxBody+1), first, MaxBody+1, call.Held, func(n int64) bool {
-		call.Held.Force(n)
+		call.Held.AwaitTurn(turn, n)
 		return true
 	})
 	if err == nil && sender.EndsWithConnection(p) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -265,8 +265,20 @@
 	}
 	t.bodyRead = true
 	t.answerHeld, _ = t.memory.Acquire(reserver.Answer, 0) // nothing always fits
-	t.answerHeld.Force(firstBodyBytes)
-	t.answerBody, t.bodyErr = reserver.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes+1), firstBodyBytes, maxAnswerBytes+1, t.answerHeld, t.forceAnswer)
+	// What is not reserved by half of the time that is left is held nevertheless: the request was
+	// passed on, and its answer is not cut off.
+	ctx, cancel := context.WithTimeout(t.attemptContext, t.deadline.Sub(t.clock.Now())/2)
+	defer cancel()
+	grow := func(n int64) bool {
+		t.answerHeld.AwaitTurn(ctx, n)
+		return true
+	}
+	first := int64(firstBodyBytes)
+	if n := t.answer.ContentLength; n > 0 {
+		first = min(n, maxAnswerBytes+1)
+	}
+	grow(first)
+	t.answerBody, t.bodyErr = reserver.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes+1), first, maxAnswerBytes+1, t.answerHeld, grow)
 	switch {
 	case len(t.answerBody) > maxAnswerBytes:
 		t.answerBody, t.bodyErr = nil, errAnswerTooLarge
@@ -276,13 +288,6 @@
 	t.answer.Close(t.bodyErr == nil)
 }
 
-// forceAnswer charges n more bytes of the answer whether or not they fit: the request was
-// passed on, and its answer is not cut off.
-func (t *attempt) forceAnswer(n int64) bool {
-	t.answerHeld.Force(n)
-	return true
-}
-
 // intact reports whether the answer is the server's whole answer.
 func (t *attempt) intact() bool { return t.bodyErr == nil && t.info.Signed && !t.info.Encoded }
 
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -50,6 +50,10 @@
 	// smallShare, connectionShare and messageShare are the parts of the budget for small bodies,
 	// for connections, heads and detours, and for messages of peers.
 	smallShare, connectionShare, messageShare = 0.25, 0.15, 0.1
+	// answerShare is what answers may hold beside the budget, as a part of it. They have a room of
+	// their own since the bodies that fill the one for large bodies are freed only once their
+	// answers are delivered.
+	answerShare = 0.15
 	// progressBytes is how much has to arrive to count as progress: 4 KiB within stallTime is
 	// what a link of 32 kbit/s carries.
 	progressBytes = 4 << 10
@@ -63,13 +67,22 @@
 	smallRoom
 	connectionRoom
 	messageRoom
+	answerRoom
 	rooms
 )
 
 // room is a part of the budget.
 type room struct{ limit, held int64 }
 
-func (m *room) fits(n int64) bool { return m.held+n <= m.limit }
+// over returns how much does not fit if n more bytes are held in a room. What answers hold beyond
+// their own room is missing to large bodies. r.mu must be held.
+func (r *Reserver) over(in int, n int64) int64 {
+	over := r.rooms[in].held + n - r.rooms[in].limit
+	if in == largeRoom {
+		over += max(r.rooms[answerRoom].held-r.rooms[answerRoom].limit, 0)
+	}
+	return over
+}
 
 // Reserver is a memory budget. It is safe for concurrent use.
 type Reserver struct {
@@ -82,6 +95,11 @@
 	held  [kinds]int64
 	// refused and ended count reservations by kind.
 	refused, ended [kinds]int64
+	// turns are the answers that have asked for memory in turn, the oldest first. changed is closed
+	// at the next change if waits of them wait for it.
+	turns   []*Reservation
+	changed chan struct{}
+	waits   int
 }
 
 // Option sets an option of a Reserver.
@@ -95,7 +113,7 @@
 
 // New returns a budget of a number of bytes.
 func New(total int64, options ...Option) *Reserver {
-	r := &Reserver{clock: clockwork.NewRealClock(), stallTime: stallTime, open: map[*Reservation]struct{}{}}
+	r := &Reserver{clock: clockwork.NewRealClock(), stallTime: stallTime, open: map[*Reservation]struct{}{}, changed: make(chan struct{})}
 	r.Resize(total)
 	for _, o := range options {
 		o(r)
@@ -112,6 +130,8 @@
 	r.rooms[smallRoom].limit = small
 	r.rooms[connectionRoom].limit = connections
 	r.rooms[messageRoom].limit = messages
+	r.rooms[answerRoom].limit = int64(answerShare * float64(total))
+	r.announceChange()
 }
 
 // Largest returns the size of the largest body that can ever be reserved.
@@ -150,6 +170,8 @@
 		return connectionRoom
 	case k == Message:
 		return messageRoom
+	case k == Answer:
+		return answerRoom
 	case k == Body && n <= SmallBytes:
 		return smallRoom
 	}
@@ -162,7 +184,7 @@
 	r.mu.Lock()
 	now := r.clock.Now()
 	s := &Reservation{reserver: r, kind: kind, room: roomOf(kind, n), started: now, progressed: now}
-	if n > 0 && !r.rooms[s.room].fits(n) {
+	if n > 0 && r.over(s.room, n) > 0 {
 		r.refuse(s, s.room, n)
 		return nil, false
 	}
@@ -176,7 +198,7 @@
 // unlocks r.mu.
 func (r *Reserver) refuse(s *Reservation, room int, n int64) {
 	r.refused[s.kind]++
-	ended := r.endStalled(r.rooms[room].held+n-r.rooms[room].limit, func(o *Reservation) bool { return o != s && o.room == room })
+	ended := r.endStalled(r.over(room, n), func(o *Reservation) bool { return o != s && o.room == room })
 	r.mu.Unlock()
 	for _, reclaim := range ended {
 		reclaim()
@@ -271,7 +293,7 @@
 	if room != s.room {
 		more += s.size
 	}
-	if !r.rooms[room].fits(more) {
+	if r.over(room, more) > 0 {
 		r.refuse(s, room, more)
 		return false
 	}
@@ -296,10 +318,13 @@
 		return
 	}
 	s.add(n)
-	over := r.rooms[s.room].held - r.rooms[s.room].limit
+	room := s.room
+	if room == answerRoom {
+		room = largeRoom
+	}
 	var ended []func()
-	if over > 0 {
-		ended = r.endStalled(over, func(o *Reservation) bool { return o.room == s.room })
+	if over := r.over(room, 0); over > 0 {
+		ended = r.endStalled(over, func(o *Reservation) bool { return o.room == room })
 	}
 	r.mu.Unlock()
 	for _, reclaim := range ended {
@@ -316,6 +341,7 @@
 	defer s.reserver.mu.Unlock()
 	if !s.released {
 		s.add(-min(n, s.size))
+		s.reserver.announceChange()
 	}
 }
 
@@ -376,4 +402,5 @@
 	s.released = true
 	s.add(-s.size)
 	delete(s.reserver.open, s)
+	s.reserver.endTurn(s)
 }
