Streams, replies of the store and what waits for peers are charged

Buffers of streams to slow readers, replies of the platform's store until they are decoded, and messages that wait to be written to peers were bounded each, but not charged to the memory budget. They are now, before they are allocated, except that a message is charged once it is encoded. None is refused; what they hold is missing to large bodies, and to messages that arrive. New kinds stream, store and queue in the metrics of memory.

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -173,8 +173,8 @@
 	e := &Entry{initial: s, source: o.settingsSource, clock: clock, log: log, metrics: exporter.New()}
 	e.memory = reserver.New(machineOf(s).Budget(), reserver.WithClock(clock))
 	e.current.Store(&s)
-	e.store = platform.NewStore(s.Store, sender.NewClient())
-	toPeers := []messenger.Option{messenger.WithMaxSilence(time.Second)}
+	e.store = platform.NewStore(s.Store, sender.NewClient(), platform.WithMemory(e.memory))
+	toPeers := []messenger.Option{messenger.WithMaxSilence(time.Second), messenger.WithMemory(e.memory), messenger.WithMaxQueuedBytes(machineOf(s).MaxPeerQueue())}
 	detours := []detourer.Option{
 		detourer.WithDirect(o.dialer), detourer.WithMeter(e.metrics), detourer.WithMemory(e.memory),
 		detourer.WithMaxServed(machineOf(s).MaxDetours()),
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -107,8 +107,8 @@
 	return func(o *options) { o.concurrentPerConn = messages }
 }
 
-// WithMemory sets the budget that a Server charges messages to until they are handled. Without
-// one they are bounded by connection only.
+// WithMemory sets the budget that messages are charged to: those that a Server receives until they
+// are handled, and those that wait to be written. Without one they are bounded by connection only.
 func WithMemory(m *reserver.Reserver) Option { return func(o *options) { o.memory = m } }
 
 // WithMaxConns limits the open connections of a Server.
--- a/messenger/outbox.go
+++ b/messenger/outbox.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"primrosehook/framer"
+	"primrosehook/reserver"
 )
 
 // maxBatchBytes limits the bytes of the frames that share one write. A larger
@@ -34,8 +35,9 @@
 
 	mu     sync.Mutex
 	frames []*frame
-	// size is the number of bytes queued or being written.
+	// size is the number of bytes queued or being written, which held is charged for.
 	size   int
+	held   *reserver.Reservation
 	closed bool
 	// finishing is set once the outbox is to close after the queued frames are
 	// written.
@@ -46,7 +48,11 @@
 }
 
 func newOutbox(conn net.Conn, o options, c *counters) *outbox {
-	return &outbox{conn: conn, options: o, counters: c, notify: make(chan struct{}, 1), done: make(chan struct{})}
+	out := &outbox{conn: conn, options: o, counters: c, notify: make(chan struct{}, 1), done: make(chan struct{})}
+	if o.memory != nil {
+		out.held, _ = o.memory.Acquire(reserver.Queue, 0) // nothing always fits
+	}
+	return out
 }
 
 // put queues a message. It fails with errQueueFull if the queue has no room.
@@ -67,6 +73,8 @@
 	}
 	o.frames = append(o.frames, f)
 	o.size += len(data)
+	// Messages of this instance are not refused for what peers have sent it.
+	o.held.Force(int64(len(data)))
 	select {
 	case o.notify <- struct{}{}:
 	default:
@@ -83,6 +91,7 @@
 		if g == f {
 			o.frames = append(o.frames[:i:i], o.frames[i+1:]...)
 			o.size -= len(f.data)
+			o.held.Shrink(int64(len(f.data)))
 			return true
 		}
 	}
@@ -118,6 +127,7 @@
 // loopWrite writes queued frames until the outbox is closed or a write fails.
 func (o *outbox) loopWrite() {
 	defer close(o.done)
+	defer o.held.Release()
 	defer o.close()
 	for range o.notify {
 		for {
@@ -187,6 +197,7 @@
 	}
 	o.mu.Lock()
 	o.size -= len(data)
+	o.held.Shrink(int64(len(data)))
 	o.mu.Unlock()
 	return err == nil
 }
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -229,7 +229,7 @@
 		x.meter.Observe(MetricFirst+x.route.Kind.String(), x.firstByte.Sub(x.started))
 		x.copyHeader(a)
 		x.writer.WriteHeader(a.StatusCode)
-		x.outbox.Store(startOutbox(x.writer, x.clock, x.slowClientTimeout))
+		x.outbox.Store(startOutbox(x.writer, x.memory, x.clock, x.slowClientTimeout))
 	} else if pause := now.Sub(x.lastWrite); pause > x.longestPause {
 		x.longestPause, x.longestPauseAt = pause, x.lastWrite.Sub(x.started)
 	}
--- a/relayer/outbox.go
+++ b/relayer/outbox.go
@@ -9,6 +9,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+
+	"primrosehook/reserver"
 )
 
 const (
@@ -37,7 +39,9 @@
 	mu      sync.Mutex
 	changed *sync.Cond
 	pending []byte
-	closed  bool
+	// held is the memory of pending and of the buffers that a stream has anyway.
+	held   *reserver.Reservation
+	closed bool
 	// lost is set once a write has failed, slow if that is since the client did not read. dropped is
 	// set if the writes are ended since the client has left.
 	lost, slow, dropped bool
@@ -49,8 +53,10 @@
 	blocking  bool
 }
 
-func startOutbox(w http.ResponseWriter, clock clockwork.Clock, timeout time.Duration) *outbox {
-	o := &outbox{writer: w, control: http.NewResponseController(w), clock: clock, timeout: timeout, done: make(chan struct{})}
+func startOutbox(w http.ResponseWriter, memory *reserver.Reserver, clock clockwork.Clock, timeout time.Duration) *outbox {
+	held, _ := memory.Acquire(reserver.Stream, 0) // nothing always fits
+	held.Force(streamReadBytes + writeChunk)
+	o := &outbox{writer: w, held: held, control: http.NewResponseController(w), clock: clock, timeout: timeout, done: make(chan struct{})}
 	o.changed = sync.NewCond(&o.mu)
 	go o.runWriter()
 	return o
@@ -73,11 +79,25 @@
 	if o.lost {
 		return false
 	}
+	o.reserve(len(b))
 	o.pending = append(o.pending, b...)
 	o.changed.Broadcast()
 	return true
 }
 
+// reserve makes room for more bytes, charged before it is allocated: the request was passed on, and
+// its stream is not cut off. o.mu must be held.
+func (o *outbox) reserve(more int) {
+	n, size := len(o.pending)+more, cap(o.pending)
+	if n <= size {
+		return
+	}
+	larger := max(n, 2*size)
+	o.held.Force(int64(larger))
+	o.pending = append(make([]byte, 0, larger), o.pending...)
+	o.held.Shrink(int64(size))
+}
+
 // mustWait reports whether there is no room for more bytes. o.mu must be held.
 func (o *outbox) mustWait(more int) bool {
 	return !o.lost && len(o.pending) > 0 && len(o.pending)+more > maxUnread
@@ -144,6 +164,7 @@
 	o.changed.Broadcast()
 	o.mu.Unlock()
 	<-o.done
+	o.held.Release()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.lost {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -33,15 +33,23 @@
 	Detour
 	// Message is a message of a peer, until it is handled.
 	Message
+	// Stream is what waits for clients of streams to read it.
+	Stream
+	// Store is the reply of the platform's store, until it is decoded.
+	Store
+	// Queue is what waits to be written to peers.
+	Queue
 	kinds
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Body, Answer, Head, Connection, Detour, Message} }
+func Kinds() []Kind {
+	return []Kind{Body, Answer, Head, Connection, Detour, Message, Stream, Store, Queue}
+}
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
-	return [kinds]string{"body", "answer", "head", "connection", "detour", "message"}[k]
+	return [kinds]string{"body", "answer", "head", "connection", "detour", "message", "stream", "store", "queue"}[k]
 }
 
 const (
@@ -168,9 +176,9 @@
 	switch {
 	case k == Head || k == Connection || k == Detour:
 		return connectionRoom
-	case k == Message:
+	case k == Message || k == Queue:
 		return messageRoom
-	case k == Answer:
+	case k == Answer || k == Stream || k == Store:
 		return answerRoom
 	case k == Body && n <= SmallBytes:
 		return smallRoom
--- a/serveassembler/serveassembler.go
+++ b/serveassembler/serveassembler.go
@@ -156,7 +156,7 @@
 func (i *Instance) buildPeers() {
 	i.messages = messenger.NewServer(i.log, messenger.WithClock(i.clock), messenger.WithMemory(i.memory),
 		messenger.WithMaxConns(i.machine.MaxPeerConnections()), messenger.WithMaxQueuedBytes(i.machine.MaxPeerQueue()))
-	i.peers = messenger.NewClient(i.clock)
+	i.peers = messenger.NewClient(i.clock, messenger.WithMemory(i.memory), messenger.WithMaxQueuedBytes(i.machine.MaxPeerQueue()))
 	i.watcher = watcher.New(i.self, i.seed(), i.instanceList, i.peers,
 		watcher.WithClock(i.clock), watcher.WithLogger(i.log))
 	i.rules = publisher.New(i.recordLog, i.watcher, i.peers,
