--- a/crowder/instance_test.go
+++ b/crowder/instance_test.go
@@ -96,8 +96,9 @@
 	return l.Addr().String()
 }
 
-// startInstance starts an instance with a memory in MB and waits until it is ready.
-func startInstance(program, dir string, memory int) *instance {
+// startInstance starts an instance with a memory in MB, and with descriptors other than
+// maxDescriptors if there are any, and waits until it is ready.
+func startInstance(program, dir string, memory int, descriptors ...int) *instance {
 	records := faker.NewMetadataStore()
 	store := httptest.NewServer(records)
 	DeferCleanup(store.Close)
@@ -109,7 +110,7 @@
 	records.Put(platform.TopicServers, engine.ID, engine.Registration("api", server.Listener.Addr().String(), "z1", "ready", 1))
 	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/form/1", readyPath: "/-/readiness", served: http.StatusOK, engine: engine}
 	file := filepath.Join(dir, "settings.toml")
-	text := fmt.Sprintf(settings, n.control, n.front, n.ready, n.control, memory, maxDescriptors, store.Listener.Addr().String())
+	text := fmt.Sprintf(settings, n.control, n.front, n.ready, n.control, memory, append(descriptors, maxDescriptors)[0], store.Listener.Addr().String())
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 	n.start(exec.Command(program, "entry", "-settings", file))
 	n.expectReady()
