Memory: what waits for peers has a room of its own

It is charged without being refused, so that in the room of received messages the queue to one peer that does not read had the messages of all peers refused.

--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -62,6 +62,10 @@
 	// their own since the bodies that fill the one for large bodies are freed only once their
 	// answers are delivered.
 	answerShare = 0.15
+	// queueShare is what waits to be written to peers may hold beside the budget, as a part of it. It
+	// has a room of its own since it is not refused: the queue to one peer that does not read would
+	// otherwise have the messages of all peers refused.
+	queueShare = 0.05
 	// progressBytes is how much has to arrive to count as progress: 4 KiB within stallTime is
 	// what a link of 32 kbit/s carries.
 	progressBytes = 4 << 10
@@ -76,18 +80,21 @@
 	connectionRoom
 	messageRoom
 	answerRoom
+	queueRoom
 	rooms
 )
 
 // room is a part of the budget.
 type room struct{ limit, held int64 }
 
-// over returns how much does not fit if n more bytes are held in a room. What answers hold beyond
-// their own room is missing to large bodies. r.mu must be held.
+// over returns how much does not fit if n more bytes are held in a room. What answers and queues
+// hold beyond their own rooms is missing to large bodies. r.mu must be held.
 func (r *Reserver) over(in int, n int64) int64 {
 	over := r.rooms[in].held + n - r.rooms[in].limit
 	if in == largeRoom {
-		over += max(r.rooms[answerRoom].held-r.rooms[answerRoom].limit, 0)
+		for _, beside := range []int{answerRoom, queueRoom} {
+			over += max(r.rooms[beside].held-r.rooms[beside].limit, 0)
+		}
 	}
 	return over
 }
@@ -139,6 +146,7 @@
 	r.rooms[connectionRoom].limit = connections
 	r.rooms[messageRoom].limit = messages
 	r.rooms[answerRoom].limit = int64(answerShare * float64(total))
+	r.rooms[queueRoom].limit = int64(queueShare * float64(total))
 	r.announceChange()
 }
 
@@ -176,8 +184,10 @@
 	switch {
 	case k == Head || k == Connection || k == Detour:
 		return connectionRoom
-	case k == Message || k == Queue:
+	case k == Message:
 		return messageRoom
+	case k == Queue:
+		return queueRoom
 	case k == Answer || k == Stream || k == Store:
 		return answerRoom
 	case k == Body && n <= SmallBytes:
@@ -327,7 +337,7 @@
 	}
 	s.add(n)
 	room := s.room
-	if room == answerRoom {
+	if room == answerRoom || room == queueRoom {
 		room = largeRoom
 	}
 	var ended []func()
--- a/reserver/turn_test.go
+++ b/reserver/turn_test.go
@@ -57,3 +57,19 @@
 		Expect(r.Held(reserver.Answer)).To(BeEquivalentTo(room + reserver.SmallBytes))
 	})
 })
+
+// Guards against a peer that does not read, whose queue has the messages of all peers refused.
+var _ = Describe("Memory of what waits for peers", func() {
+	It("is missing to large bodies, not to messages of peers", func() {
+		r := reserver.New(20 << 20)
+		queue, _ := r.Acquire(reserver.Queue, 0)
+		queue.Force(9 << 20)
+		_, ok := r.Acquire(reserver.Message, 1<<20)
+		Expect(ok).To(BeTrue())
+		_, ok = r.Acquire(reserver.Body, 4<<20)
+		Expect(ok).To(BeFalse())
+		queue.Release()
+		_, ok = r.Acquire(reserver.Body, 4<<20)
+		Expect(ok).To(BeTrue())
+	})
+})
