Answers: no charge for bodies that are only declared, or were cut

An answer to HEAD, or with status 304, declares the length of a body that it does not have. Attempts of a call share a reservation, to which the buffers of failed ones were charged until its end.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,7 +113,7 @@
 	if refusal, ok := refusalOf(p); ok {
 		return Answer{}, refusal
 	}
-	first := firstRead(p.ContentLength)
+	first := firstRead(q.Method, p)
 	turn, cancel := context.WithTimeout(ctx, maxTurn)
 	defer cancel()
 	call.Held.AwaitTurn(turn, first)
@@ -125,6 +125,10 @@
 		// A service that crashes ends its connections too, but takes no new one.
 		err = sender.Probe(ctx, c.clock, c.addr)
 	}
+	if err != nil || len(body) > MaxBody {
+		// Another attempt may share the reservation.
+		call.Held.Shrink(int64(cap(body)))
+	}
 	if err != nil {
 		return Answer{}, judge.Unknown("service", "answer of the service was cut", err)
 	}
@@ -136,12 +140,16 @@
 	return Answer{Status: p.StatusCode, Header: StripHopHeaders(p.Header), Body: body}, nil
 }
 
-// firstRead returns the first size of the buffer for an answer with a declared length.
-func firstRead(declared int64) int64 {
-	if declared < 0 {
+// firstRead returns the first size of the buffer for the body of an answer. An answer to HEAD
+// declares the length of a body that it does not have.
+func firstRead(method string, p *http.Response) int64 {
+	switch {
+	case method == http.MethodHead || p.StatusCode == http.StatusNotModified:
+		return 0
+	case p.ContentLength < 0:
 		return firstBytes
 	}
-	return min(declared, MaxBody+1)
+	return min(p.ContentLength, MaxBody+1)
 }
 
 func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	"primrosehook/faker"
 	"primrosehook/forwarder"
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/sender"
 )
 
@@ -52,6 +54,25 @@
 		Expect(load).To(Equal(forwarder.Load{Slots: 4}))
 	})
 
+	// Guards against memory that is held for a body that answers to HEAD only declare, and against
+	// charges of an answer that was cut, which another attempt with the same reservation adds to.
+	It("charges nothing for bodies that it does not have", func(ctx context.Context) {
+		start(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(1<<20))
+			if q.Method != http.MethodHead {
+				_, _ = w.Write([]byte("cut"))
+			}
+		}))
+		memory := reserver.New(100 << 20)
+		for _, method := range []string{http.MethodHead, http.MethodPut} {
+			held, _ := memory.Acquire(reserver.Answer, 0)
+			_, err := client.Call(ctx, forwarder.Call{Method: method, Path: "/", Held: held})
+			Expect(err == nil).To(Equal(method == http.MethodHead))
+			Expect(memory.Held(reserver.Answer)).To(BeZero(), method)
+			held.Release()
+		}
+	})
+
 	// Each entry gives a fault, the verdict that the call must get, and how
 	// often it ran.
 	DescribeTable("returns the verdict that fits the fault", func(ctx context.Context, faults faker.ServiceFaults, verdict judge.Verdict, runs int) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -274,7 +274,8 @@
 		return true
 	}
 	first := int64(firstBodyBytes)
-	if n := t.answer.ContentLength; n > 0 {
+	// An answer to HEAD declares the length of a body that it does not have.
+	if n := t.answer.ContentLength; n > 0 && t.request.Method != http.MethodHead && t.answer.StatusCode != http.StatusNotModified {
 		first = min(n, maxAnswerBytes+1)
 	}
 	grow(first)
--- a/reserver/read.go
+++ b/reserver/read.go
@@ -10,6 +10,7 @@
 
 // ReadAll reads all of a body into a buffer of the size first, for which memory is
 // reserved. The buffer is doubled, up to a size, each time after the memory is reserved by grow.
+// After an error nothing is held for it any more.
 func ReadAll(body io.Reader, first, largest int64, held *Reservation, grow func(int64) bool) ([]byte, error) {
 	buffer := make([]byte, 0, first)
 	var probe [1]byte
@@ -24,6 +25,7 @@
 			old := int64(cap(buffer))
 			larger := min(2*old, max(largest, old+1))
 			if !grow(larger) {
+				held.Shrink(old)
 				return nil, ErrMemory
 			}
 			buffer = append(make([]byte, 0, larger), buffer...)
@@ -36,6 +38,7 @@
 			return buffer, nil
 		}
 		if err != nil {
+			held.Shrink(int64(cap(buffer)))
 			return nil, err
 		}
 	}
