--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -116,9 +116,9 @@
 	first := firstRead(q.Method, p)
 	turn, cancel := context.WithTimeout(ctx, maxTurn)
 	defer cancel()
-	call.Held.AwaitTurn(turn, first)
+	call.Held.AwaitTurn(turn, first, nil)
 	body, err := reserver.ReadAll(io.LimitReader(p.Body, MaxBody+1), first, MaxBody+1, call.Held, func(n int64) bool {
-		call.Held.AwaitTurn(turn, n)
+		call.Held.AwaitTurn(turn, n, nil)
 		return true
 	})
 	if err == nil && sender.EndsWithConnection(p) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,6 +61,10 @@
 	bodyErr    error
 	// answerHeld is the memory of answerBody.
 	answerHeld *reserver.Reservation
+	// awaitsMemory is set while the answer is not read since it waits for memory, memoryCame is when
+	// it last had waited, nil if it never has.
+	awaitsMemory atomic.Bool
+	memoryCame   atomic.Pointer[time.Time]
 	// abandoned is set if the answer is no longer needed.
 	abandoned bool
 	// firstEvent is when the first event of a stream arrived. survived is set once the
@@ -270,7 +275,12 @@
 	ctx, cancel := context.WithTimeout(t.attemptContext, t.deadline.Sub(t.clock.Now())/2)
 	defer cancel()
 	grow := func(n int64) bool {
-		t.answerHeld.AwaitTurn(ctx, n)
+		t.answerHeld.AwaitTurn(ctx, n, func() { t.awaitsMemory.Store(true) })
+		if t.awaitsMemory.Load() {
+			now := t.clock.Now()
+			t.memoryCame.Store(&now)
+			t.awaitsMemory.Store(false)
+		}
 		return true
 	}
 	first := int64(firstBodyBytes)
--- a/relayer/body_test.go
+++ b/relayer/body_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -93,6 +94,22 @@
 		Expect(answer(open(1<<19, 1<<19)).StatusCode).To(Equal(http.StatusOK))
 	})
 
+	// Guards against a request that is sent to a second server since the first one's answer waits for
+	// memory.
+	It("does not take a server for silent while its answer waits", func() {
+		large := signedAnswer(strings.Repeat("x", 300<<10))
+		w = startRelayerWith(newGuard(), []handler{large, large}, relayer.WithMemory(memory))
+		older, _ := memory.Acquire(reserver.Answer, 0)
+		older.GrowInTurn(1 << 20)
+		time.AfterFunc(900*time.Millisecond, older.Release)
+		status, body, err := w.send(http.MethodPost, "/read/1", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(HaveLen(300 << 10))
+		Expect(w.attemptCount()).To(Equal(1))
+		Eventually(func() int64 { return memory.Held(reserver.Answer) }).Should(BeZero())
+	})
+
 	// Guards against a declared length that is reserved although it is over the limit.
 	It("answers 413 to a declared length over the limit without the body", func() {
 		Expect(answer(open(1<<20+1, 0)).StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -220,6 +220,14 @@
 	if held := w.exchange.outbox.Load().heldUntil(); held.After(heard) {
 		heard = held
 	}
+	// Nor while the answer waits for memory.
+	if w.attempt.awaitsMemory.Load() {
+		w.timer.Reset(recheckInterval)
+		return
+	}
+	if came := w.attempt.memoryCame.Load(); came != nil && came.After(heard) {
+		heard = *came
+	}
 	silent := w.exchange.clock.Since(heard)
 	soft := w.softTimeout()
 	if silent < soft {
--- a/reserver/turn.go
+++ b/reserver/turn.go
@@ -31,8 +31,9 @@
 }
 
 // AwaitTurn reserves n more bytes for an answer. Above SmallBytes it waits for its turn until the
-// context ends. The bytes are held whether or not they fit then.
-func (s *Reservation) AwaitTurn(ctx context.Context, n int64) {
+// context ends. The bytes are held whether or not they fit then. It calls waits before it waits, if
+// that is not nil.
+func (s *Reservation) AwaitTurn(ctx context.Context, n int64, waits func()) {
 	if n <= SmallBytes {
 		s.Force(n)
 		return
@@ -42,6 +43,9 @@
 		if ok {
 			return
 		}
+		if waits != nil {
+			waits()
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/reserver/turn_test.go
+++ b/reserver/turn_test.go
@@ -45,7 +45,7 @@
 		Expect(grow(a, room)).To(BeTrue())
 		over, cancel := context.WithCancel(context.Background())
 		cancel()
-		b.AwaitTurn(over, part)
+		b.AwaitTurn(over, part, nil)
 		Expect(r.Held(reserver.Answer)).To(BeEquivalentTo(room + part))
 	})
 
@@ -53,7 +53,7 @@
 	It("is held at once for small answers beside large ones", func() {
 		a, b := answer(), answer()
 		Expect(grow(a, room)).To(BeTrue())
-		b.AwaitTurn(context.Background(), reserver.SmallBytes)
+		b.AwaitTurn(context.Background(), reserver.SmallBytes, nil)
 		Expect(r.Held(reserver.Answer)).To(BeEquivalentTo(room + reserver.SmallBytes))
 	})
 })
