Own API: answer what a planned stop can't finish, refuse late requests

Callers saw connections that were closed with no answer: requests that lasted longer than the drain, and requests that came on open connections, or on new ones, once the linger time was over.

Cause: the drain was http.Server.Shutdown, which closes listeners and idle connections at once and drops what it reads after that, followed by Close at the end of the drain.

Change: after the linger time requests are refused at once (503, code "draining", Connection: close); /healthz and /readyz are still answered. 500 ms before the end of the drain the requests in progress are given up with code "stopping": 503 if they have certainly not run (no engine or server was asked, or the body is not there), else 502; a stream that has begun ends with an error event. A write goes on for its recorded outcome.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -100,8 +100,18 @@
 	once     *sync.Once
 }
 
+// Listener is a listener whose connections an Acceptor limits.
+type Listener interface {
+	net.Listener
+	// EndUnused is Acceptor.EndUnused.
+	EndUnused() int
+}
+
+// EndUnused implements Listener.
+func (l listener) EndUnused() int { return l.acceptor.EndUnused() }
+
 // Listen returns a listener that accepts the connections that fit.
-func (a *Acceptor) Listen(l net.Listener) net.Listener {
+func (a *Acceptor) Listen(l net.Listener) Listener {
 	return listener{Listener: l, acceptor: a, closed: make(chan struct{}), once: &sync.Once{}}
 }
 
--- a/server/call.go
+++ b/server/call.go
@@ -80,6 +80,12 @@
 			if c.end(r); r.err == nil {
 				return r.answer, nil
 			}
+			if isGivenUp(ctx) {
+				if c.open > 0 {
+					c.failure.Verdict = max(c.failure.Verdict, judge.MayHaveRun)
+				}
+				return forwarder.Answer{}, stopRefusal(c.failure.Verdict)
+			}
 			if ctx.Err() != nil || errors.Is(r.err, sender.ErrUnwanted) {
 				return forwarder.Answer{}, errClientGone
 			}
--- a/server/generate.go
+++ b/server/generate.go
@@ -81,6 +81,9 @@
 		return err
 	}
 	err = g.run(ctx)
+	if errors.Is(err, errClientGone) && isGivenUp(ctx) {
+		err = g.finalRefusal(stopRefusal(g.stopVerdict()))
+	}
 	g.finish(err)
 	return err
 }
@@ -173,6 +176,14 @@
 	return nil
 }
 
+// stopVerdict returns whether a generation that was given up may have run.
+func (g *generation) stopVerdict() judge.Verdict {
+	if g.granted || g.request.resumeToken != nil {
+		g.worstVerdict = max(g.worstVerdict, judge.MayHaveRun)
+	}
+	return g.worstVerdict
+}
+
 // minDeferredMaxWait is the smallest limit on the queueing time of deferred
 // work. Rules limit its completion time and seldom its queueing time.
 const minDeferredMaxWait = 30 * time.Second
--- a/server/parse.go
+++ b/server/parse.go
@@ -209,6 +209,8 @@
 	}
 	// Any time that has passed makes the read that is waiting fail.
 	held.OnReclaim(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	ctx := c.Request().Context()
+	defer interruptReads(ctx, control)()
 	var b bytes.Buffer
 	// ReadFrom asks for bytes.MinRead more before it sees the end.
 	b.Grow(int(max(declared, 0)) + bytes.MinRead)
@@ -223,6 +225,8 @@
 	}
 	var size *http.MaxBytesError
 	switch {
+	case isGivenUp(ctx):
+		return nil, stopRefusal(judge.NotRun)
 	case err == nil:
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
--- a/server/refusal.go
+++ b/server/refusal.go
@@ -91,8 +91,8 @@
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 		h.Set("Retry-After-Ms", strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 	}
-	// The connection cannot be reused if the body was not read to its end.
-	if r.Status == http.StatusRequestEntityTooLarge || r.Status == http.StatusRequestTimeout {
+	// The connection cannot be reused if the body was not read to its end, or once the instance stops.
+	if s.leaving.Load() || r.Status == http.StatusRequestEntityTooLarge || r.Status == http.StatusRequestTimeout {
 		h.Set("Connection", "close")
 	}
 	_ = c.JSON(r.Status, newErrorBody(r))
--- a/server/server.go
+++ b/server/server.go
@@ -62,6 +62,11 @@
 	// ownMemory is set if memory is the budget of the process.
 	ownMemory bool
 	leaving   atomic.Bool
+	// draining is set from when on requests are refused in a planned stop. requests ends when
+	// those in progress are given up.
+	draining    atomic.Bool
+	requests    context.Context
+	endRequests context.CancelFunc
 }
 
 // Limits bounds the resources of requests.
@@ -131,6 +136,7 @@
 		checks:    map[string]Check{},
 		metrics:   new(expvar.Map).Init(),
 	}
+	s.requests, s.endRequests = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(s)
 	}
@@ -159,8 +165,8 @@
 	e.POST("/v1/streams/:token", s.replay)
 	e.Any("/services/:service", s.handleService)
 	e.Any("/services/:service/*", s.handleService)
-	e.GET("/healthz", s.liveness)
-	e.GET("/readyz", s.readiness)
+	e.GET(pathLiveness, s.liveness)
+	e.GET(pathReadiness, s.readiness)
 	return e
 }
 
@@ -176,8 +182,8 @@
 	e.GET("/admin/explain/models/:model", s.explainModel)
 	e.GET("/admin/explain/orders/:id", s.explainOrder)
 	e.GET("/admin/explain/rules", s.explainRules)
-	e.GET("/healthz", s.liveness)
-	e.GET("/readyz", s.readiness)
+	e.GET(pathLiveness, s.liveness)
+	e.GET(pathReadiness, s.readiness)
 	e.GET("/debug/vars", s.showMetrics)
 	return e
 }
@@ -235,14 +241,27 @@
 	maxHeaderBytes = 16 << 10
 )
 
-// admit limits the number of open requests over all routes.
+// Routes of the checks, which are answered until the end of a planned stop.
+const (
+	pathLiveness  = "/healthz"
+	pathReadiness = "/readyz"
+)
+
+// admit limits the number of open requests over all routes, and refuses them at the end of a
+// planned stop.
 func (s *Server) admit(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		s.counters.open.Add(1)
-		defer s.counters.open.Add(-1)
 		if s.leaving.Load() {
 			c.Response().Header().Set("Connection", "close")
 		}
+		ctx, done := s.withStop(c.Request().Context())
+		defer done()
+		c.SetRequest(c.Request().WithContext(ctx))
+		if s.draining.Load() && c.Path() != pathLiveness && c.Path() != pathReadiness {
+			return s.refuseDraining(c)
+		}
+		s.counters.open.Add(1)
+		defer s.counters.open.Add(-1)
 		if s.counters.open.Value() > s.limits.MaxOpenRequests {
 			return judge.Unavailable("connections", "instance has too many open requests", time.Second)
 		}
--- a/server/service.go
+++ b/server/service.go
@@ -144,23 +144,40 @@
 	return sr.runCall(ctx)
 }
 
-// runWrite executes a write. It continues if the client disconnects: the
-// outcome must be recorded for a repeated request of the client.
+// runWrite executes a write. It continues if the client disconnects, or is told that the instance
+// stops: the outcome must be recorded for a repeated request of the client.
 func (sr *serviceRequest) runWrite(ctx context.Context) (forwarder.Answer, error) {
-	s := sr.server
 	if err := checkKey(sr.key); err != nil {
 		return forwarder.Answer{}, err
 	}
-	if s.writer == nil {
+	if sr.server.writer == nil {
 		return forwarder.Answer{}, judge.Unavailable("writer", "instance takes no writes", time.Second)
 	}
-	s.counters.writes.Add(1)
-	ctx, span := s.tracer.Start(context.WithoutCancel(ctx), "write")
+	sr.server.counters.writes.Add(1)
+	results := make(chan writeResult, 1)
+	go sr.runWriter(context.WithoutCancel(ctx), results)
+	select {
+	case r := <-results:
+		sr.repeated = r.repeated
+		return r.answer, r.err
+	case <-sr.server.requests.Done():
+		return forwarder.Answer{}, stopRefusal(judge.MayHaveRun)
+	}
+}
+
+// writeResult is the result of a write.
+type writeResult struct {
+	answer   forwarder.Answer
+	repeated bool
+	err      error
+}
+
+func (sr *serviceRequest) runWriter(ctx context.Context, results chan<- writeResult) {
+	ctx, span := sr.server.tracer.Start(ctx, "write")
 	write := Write{Call: withTraceContext(ctx, sr.call), Service: sr.service, Key: sr.key}
-	answer, repeated, err := s.writer.Write(ctx, write)
-	sr.repeated = repeated
+	answer, repeated, err := sr.server.writer.Write(ctx, write)
 	tracer.EndSpan(span, err)
-	return answer, err
+	results <- writeResult{answer, repeated, err}
 }
 
 // withTraceContext adds the trace context of the current span to a call, if
