Planned stop spec: send the long request earlier

"answers requests that can't be finished in time" sent its request 200 ms before the end of the linger time.

It is sent 600 ms before the end now.

--- a/entryassembler/stop_test.go
+++ b/entryassembler/stop_test.go
@@ -210,7 +210,7 @@
 		s.awaitOnly(g)
 		stopped := time.Now()
 		g.stops[0]()
-		time.Sleep(linger - 200*time.Millisecond)
+		time.Sleep(linger - 600*time.Millisecond)
 		c := g.connectClient(0)
 		o := &outcome{id: "long"}
 		Expect(writeRequest(c, o.id)).To(Succeed())
