Pacer: give back the slot of a client that leaves

Callers saw prompts that waited for a slot in a server's schedule, or were postponed, although the client of an earlier reservation had left and nothing was sent in its slot.

Cause: Reserve had no counterpart. A reservation was dropped only once its time was a window ago.

Change: the requester names its reservation (field i of the request) and gives it back with the message release-slot if the client leaves while the request waits for its slot, or during the call. The owner drops what is still to come. Requests that are sent cause no message. An owner of an earlier build refuses the message as unknown, and the slot stays as before.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,6 +20,10 @@
 const (
 	// kindReserve is the message kind of a reserveRequest.
 	kindReserve = "reserve"
+	// kindRelease is the message kind of a releaseRequest. It is sent only if a client leaves
+	// while its request waits for its slot. A peer of a build that does not know it keeps the
+	// reservation until its time.
+	kindRelease = "release-slot"
 	// reserveTimeout bounds a reservation call to a peer: some ten crossings
 	// between availability zones, and a tenth of the tightest latency objective
 	// of a first event.
@@ -59,6 +64,14 @@
 	// SpeedPercent is how fast the server is compared with the usual one, zero if that is not
 	// known.
 	SpeedPercent int `msgpack:"p,omitempty"`
+	// ID is what the reservation may be released by, zero if it can't be.
+	ID uint64 `msgpack:"i,omitempty"`
+}
+
+// releaseRequest gives back a reservation.
+type releaseRequest struct {
+	Incarnation string `msgpack:"s"`
+	ID          uint64 `msgpack:"i"`
 }
 
 // Reservation says when a prompt may be sent.
@@ -67,6 +80,9 @@
 	// reservation and Wait is the time after which to ask again.
 	Wait     time.Duration `msgpack:"w"`
 	Reserved bool          `msgpack:"b"`
+	// owner and id are what a reservation with a wait is released by.
+	owner string
+	id    uint64
 }
 
 // Pacer owns the schedules of some servers, and asks peers for reservations in
@@ -90,7 +106,10 @@
 }
 
 // Serve registers the handler for the reservations of peers.
-func (p *Pacer) Serve(s *messenger.Server) { s.Handle(kindReserve, p.handleReserve) }
+func (p *Pacer) Serve(s *messenger.Server) {
+	s.Handle(kindReserve, p.handleReserve)
+	s.Handle(kindRelease, p.handleRelease)
+}
 
 // Update replaces the addresses of the instances.
 func (p *Pacer) Update(members []string) {
@@ -103,21 +122,76 @@
 // incarnation. gap is the longest inter-event gap of a stream that meets the
 // objective. An error means that the owner of the schedule did not reply.
 func (p *Pacer) Reserve(ctx context.Context, incarnation string, tokens int, gap time.Duration, load balancer.EngineLoad) (Reservation, error) {
-	q := reserveRequest{Incarnation: incarnation, Tokens: tokens, RunningStreams: load.RunningStreams, StepsPerEvent: load.EventTokens, Window: gap.Milliseconds(), SpeedPercent: int(math.Round(100 * load.Speed))}
+	q := reserveRequest{Incarnation: incarnation, Tokens: tokens, RunningStreams: load.RunningStreams, StepsPerEvent: load.EventTokens, Window: gap.Milliseconds(), SpeedPercent: int(math.Round(100 * load.Speed)), ID: rand.Uint64()}
 	owner := p.owner(incarnation)
 	if owner == p.self {
-		return p.reserve(q), nil
+		return p.reserve(q).withHandle(owner, q.ID), nil
 	}
 	var r Reservation
 	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	err := p.peers.Call(callCtx, owner, kindReserve, q, &r)
-	if err != nil && ctx.Err() == nil {
+	switch {
+	case err == nil:
+		return r.withHandle(owner, q.ID), nil
+	case ctx.Err() != nil:
+		// The owner may have reserved a slot all the same.
+		go p.runRelease(owner, releaseRequest{incarnation, q.ID})
+	default:
 		p.backOff(owner, err)
 	}
 	return r, eris.Wrap(err, "reserve a slot")
 }
 
+// withHandle returns a reservation with what it is released by, if its time is still to come.
+func (r Reservation) withHandle(owner string, id uint64) Reservation {
+	if r.Reserved && r.Wait > 0 {
+		r.owner, r.id = owner, id
+	}
+	return r
+}
+
+// Release gives back a reservation at a server whose time is still to come. It does not wait for
+// the owner of the schedule.
+func (p *Pacer) Release(incarnation string, r Reservation) {
+	if r.id == 0 {
+		return
+	}
+	q := releaseRequest{incarnation, r.id}
+	if r.owner == p.self {
+		p.release(q)
+		return
+	}
+	go p.runRelease(r.owner, q)
+}
+
+// runRelease tells a peer that a reservation is given back. If that fails the slot stays reserved
+// until its time, which is at most half a window ahead.
+func (p *Pacer) runRelease(owner string, q releaseRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
+	defer cancel()
+	if err := p.peers.Call(ctx, owner, kindRelease, q, nil); err != nil {
+		p.log.Debug("pacer: reservation was not released", zap.String("member", owner), zap.Error(err))
+	}
+}
+
+func (p *Pacer) handleRelease(_ context.Context, body msgpack.RawMessage) (any, error) {
+	var q releaseRequest
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return nil, eris.Wrap(err, "decode release of a reservation")
+	}
+	p.release(q)
+	return nil, nil
+}
+
+func (p *Pacer) release(q releaseRequest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.schedules[q.Incarnation]; ok {
+		s.Release(p.clock.Now(), q.ID)
+	}
+}
+
 // owner returns the instance that owns a server's schedule. Instances that know
 // the same members agree on it, and few schedules change owner when the members
 // change.
@@ -169,7 +243,7 @@
 		s = &Schedule{}
 		p.schedules[q.Incarnation] = s
 	}
-	wait, reserved := s.Reserve(now, q.Tokens, Limits{
+	wait, reserved := s.Reserve(now, q.ID, q.Tokens, Limits{
 		Window: window, Tokens: prefillBudget(window, q.RunningStreams, q.StepsPerEvent, q.SpeedPercent),
 		MaxWait: time.Duration(maxWaitWindows * float64(window)),
 	})
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -108,6 +108,29 @@
 		Expect(a.Reserved).To(BeTrue())
 	})
 
+	// Guards against a slot that stays reserved at a peer for a client that has left.
+	It("gives a reservation back to the owner of the schedule", func() {
+		all := startInstances(2)
+		incarnation := "s"
+		for all[0].pacer.Owns(incarnation) {
+			incarnation += "s"
+		}
+		// The server has no time for more than one such prompt in 2 s.
+		take := func() pacer.Reservation {
+			r, err := all[0].pacer.Reserve(context.Background(), incarnation, 256, 2*time.Second, balancer.EngineLoad{RunningStreams: 1000, EventTokens: 4})
+			Expect(err).NotTo(HaveOccurred())
+			return r
+		}
+		Expect(take().Reserved).To(BeTrue())
+		time.Sleep(1200 * time.Millisecond)
+		r := take()
+		Expect(r.Reserved).To(BeTrue())
+		Expect(r.Wait).To(BeNumerically(">", 0))
+		Expect(take().Reserved).To(BeFalse())
+		all[0].pacer.Release(incarnation, r)
+		Eventually(func() bool { return take().Reserved }, "500ms").Should(BeTrue())
+	})
+
 	// Guards against reservations without end, and without bound in memory, for a server
 	// with so many running streams that no time is left for prompts.
 	It("lets prompts through one by one to a server that has no time for them", func() {
--- a/pacer/schedule.go
+++ b/pacer/schedule.go
@@ -28,6 +28,8 @@
 type reservation struct {
 	at     time.Time
 	tokens int
+	// id is what the reservation is released by, zero for none.
+	id uint64
 }
 
 // Schedule holds the prompts that were sent to one server lately or have a
@@ -39,7 +41,7 @@
 // Reserve reserves the earliest slot for a prompt that the limits allow, and
 // returns the time until then. If that is longer than MaxWait it reserves
 // nothing, and returns false and the time after which to ask again.
-func (s *Schedule) Reserve(now time.Time, tokens int, limits Limits) (time.Duration, bool) {
+func (s *Schedule) Reserve(now time.Time, id uint64, tokens int, limits Limits) (time.Duration, bool) {
 	limits.Tokens = max(limits.Tokens, 1)
 	s.reservations = slices.DeleteFunc(s.reservations, func(r reservation) bool { return now.Sub(r.at) >= limits.Window })
 	sum := 0
@@ -58,20 +60,25 @@
 	if wait > limits.MaxWait {
 		return wait - limits.MaxWait, false
 	}
-	s.add(at, tokens, limits)
+	s.add(at, id, tokens, limits)
 	return wait, true
 }
 
 // add adds a reservation, for a prompt of more than limits.Tokens one in each of
 // several successive windows.
-func (s *Schedule) add(at time.Time, tokens int, limits Limits) {
+func (s *Schedule) add(at time.Time, id uint64, tokens int, limits Limits) {
 	for ; tokens > 0; tokens -= limits.Tokens {
-		s.reservations = append(s.reservations, reservation{at, min(tokens, limits.Tokens)})
+		s.reservations = append(s.reservations, reservation{at, min(tokens, limits.Tokens), id})
 		at = at.Add(limits.Window)
 	}
 	slices.SortStableFunc(s.reservations, func(x, y reservation) int { return x.at.Compare(y.at) })
 }
 
+// Release gives back a reservation as far as its time is still to come.
+func (s *Schedule) Release(now time.Time, id uint64) {
+	s.reservations = slices.DeleteFunc(s.reservations, func(r reservation) bool { return id != 0 && r.id == id && r.at.After(now) })
+}
+
 // Idle reports whether no reservation counts any more.
 func (s *Schedule) Idle(now time.Time, window time.Duration) bool {
 	return !slices.ContainsFunc(s.reservations, func(r reservation) bool { return now.Sub(r.at) < window })
--- a/relayer/departure_test.go
+++ b/relayer/departure_test.go
@@ -64,6 +64,20 @@
 	return pacer.Reservation{Reserved: true}, nil
 }
 
+func (*endedWait) Release(string, pacer.Reservation) {}
+
+// waitingPacer reserves slots that are far ahead, and records those that are given back.
+type waitingPacer struct {
+	asked    chan struct{}
+	released chan pacer.Reservation
+}
+
+func (p *waitingPacer) Reserve(context.Context, string, int, time.Duration, balancer.EngineLoad) (pacer.Reservation, error) {
+	p.asked <- struct{}{}
+	return pacer.Reservation{Reserved: true, Wait: time.Minute}, nil
+}
+func (p *waitingPacer) Release(_ string, r pacer.Reservation) { p.released <- r }
+
 type endedThrottler struct{ *endedWait }
 
 func (endedThrottler) Observe(string, float64, bool) {}
@@ -136,6 +150,18 @@
 		Entry("to be admitted to a brittle server", "/read/1", signedAnswer("body"), func(e *endedWait) relayer.Option { return relayer.WithSparer(endedSparer{e}) }),
 	)
 
+	// Guards against a slot that stays reserved for nobody.
+	It("gives back the slot that it waits for", func() {
+		p := &waitingPacer{asked: make(chan struct{}, 1), released: make(chan pacer.Reservation, 1)}
+		w := startRelayerWith(newGuard(), []handler{streamEvents(1, 0)}, relayer.WithPacer(p))
+		w.loadModel()
+		c := connectClient(w.proxy.Listener.Addr().String(), "POST", "/chat/1", "body")
+		Eventually(p.asked, "10s").Should(Receive())
+		Consistently(p.released, settled).ShouldNot(Receive())
+		Expect(c.Close()).To(Succeed())
+		Eventually(p.released, "2s").Should(Receive(Equal(pacer.Reservation{Reserved: true, Wait: time.Minute})))
+	})
+
 	It("is not sent to a server after a wait for others that may crash it", func() {
 		e := newEndedWait()
 		e.requests.Add(1)
--- a/relayer/dependencies.go
+++ b/relayer/dependencies.go
@@ -74,6 +74,8 @@
 	// a server. gap is the route's objective for the longest pause between two
 	// events. An error means that the owner of the schedule did not reply.
 	Reserve(ctx context.Context, incarnation string, tokens int, gap time.Duration, load balancer.EngineLoad) (pacer.Reservation, error)
+	// Release gives back a reservation of a request that is not sent.
+	Release(incarnation string, r pacer.Reservation)
 }
 
 // Throttler keeps the rate limits that servers name, together with the other
--- a/relayer/leaving_test.go
+++ b/relayer/leaving_test.go
@@ -57,6 +57,8 @@
 	return pacer.Reservation{Reserved: true, Wait: 300 * time.Millisecond}, nil
 }
 
+func (*queuedPacer) Release(string, pacer.Reservation) {}
+
 var _ = Describe("A server that says that it leaves", func() {
 	// Guards against sending requests to a server whose answers say that it leaves, while
 	// its registration does not say so.
--- a/relayer/wait.go
+++ b/relayer/wait.go
@@ -100,6 +100,7 @@
 	reservation, err := x.pacer.Reserve(x.context, assignment.Incarnation, x.query.PrefillTokens(), x.route.MaxEventGap, assignment.EngineLoad())
 	switch {
 	case x.context.Err() != nil:
+		x.pacer.Release(assignment.Incarnation, reservation)
 		assignment.Cancel()
 		return false
 	case err != nil:
@@ -113,6 +114,7 @@
 	}
 	assignment.RecordReservation(reservation.Wait)
 	if reservation.Wait > 0 && !x.sleep(reservation.Wait) {
+		x.pacer.Release(assignment.Incarnation, reservation)
 		assignment.Cancel()
 		return false
 	}
