Message samples of formats 3

Formats 3 had no sample: a later build that renames a field of release-slot, or of reservation requests, would not have been noticed.

Both requests of a pacer come from one pacer, and the ID of the release is checked against that of the reservation.

Measured: go test ./upgrader passes.

--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -47,6 +47,7 @@
 	queues := []balancer.Queue{{Service: "llm", Key: "m0", Waiting: []int{1, 0, 2}, Granted: 1.5}}
 	record := tailer.Record{Offset: 41, Key: "k", Value: []byte("value")}
 	entitlement := allotter.Entitlement{Fraction: 0.125, Left: time.Second}
+	reserve, release := pacerRequests()
 	return map[string]any{
 		"allot request": allotter.AllotRequest{Instance: "front-1.5f", Items: []allotter.Item{{Account: "a", Version: 7, Rate: 2700, Burst: 900, Need: 1500, Ahead: 300, Back: 200}}, Late: []allotter.Late{{Account: "a", Amount: 700, Age: time.Second}}},
 		"allot reply":   allotter.AllotReply{NotArbiter: true, Grants: []allotter.Grant{{Amount: 1800, Wait: time.Second}}, Causes: []allotter.Cause{allotter.CauseLate}},
@@ -79,53 +80,64 @@
 		"pin request": pinner.PinRequest{
 			Software: []pinner.Software{{Service: "llm", Build: "v2"}}, Pins: []pinner.Pin{{ID: 3, Software: 0, Process: 4}},
 		},
-		"find-pin request":  pinner.FindRequest{ID: 3},
-		"find-pin reply":    pinner.FindReply{Known: true, Sure: true, Origin: pinner.Origin{Software: pinner.Software{Service: "llm", Build: "v2"}, Process: 4}, Age: time.Second},
-		"admit request":     sparer.AdmitRequest{Incarnation: "s1-a", Bears: 8},
-		"admit reply":       sparer.AdmitReply{Admitted: true, Wait: time.Second},
-		"ended request":     sparer.EndedRequest{Incarnation: "s1-a", Bears: 8, Refused: true},
-		"acquire request":   throttler.AcquireRequest{Statement: limit},
-		"acquire reply":     throttler.AcquireReply{NotOwner: true, Granted: true, Wait: time.Second, Statement: limit},
-		"reserve request":   reserveRequest(),
-		"reserve reply":     pacer.Reservation{Wait: time.Second, Reserved: true},
-		"pause request":     balancer.Pause{Incarnation: "s1-a", Address: "10.1.64.3:8140", Leaving: true, Rest: time.Second},
-		"take-turn request": sequencer.TakeRequest{Key: 5},
-		"take-turn reply":   sequencer.TakeReply{Taken: true, Wait: time.Second},
-		"end-turn request":  sequencer.EndRequest{Key: 5, Broken: true},
-		"frame":             framer.Message{Version: 1, ID: 6, Kind: "exchange", Trace: "00-1-2-01", Body: msgpack.RawMessage{0x80}},
+		"find-pin request":     pinner.FindRequest{ID: 3},
+		"find-pin reply":       pinner.FindReply{Known: true, Sure: true, Origin: pinner.Origin{Software: pinner.Software{Service: "llm", Build: "v2"}, Process: 4}, Age: time.Second},
+		"admit request":        sparer.AdmitRequest{Incarnation: "s1-a", Bears: 8},
+		"admit reply":          sparer.AdmitReply{Admitted: true, Wait: time.Second},
+		"ended request":        sparer.EndedRequest{Incarnation: "s1-a", Bears: 8, Refused: true},
+		"acquire request":      throttler.AcquireRequest{Statement: limit},
+		"acquire reply":        throttler.AcquireReply{NotOwner: true, Granted: true, Wait: time.Second, Statement: limit},
+		"reserve request":      reserve,
+		"reserve reply":        pacer.Reservation{Wait: time.Second, Reserved: true},
+		"release-slot request": release,
+		"pause request":        balancer.Pause{Incarnation: "s1-a", Address: "10.1.64.3:8140", Leaving: true, Rest: time.Second},
+		"take-turn request":    sequencer.TakeRequest{Key: 5},
+		"take-turn reply":      sequencer.TakeReply{Taken: true, Wait: time.Second},
+		"end-turn request":     sequencer.EndRequest{Key: 5, Broken: true},
+		"frame":                framer.Message{Version: 1, ID: 6, Kind: "exchange", Trace: "00-1-2-01", Body: msgpack.RawMessage{0x80}},
 	}
 }
 
-// reserveRequest returns the request of a pacer that owns no schedule, as it is written.
-func reserveRequest() any {
+// pacerRequests returns the requests of a pacer that owns no schedule, as they are written: one
+// for a slot, and one that gives the slot back.
+func pacerRequests() (reserve, release any) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	bodies := make(chan msgpack.RawMessage, 1)
+	bodies := make(chan msgpack.RawMessage, 2)
 	s := messenger.NewServer(zap.NewNop())
 	s.Handle("reserve", func(_ context.Context, body msgpack.RawMessage) (any, error) {
 		bodies <- bytes.Clone(body)
-		return pacer.Reservation{}, nil
+		return pacer.Reservation{Wait: time.Second, Reserved: true}, nil
+	})
+	s.Handle("release-slot", func(_ context.Context, body msgpack.RawMessage) (any, error) {
+		bodies <- bytes.Clone(body)
+		return nil, nil
 	})
 	go func() { _ = s.Serve(ctx, listener) }()
 	clock := clockwork.NewRealClock()
 	p := pacer.New("self", []string{listener.Addr().String()}, messenger.NewClient(clock), clock, zap.NewNop())
-	for i := 0; ; i++ {
-		incarnation := "s1-a"
-		if p.Owns(incarnation) {
-			// The address of the peer differs in each run, and so do the owners.
-			p = pacer.New(fmt.Sprint("self", i), []string{listener.Addr().String()}, messenger.NewClient(clock), clock, zap.NewNop())
-			continue
-		}
-		_, err := p.Reserve(ctx, incarnation, 1460, 300*time.Millisecond, balancer.EngineLoad{RunningStreams: 20, EventTokens: 4})
-		Expect(err).NotTo(HaveOccurred())
-		var q map[string]any
-		Expect(msgpack.Unmarshal(<-bodies, &q)).To(Succeed())
-		Expect(q["i"]).NotTo(BeZero())
+	const incarnation = "s1-a"
+	for i := 0; p.Owns(incarnation); i++ {
+		// The address of the peer differs in each run, and so do the owners.
+		p = pacer.New(fmt.Sprint("self", i), []string{listener.Addr().String()}, messenger.NewClient(clock), clock, zap.NewNop())
+	}
+	r, err := p.Reserve(ctx, incarnation, 1460, 300*time.Millisecond, balancer.EngineLoad{RunningStreams: 20, EventTokens: 4})
+	Expect(err).NotTo(HaveOccurred())
+	p.Release(incarnation, r)
+	sent := [2]map[string]any{}
+	for i := range sent {
+		var body msgpack.RawMessage
+		Eventually(bodies, "5s").Should(Receive(&body))
+		Expect(msgpack.Unmarshal(body, &sent[i])).To(Succeed())
+		Expect(sent[i]["i"]).NotTo(BeZero())
+	}
+	Expect(sent[0]["i"]).To(Equal(sent[1]["i"]))
+	for _, q := range sent {
 		q["i"] = uint64(6) // it is random
-		return q
 	}
+	return sent[0], sent[1]
 }
 
 // generic decodes a message into maps and lists.
