Departed clients: drop what is written while an exchange is ended

A request that was written by another goroutine between the look at SIOCOUTQ and the close went to the server before the FIN, on a cut path up to 2.5 s after its client had left. A reset dropped it before exchanges were ended with a FIN.

The sending side is closed first, and the count is read again: if more than the FIN is outstanding the connection is reset.

--- a/resetter/resetter.go
+++ b/resetter/resetter.go
@@ -11,6 +11,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"syscall"
 
@@ -26,8 +27,11 @@
 	if r, ok := c.(Resetter); ok {
 		return r.Reset()
 	}
-	if acknowledged(c) {
-		return c.Close()
+	if w, ok := c.(interface{ CloseWrite() error }); ok && outstanding(c) == 0 {
+		// Another goroutine may write until then. Its bytes would be delivered before the FIN.
+		if w.CloseWrite() == nil && outstanding(c) <= finLength {
+			return c.Close()
+		}
 	}
 	if t, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		return errors.Join(t.SetLinger(0), c.Close())
@@ -35,17 +39,24 @@
 	return c.Close()
 }
 
-// acknowledged reports whether the peer's kernel has acknowledged all bytes that were written.
-func acknowledged(c net.Conn) bool {
+// finLength is what a FIN takes of the sequence numbers.
+const finLength = 1
+
+// outstanding returns how many bytes the peer's kernel has not acknowledged, and math.MaxInt if
+// that is not known.
+func outstanding(c net.Conn) int {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return math.MaxInt
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return math.MaxInt
+	}
+	n := 0
+	controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if controlErr != nil || err != nil {
+		return math.MaxInt
 	}
-	outstanding := -1
-	controlErr := raw.Control(func(fd uintptr) { outstanding, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return controlErr == nil && err == nil && outstanding == 0
+	return n
 }
