--- a/server/jobs.go
+++ b/server/jobs.go
@@ -123,6 +123,10 @@
 	ctx, span := s.startSpan(c, "fetch")
 	state, err := s.jobs.Fetch(ctx, c.Param("id"))
 	tracer.EndSpan(span, err)
+	if err != nil && isGivenUp(ctx) {
+		// A lookup that was cut short reports an unknown job.
+		return stopRefusal(judge.NotRun)
+	}
 	if err != nil {
 		return err
 	}
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -22,6 +22,14 @@
 
 func (blockedWriter) Write(context.Context, server.Write) (forwarder.Answer, bool, error) { select {} }
 
+// blockedJobs finds no job until its caller leaves.
+type blockedJobs struct{ server.Jobs }
+
+func (blockedJobs) Fetch(ctx context.Context, _ string) (server.JobState, error) {
+	<-ctx.Done()
+	return server.JobState{}, &judge.Refusal{Status: http.StatusNotFound, Code: "job", Reason: "unknown job"}
+}
+
 var _ = Describe("a planned stop", func() {
 	const linger, drain = 200 * time.Millisecond, 1200 * time.Millisecond
 	var b *harness
@@ -29,7 +37,7 @@
 	var stop context.CancelFunc
 	var ended chan error
 	BeforeEach(func() {
-		b = newHarness(server.WithWriter(blockedWriter{}))
+		b = newHarness(server.WithWriter(blockedWriter{}), server.WithJobs(blockedJobs{}))
 		DeferCleanup(func() { b.close() })
 		b.engines["e1"].firstTokenDelay, b.engines["e2"].firstTokenDelay = time.Minute, time.Minute
 		b.services.handlers["k1"] = func(ctx context.Context, _ forwarder.Call) (forwarder.Answer, error) {
@@ -85,6 +93,8 @@
 		Entry("a generation", "POST", "/v1/chat/completions", chatBody, 0, 502, "may-have-run"),
 		Entry("a call to a plain service", "GET", "/services/kiosk/form", "", 0, 502, "may-have-run"),
 		Entry("a write", "POST", "/services/kiosk/receipts", "paid", 0, 502, "may-have-run"),
+		// Guards against a job that is reported as unknown since its lookup was cut short.
+		Entry("a lookup of a job", "GET", "/v1/jobs/1", "", 0, 503, "not-run"),
 		Entry("a request whose body has not arrived", "POST", "/v1/chat/completions", chatBody, 5, 503, "not-run"),
 	)
 
