Acceptor: during a stop, wait only shortly for the rest of a body that was answered

The connections of the system's own API are accepted by package acceptor now, which waits a second for the rest of a body after its answer. A stop gives up requests half a second before its end, so that such a connection was open until the very end of the drain (spec "a request whose body has not arrived": 1.410 s where less than 1.4 s are asked for). EndUnused ends that wait 200 ms after the answer.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -47,6 +47,9 @@
 	headSince time.Time
 	// ended is set while reads are made to fail since no request was read.
 	ended bool
+	// answeredAt is when the handler returned, zero while there is no answered request whose rest
+	// is awaited.
+	answeredAt time.Time
 }
 
 // Acceptor limits the connections to a port. At the limit the one that has been idle for longest is
@@ -201,9 +204,17 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.busy.Store(true)
+	c.answeredAt = time.Time{}
 	return !c.closed.Load()
 }
 
+// finish records that the request of a connection has been answered.
+func (a *Acceptor) finish(c *Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.answeredAt = a.clock.Now()
+}
+
 // Observe is the ConnState hook of an HTTP server.
 func Observe(c net.Conn, state http.ConnState) {
 	if client, ok := c.(*Conn); ok {
@@ -219,6 +230,7 @@
 		client.active, client.since = state == http.StateActive, a.clock.Now()
 		if state == http.StateIdle {
 			client.busy.Store(false)
+			client.answeredAt = time.Time{}
 			client.headBytes = 0
 			client.head.Release()
 			client.head = nil
@@ -229,7 +241,8 @@
 }
 
 // EndUnused makes the HTTP server close the connections from which no byte of a request was read,
-// and those whose head is overdue, and returns how many connections are open. Their reads fail
+// those whose head is overdue and those whose client does not send the rest of a body that was
+// answered, and returns how many connections are open. Their reads fail
 // at once. Closing them instead would drop a request that a read has just returned. The HTTP
 // server sets deadlines of its own, so this has to be called until no connection is open.
 func (a *Acceptor) EndUnused() int {
@@ -237,11 +250,13 @@
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	for c := range a.conns {
-		if c.active || c.headBytes > 0 && now.Sub(c.headSince) < headPatience {
-			continue
+		switch {
+		case !c.answeredAt.IsZero() && now.Sub(c.answeredAt) >= stopRestTime:
+			_ = c.SetReadDeadline(now)
+		case !c.active && (c.headBytes == 0 || now.Sub(c.headSince) >= headPatience):
+			c.ended = true
+			_ = c.SetReadDeadline(now)
 		}
-		c.ended = true
-		_ = c.SetReadDeadline(now)
 	}
 	return len(a.conns)
 }
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -16,7 +16,9 @@
 
 const (
 	// restTime is how long the rest of a body that was not read is awaited after the answer.
-	restTime = time.Second
+	// During a stop that is stopRestTime, in which an answer reaches its client.
+	restTime     = time.Second
+	stopRestTime = 200 * time.Millisecond
 	// writeTimeout is how long a client may take for each writePiece of an answer: 16 kbit/s,
 	// beside what the buffers of the kernel hold.
 	writeTimeout = 30 * time.Second
@@ -92,6 +94,7 @@
 		}
 		h.ServeHTTP(w, q)
 		boundRest(w, q, clock)
+		client.acceptor.finish(client)
 	})
 }
 
