Reserve slots for the tokens that have to be prefilled

The owner of a server's schedule counted half of the shared tokens of every prompt, whatever the server held. A reservation may now carry the parts of its prompt, and the owner counts what its reuser.Cache does not hold and states that in the reply. Registrations empty the cache of servers that are gone or have started again, and of weights that are not loaded any more. No instance sends parts yet.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"primrosehook/reuser"
 )
 
 // Request holds the properties of a request that the choice of a server depends
@@ -90,6 +92,10 @@
 	// Speed is how fast the server is compared with the usual one of its service, zero if that is
 	// not known.
 	Speed float64
+	// Prompt has the parts of the prompt that is to be sent, nil if it has no prefix. FreeCache is how
+	// many tokens of the server's cache running requests leave, zero if that is not known.
+	Prompt    *reuser.Prompt
+	FreeCache int
 }
 
 // InFlight is the in-flight work at a server. It is encoded as an array of its
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -219,6 +219,7 @@
 // updateRegistry passes on new records of the registry and the servers that result.
 func (e *Entry) updateRegistry(list []tailer.Record, servers []registrar.Server) {
 	e.coordinator.UpdateRegistry(list, servers)
+	e.pacer.UpdateServers(servers)
 	for _, incarnation := range e.replacements.Update(e.clock.Now(), servers) {
 		e.parts.EngineReplaced(incarnation)
 		if suspects := e.suspects.EngineReplaced(incarnation); len(suspects) > 0 {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -15,6 +15,7 @@
 
 	"primrosehook/balancer"
 	"primrosehook/messenger"
+	"primrosehook/reuser"
 )
 
 const (
@@ -66,6 +67,10 @@
 	SpeedPercent int `msgpack:"p,omitempty"`
 	// ID is what the reservation may be released by, zero if it can't be.
 	ID uint64 `msgpack:"i,omitempty"`
+	// Prompt has the parts of the prompt, nil if they are not specified. FreeCache is how many tokens
+	// of the server's cache running requests leave, zero if that is not known.
+	Prompt    *reuser.Prompt `msgpack:"h,omitempty"`
+	FreeCache int            `msgpack:"c,omitempty"`
 }
 
 // releaseRequest gives back a reservation.
@@ -80,11 +85,17 @@
 	// reservation and Wait is the time after which to ask again.
 	Wait     time.Duration `msgpack:"w"`
 	Reserved bool          `msgpack:"b"`
+	// StatedHeld is one more than the number of tokens of the prompt that the server holds, zero if
+	// that is not known.
+	StatedHeld int `msgpack:"h,omitempty"`
 	// owner and id are what a reservation with a wait is released by.
 	owner string
 	id    uint64
 }
 
+// Held returns how many tokens of the prompt need no prefill, and false if the owner does not know.
+func (r Reservation) Held() (tokens int, known bool) { return max(r.StatedHeld-1, 0), r.StatedHeld > 0 }
+
 // Pacer owns the schedules of some servers, and asks peers for reservations in
 // theirs. It is safe for concurrent use.
 type Pacer struct {
@@ -97,12 +108,14 @@
 	members      []string
 	schedules    map[string]*Schedule
 	backoffUntil map[string]time.Time
+	// holdings are by the incarnation of the server.
+	holdings map[string]*holdings
 }
 
 // New returns the pacer of the instance that peers reach at the address self.
 // members are the addresses of the instances known at first.
 func New(self string, members []string, peers *messenger.Client, clock clockwork.Clock, log *zap.Logger) *Pacer {
-	return &Pacer{self: self, members: members, peers: peers, clock: clock, log: log, schedules: map[string]*Schedule{}, backoffUntil: map[string]time.Time{}}
+	return &Pacer{self: self, members: members, peers: peers, clock: clock, log: log, schedules: map[string]*Schedule{}, holdings: map[string]*holdings{}, backoffUntil: map[string]time.Time{}}
 }
 
 // Serve registers the handler for the reservations of peers.
@@ -122,7 +135,7 @@
 // incarnation. gap is the longest inter-event gap of a stream that meets the
 // objective. An error means that the owner of the schedule did not reply.
 func (p *Pacer) Reserve(ctx context.Context, incarnation string, tokens int, gap time.Duration, load balancer.EngineLoad) (Reservation, error) {
-	q := reserveRequest{Incarnation: incarnation, Tokens: tokens, RunningStreams: load.RunningStreams, StepsPerEvent: load.EventTokens, Window: gap.Milliseconds(), SpeedPercent: int(math.Round(100 * load.Speed)), ID: rand.Uint64()}
+	q := reserveRequest{Incarnation: incarnation, Tokens: tokens, RunningStreams: load.RunningStreams, StepsPerEvent: load.EventTokens, Window: gap.Milliseconds(), SpeedPercent: int(math.Round(100 * load.Speed)), Prompt: load.Prompt, FreeCache: load.FreeCache, ID: rand.Uint64()}
 	owner := p.owner(incarnation)
 	if owner == p.self {
 		return p.reserve(q).withHandle(owner, q.ID), nil
@@ -243,11 +256,15 @@
 		s = &Schedule{}
 		p.schedules[q.Incarnation] = s
 	}
-	wait, reserved := s.Reserve(now, q.ID, q.Tokens, Limits{
+	tokens, stated := p.prefillTokens(now, q)
+	wait, reserved := s.Reserve(now, q.ID, tokens, Limits{
 		Window: window, Tokens: prefillBudget(window, q.RunningStreams, q.StepsPerEvent, q.SpeedPercent),
 		MaxWait: time.Duration(maxWaitWindows * float64(window)),
 	})
-	return Reservation{Wait: wait, Reserved: reserved}
+	if reserved {
+		p.recordPrompt(now, q)
+	}
+	return Reservation{Wait: wait, Reserved: reserved, StatedHeld: stated}
 }
 
 // prefillBudget returns how many prompt tokens an engine can prefill within the
--- a/reuser/cache.go
+++ b/reuser/cache.go
@@ -35,12 +35,13 @@
 	since      time.Time
 	lastPrompt time.Time
 	unnamed    uint64
+	capacity   int
 }
 
 // Held returns how many tokens of a prompt need no prefill. It reports false, and no tokens, if the
 // prompts to the server have not been seen for long enough.
 func (c *Cache) Held(now time.Time, p *Prompt) (tokens int, known bool) {
-	if c.since.IsZero() || now.Sub(c.lastPrompt) > maxIdle || now.Sub(c.since) < minObserved {
+	if c.since.IsZero() || c.Idle(now) || now.Sub(c.since) < minObserved {
 		return 0, false
 	}
 	chain := p.root()
@@ -81,11 +82,11 @@
 	c.evict(capacity)
 }
 
-// Unload drops the parts that are held for a model, or for an adapter on it unless that is empty.
-func (c *Cache) Unload(model, adapter string) {
-	m, a := hash(model), hash(adapter)
-	c.remove(func(e *entry) bool { return e.model == m && (a == 0 || e.adapter == a) })
-}
+// Capacity returns the capacity as of the latest prompt.
+func (c *Cache) Capacity() int { return c.capacity }
+
+// Idle reports whether what was seen does not count any more.
+func (c *Cache) Idle(now time.Time) bool { return now.Sub(c.lastPrompt) > maxIdle }
 
 // Retain drops the parts that are held for models and adapters that are not loaded.
 func (c *Cache) Retain(loaded func(model, adapter uint32) bool) {
@@ -98,7 +99,7 @@
 // observe records that a prompt is seen. What was seen before a pause of more than maxIdle is
 // dropped.
 func (c *Cache) observe(now time.Time) {
-	if c.since.IsZero() || now.Sub(c.lastPrompt) > maxIdle {
+	if c.since.IsZero() || c.Idle(now) {
 		c.since, c.tokens, c.index = now, 0, map[uint64]*list.Element{}
 		c.order.Init()
 	}
@@ -118,6 +119,7 @@
 }
 
 func (c *Cache) evict(capacity int) {
+	c.capacity = capacity
 	for c.order.Len() > 0 && (c.tokens > capacity || c.order.Len() > maxEntries) {
 		c.drop(c.order.Back())
 	}
--- a/reuser/reuser.go
+++ b/reuser/reuser.go
@@ -13,9 +13,8 @@
 // MaxParts bounds the parts of a prompt that are kept and sent; the rest is merged into the last.
 const MaxParts = 16
 
-// Part is a part of a prompt. It is encoded as an array of its fields.
+// Part is a part of a prompt.
 type Part struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by reflection
 	// Hash is 4 bytes long, since each reservation carries it: among 1,000 parts of a server, a
 	// part is mistaken for another one once in four million look-ups.
 	Hash   uint32
@@ -24,9 +23,8 @@
 
 // Prompt is a prompt in parts, for a model and, unless Adapter is zero, an adapter.
 type Prompt struct {
-	Model   uint32 `msgpack:"m"`
-	Adapter uint32 `msgpack:"a,omitempty"`
-	Parts   []Part `msgpack:"p"`
+	Model, Adapter uint32
+	Parts          []Part
 }
 
 // NewPrompt returns a prompt without parts.
@@ -36,13 +34,13 @@
 
 // Add appends a part.
 func (p *Prompt) Add(id string, tokens int) {
-	part := Part{Hash: hash(id), Tokens: max(tokens, 0)}
+	part := Part{Hash: hash(id), Tokens: min(max(tokens, 0), maxTokens)}
 	if len(p.Parts) < MaxParts {
 		p.Parts = append(p.Parts, part)
 		return
 	}
 	last := &p.Parts[MaxParts-1]
-	last.Hash, last.Tokens = uint32(next(uint64(last.Hash), part.Hash)), last.Tokens+part.Tokens
+	last.Hash, last.Tokens = uint32(next(uint64(last.Hash), part.Hash)), min(last.Tokens+part.Tokens, maxTokens)
 }
 
 // Tokens returns the number of tokens of all parts.
--- a/reuser/reuser_test.go
+++ b/reuser/reuser_test.go
@@ -62,9 +62,10 @@
 	It("holds nothing for a model or an adapter after its unload", func() {
 		c.Add(now, prompt("m0", "", "a", "b", "x"), capacity)
 		c.Add(now, prompt("m0", "a1", "a", "b"), capacity)
-		c.Unload("m0", "a1")
+		m0, _ := reuser.Weights("m0", "")
+		c.Retain(func(model, adapter uint32) bool { return model == m0 && adapter == 0 })
 		Expect([]int{held(prompt("m0", "a1", "a")), held(prompt("m0", "", "a"))}).To(Equal([]int{0, 200}))
-		c.Retain(func(model, _ uint32) bool { m, _ := reuser.Weights("m1", ""); return model == m })
+		c.Retain(func(model, _ uint32) bool { return model != m0 })
 		Expect(held(prompt("m0", "", "a"))).To(BeZero())
 	})
 
@@ -83,6 +84,19 @@
 		Expect([]any{tokens, known}).To(Equal([]any{0, false}))
 	})
 
+	// Guards against a peer's message that is cut off or has more parts than are kept.
+	It("decodes what it encodes and rejects the rest", func() {
+		p, out := prompt("m0", "a1", "a", "b", "x"), &reuser.Prompt{}
+		raw, err := p.MarshalBinary()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(raw).To(HaveLen(25))
+		Expect(out.UnmarshalBinary(raw)).To(Succeed())
+		Expect(out).To(Equal(p))
+		Expect(out.UnmarshalBinary(raw[:len(raw)-1])).NotTo(Succeed())
+		Expect(out.UnmarshalBinary(append(raw, make([]byte, 5*reuser.MaxParts)...))).NotTo(Succeed())
+		Expect(out.UnmarshalBinary(nil)).NotTo(Succeed())
+	})
+
 	// Guards against a header with many parts that takes memory without bound.
 	It("bounds the parts of a prompt and its own entries", func() {
 		p := reuser.NewPrompt("m0", "")
--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -27,6 +27,7 @@
 	"primrosehook/pacer"
 	"primrosehook/pinner"
 	"primrosehook/quarantiner"
+	"primrosehook/reuser"
 	"primrosehook/sequencer"
 	"primrosehook/sparer"
 	"primrosehook/tailer"
@@ -88,7 +89,7 @@
 		"acquire request":      throttler.AcquireRequest{Statement: limit},
 		"acquire reply":        throttler.AcquireReply{NotOwner: true, Granted: true, Wait: time.Second, Statement: limit},
 		"reserve request":      reserve,
-		"reserve reply":        pacer.Reservation{Wait: time.Second, Reserved: true},
+		"reserve reply":        pacer.Reservation{Wait: time.Second, Reserved: true, StatedHeld: 211},
 		"release-slot request": release,
 		"pause request":        balancer.Pause{Incarnation: "s1-a", Address: "10.1.64.3:8140", Leaving: true, Rest: time.Second},
 		"take-turn request":    sequencer.TakeRequest{Key: 5},
@@ -123,7 +124,9 @@
 		// The address of the peer differs in each run, and so do the owners.
 		p = pacer.New(fmt.Sprint("self", i), []string{listener.Addr().String()}, messenger.NewClient(clock), clock, zap.NewNop())
 	}
-	r, err := p.Reserve(ctx, incarnation, 1460, 300*time.Millisecond, balancer.EngineLoad{RunningStreams: 20, EventTokens: 4})
+	prompt := reuser.NewPrompt("m0", "a1")
+	prompt.Add("5c1e07a2", 800)
+	r, err := p.Reserve(ctx, incarnation, 1460, 300*time.Millisecond, balancer.EngineLoad{RunningStreams: 20, EventTokens: 4, Prompt: prompt, FreeCache: 23000})
 	Expect(err).NotTo(HaveOccurred())
 	p.Release(incarnation, r)
 	sent := [2]map[string]any{}
