Choose servers by what they are expected to hold of a prompt

The choice subtracted all shared tokens from the cost of one replica, and counted half of them as held everywhere. Costs now compare the time to the first token with the tokens that each server is expected to hold, by reuser.Estimator. Among the servers that would serve the prompt as soon, the first one in the rendezvous order of the prefix is taken, and the next one if that is full or slow. Counts of waiting prompt tokens follow the owner's reply.

One existing spec, 'sends a session to the same server from every instance', now gives its request parts, since the session is recognized by them; what it expects is unchanged.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -45,6 +45,12 @@
 	NeedsReservation bool
 	// SessionHash is the hash of the shared prefixes; zero if there are none.
 	SessionHash uint64
+	// Prompt has the parts of the prompt, nil if it shares none with other prompts.
+	Prompt *reuser.Prompt
+	// ranks is the rendezvous order of the prefix, set by rankReplicas. held is how many tokens the
+	// server holds according to the owner of its schedule.
+	ranks *replicaRanks
+	held  int
 	// Exclude lists the IDs of servers that must not be chosen.
 	Exclude []string
 	// Build is the only build that may run the request, empty for any: that which began
@@ -58,9 +64,9 @@
 	reserved map[string]int
 }
 
-// PrefillTokens returns the estimated number of prompt tokens that have to be
-// prefilled. About half of the shared tokens are assumed to be in some server's
-// prefix cache.
+// PrefillTokens returns the estimated number of prompt tokens that have to be prefilled at a server of
+// which nothing is known, or by an owner of its schedule that does not know parts. About half of the
+// shared tokens are assumed to be in its prefix cache.
 func (q Request) PrefillTokens() int { return q.PromptTokens - q.SharedTokens/2 }
 
 // Key returns what a server must have loaded to run the request; empty for
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -11,6 +11,7 @@
 
 	"primrosehook/balancer"
 	"primrosehook/registrar"
+	"primrosehook/reuser"
 )
 
 func server(id, zone string, models ...string) registrar.Server {
@@ -193,7 +194,10 @@
 
 	It("sends a session to the same server from every instance", func() {
 		q := chat
-		q.SharedTokens, q.SessionHash = 350, balancer.Hash("session")
+		q.SharedTokens, q.SessionHash, q.Prompt = 350, balancer.Hash("session"), reuser.NewPrompt("m0", "")
+		q.Prompt.Add("first", 210)
+		q.Prompt.Add("second", 140)
+		q.Prompt.Add("own", 1110)
 		seen := map[string]bool{}
 		for seed := range uint64(9) {
 			c := balancer.NewCore("z1", seed)
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -4,13 +4,13 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"primrosehook/decayer"
 	"primrosehook/estimator"
 	"primrosehook/registrar"
+	"primrosehook/reuser"
 )
 
 // Costs are in milliseconds of expected delay.
@@ -108,6 +108,8 @@
 	sharedSpeed float64
 	sharedAt    time.Time
 	load        serverLoad
+	// known is what this instance knows of the parts of prompts that the server holds.
+	known reuser.Knowledge
 	// joinedAt is when the server joined the service, zero if it was there before.
 	joinedAt time.Time
 	// unreachableUntil is when the server is tried again after it refused a connection.
@@ -157,6 +159,9 @@
 	eventTokens, sampleStreams int
 	// paces are the usual paces of the models.
 	paces *estimator.Paces
+	// reuse measures how often servers hold parts of prompts, heldTokens replaces its estimate if set.
+	reuse      reuser.Estimator
+	heldTokens HeldTokens
 	// starts are the servers that have started again under their ID.
 	starts StartTable
 	// candidates is the buffer of Choose.
@@ -218,6 +223,7 @@
 			s.loaded[o.Key] = o.Loaded
 		}
 	}
+	s.recordLoaded(now)
 	if len(newer) == 0 {
 		delete(c.overlays, s.ID)
 		return
@@ -288,7 +294,7 @@
 	}
 	if s, ok := c.servers[id]; ok {
 		f := c.totalInFlight(now, s)
-		load.RunningStreams, load.Speed = f.RunningStreams, c.speed(now, s)
+		load.RunningStreams, load.Speed, load.FreeCache = f.RunningStreams, c.speed(now, s), c.freeCache(f)
 	}
 	return load
 }
@@ -302,7 +308,7 @@
 	key := q.Key()
 	status := NotLoaded
 	c.candidates = c.candidates[:0]
-	preferred := c.preferred(q, key)
+	q = c.rankReplicas(q)
 	if q.Build != "" {
 		status = NoBuild
 	}
@@ -332,37 +338,13 @@
 			}
 			continue
 		}
-		cost := c.cost(now, s, q)
-		if s == preferred {
-			cost -= float64(q.SharedTokens) / PrefillRate
-		}
-		c.candidates = append(c.candidates, candidate{s, cost, c.speed(now, s)})
+		c.candidates = append(c.candidates, candidate{s, c.cost(now, s, q), c.speed(now, s)})
 	}
 	if len(c.candidates) == 0 {
 		return "", status
 	}
 	c.addFailureCosts(now, c.candidates)
-	return c.pick(now, c.candidates, preferred, q.Model != "").ID, Found
-}
-
-// preferred returns the replica that all instances prefer for a session, so that
-// the prefix of its next request is in that server's cache. It returns nil if the
-// request has no session or no replica exists.
-func (c *Core) preferred(q Request, key string) *server {
-	if q.SessionHash == 0 || q.SharedTokens == 0 {
-		return nil
-	}
-	var best *server
-	var bestWeight uint64
-	for _, s := range c.sorted {
-		if s.Draining || !s.loaded[key] || !s.fits(q) {
-			continue
-		}
-		if w := Hash(strconv.FormatUint(q.SessionHash, 16) + s.ID); best == nil || w > bestWeight {
-			best, bestWeight = s, w
-		}
-	}
-	return best
+	return c.pick(now, c.candidates, q).ID, Found
 }
 
 // totalInFlight returns the in-flight work of all instances at a server, as far
@@ -389,7 +371,7 @@
 	if f.Requests == 0 {
 		return false
 	}
-	if now.Sub(s.repliedAt) > reservationTTL && float64(f.RecentPromptTokens+min(q.PrefillTokens(), recentPromptLimit/2)) > recentPromptLimit*c.speed(now, s) {
+	if now.Sub(s.repliedAt) > reservationTTL && float64(f.RecentPromptTokens+min(c.prefillTokens(now, s, q), recentPromptLimit/2)) > recentPromptLimit*c.speed(now, s) {
 		return true
 	}
 	slots := c.slots(now, s)
@@ -412,11 +394,12 @@
 	}
 	cost += max(float64(s.freeAt.Sub(now))/float64(time.Millisecond), 0)
 	speed := c.speed(now, s) / s.slowdown(now) * s.ramp(now)
-	prefill := float64(q.PrefillTokens()) / PrefillRate
+	held := c.expectedHeld(now, s, q)
+	prefill := max(float64(q.PromptTokens)-held, 0) / PrefillRate
 	cost += max(s.latency-2*c.latency, 0)
 	// The request's own prefill takes longer on a slower server, and makes each stream that runs
 	// there pause for as long.
-	cost += prefill*(1/speed-1) + max(prefill/speed-q.tolerablePause(), 0)*float64(min(f.RunningStreams, maxPaused))
+	cost += float64(q.PromptTokens)/PrefillRate*(1/speed-1) - c.reuseGain(now, held, speed) + max(prefill/speed-q.tolerablePause(), 0)*float64(min(f.RunningStreams, maxPaused))
 	return cost + (c.prefillQueue(now, s, f, speed)+runningCost*float64(f.RunningStreams))/speed
 }
 
@@ -449,7 +432,7 @@
 // ChoiceInputs returns what the choice of a server was based on.
 func (c *Core) ChoiceInputs(now time.Time, id string, q Request) ChoiceInputs {
 	s := c.servers[id]
-	inputs := ChoiceInputs{InFlight: c.totalInFlight(now, s), PeersAge: now.Sub(c.peersAt), RegistrationAge: now.Sub(s.ReadAt), Speed: c.speed(now, s), Slowdown: s.slowdown(now)}
+	inputs := ChoiceInputs{InFlight: c.totalInFlight(now, s), PeersAge: now.Sub(c.peersAt), RegistrationAge: now.Sub(s.ReadAt), Speed: c.speed(now, s), Slowdown: s.slowdown(now), BelievedTokens: q.PromptTokens - c.prefillTokens(now, s, q)}
 	inputs.Excess, _ = c.excess(now, s)
 	key := q.Key()
 	for _, s := range c.sorted {
@@ -479,7 +462,7 @@
 // RecordSent counts a request that is sent to a server.
 func (c *Core) RecordSent(now time.Time, id string, q Request) {
 	if s, ok := c.servers[id]; ok {
-		s.recentPrompts.Add(now, recentHalfLife, float64(q.PrefillTokens()))
+		s.recentPrompts.Add(now, recentHalfLife, float64(c.prefillTokens(now, s, q)))
 		if q.NeedsReservation {
 			// Request one reservation at a time: the reply applies to all
 			// waiting requests.
@@ -492,7 +475,7 @@
 // Cancel removes a request that was not sent after all from the in-flight counts.
 func (c *Core) Cancel(id string, q Request) {
 	if s, ok := c.servers[id]; ok {
-		s.own = s.own.Sub(InFlight{PrefillTokens: q.PromptTokens, CacheTokens: q.PromptTokens + q.OutputTokens, Requests: 1})
+		s.own = s.own.Sub(InFlight{PrefillTokens: q.unread(), CacheTokens: q.PromptTokens + q.OutputTokens, Requests: 1})
 	}
 }
 
@@ -500,7 +483,7 @@
 // it arrived.
 func (c *Core) RecordFirstEvent(id string, q Request, delay time.Duration) {
 	if s, ok := c.servers[id]; ok {
-		s.own.PrefillTokens = max(s.own.PrefillTokens-q.PromptTokens, 0)
+		s.own.PrefillTokens = max(s.own.PrefillTokens-q.unread(), 0)
 		s.own.RunningStreams++
 		c.recordLatency(s, delay)
 	}
@@ -517,7 +500,7 @@
 	if first {
 		ended.RunningStreams = 1
 	} else {
-		ended.PrefillTokens = q.PromptTokens
+		ended.PrefillTokens = q.unread()
 	}
 	s.own = s.own.Sub(ended)
 	rate := s.failureRate(now) * (1 - failureWeight)
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -218,6 +218,10 @@
 	// InFlight.
 	Speed, Slowdown float64
 	Excess          int
+	// BelievedTokens is how many tokens of the prompt the server was expected to hold, HeldTokens how
+	// many it holds according to the owner of its schedule, if HeldKnown is set.
+	BelievedTokens, HeldTokens int
+	HeldKnown                  bool
 }
 
 // Take chooses a server and counts the request as in flight there.
@@ -233,7 +237,7 @@
 		return nil, NoServers
 	}
 	now := f.clock.Now()
-	q = f.excludeUnproven(c, q)
+	q = c.rankReplicas(f.excludeUnproven(c, q))
 	q.reserved = f.reservedSlots(now, c, service, q)
 	id, status := c.Choose(now, q)
 	if status != Found {
@@ -500,7 +504,11 @@
 	if !ok {
 		return EngineLoad{EventTokens: defaultEventTokens}
 	}
-	return c.EngineLoad(f.clock.Now(), a.ID)
+	load := c.EngineLoad(f.clock.Now(), a.ID)
+	if a.request.hasPrefix() {
+		load.Prompt = a.request.Prompt
+	}
+	return load
 }
 
 // RecordStreamEnd records that the answer was complete after a number of events.
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -26,9 +26,10 @@
 // pick returns one of the candidates. The peers see nearly the same costs as this instance, so if
 // each of them took the cheapest server, what they send until the next exchange would all go to it.
 // pick therefore expects that work to be spread such that the costs even out, and takes each server
-// with its share of that work. An instance without peers takes the cheapest one, and so does a
-// request whose preferred replica is the cheapest one, or that names no model.
-func (c *Core) pick(now time.Time, candidates []candidate, preferred *server, spread bool) *server {
+// with its share of that work. A prompt with a prefix goes to the first server in the order of its
+// prefix instead (holderBelow). An instance without peers takes the cheapest one, and so does a request whose
+// preferred replica is the cheapest one, or that names no model.
+func (c *Core) pick(now time.Time, candidates []candidate, q Request) *server {
 	cheapest := 0
 	for i, x := range candidates {
 		if x.cost < candidates[cheapest].cost {
@@ -37,10 +38,13 @@
 	}
 	best := candidates[cheapest].server
 	unseen := c.unseenWork(now, candidates)
-	if !spread || best == preferred || unseen <= 0 {
+	if q.Model == "" || best == q.preferred() || unseen <= 0 {
 		return best
 	}
 	level := levelOf(candidates, unseen)
+	if s := c.holderBelow(candidates, level, candidates[cheapest].cost, q); s != nil {
+		return s
+	}
 	share := c.random.Float64() * unseen
 	for _, x := range candidates {
 		share -= max(level-x.cost, 0) * x.speed
--- a/relayer/explain.go
+++ b/relayer/explain.go
@@ -51,6 +51,12 @@
 	e.AddInt("speed_percent", int(math.Round(100*a.inputs.Speed)))
 	e.AddInt("slowdown_percent", int(math.Round(100*a.inputs.Slowdown)))
 	e.AddInt("excess", a.inputs.Excess)
+	if a.inputs.BelievedTokens > 0 || a.inputs.HeldKnown {
+		e.AddInt("believed_tokens", a.inputs.BelievedTokens)
+	}
+	if a.inputs.HeldKnown {
+		e.AddInt("held_tokens", a.inputs.HeldTokens)
+	}
 	return nil
 }
 
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -156,6 +156,7 @@
 	}
 	if n := len(x.meta.Parts); n > 1 {
 		session := x.query.Key()
+		x.query.Prompt = promptOf(x.meta)
 		for _, p := range x.meta.Parts[:n-1] {
 			session += "," + p.ID
 			x.query.SharedTokens += p.Tokens
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -138,9 +138,14 @@
 	MetricServerFull        = "sends_refused_by_full_servers"
 	MetricSpared            = "sends_held_for_brittle_servers"
 	MetricTurnTaken         = "sends_held_for_another_suspect"
-	MetricWait              = "wait_for_server_ms_"
-	MetricFirst             = "first_byte_ms_"
-	MetricTotal             = "whole_answer_ms_"
+	// Parts of prompts and tokens by the replies of the owners of servers' schedules.
+	MetricPromptTokensHeld     = "prompt_tokens_held"
+	MetricPartsBelievedHeld    = "prompt_parts_believed_and_held"
+	MetricPartsBelievedNotHeld = "prompt_parts_believed_not_held"
+	MetricPartsHeldNotBelieved = "prompt_parts_held_not_believed"
+	MetricWait                 = "wait_for_server_ms_"
+	MetricFirst                = "first_byte_ms_"
+	MetricTotal                = "whole_answer_ms_"
 	// MetricTooLarge counts requests whose body is over the limit.
 	MetricTooLarge = "requests_too_large"
 	MetricPause    = "longest_pause_ms"
--- a/relayer/wait.go
+++ b/relayer/wait.go
@@ -94,6 +94,7 @@
 // assignment, or if the request's context has ended, and cancels it.
 func (x *exchange) waitForSlot(assignment *balancer.Assignment) bool {
 	if !x.query.NeedsReservation {
+		x.recordHeld(assignment, 0, false)
 		return true
 	}
 	defer x.recordDelay(waitSlot, x.clock.Now())
@@ -107,11 +108,14 @@
 		// Without a reply the request is sent at once: the server was chosen by
 		// the in-flight counts known on this instance.
 		assignment.ClearReservation()
+		x.recordHeld(assignment, 0, false)
 		return true
 	case !reservation.Reserved:
 		assignment.Postpone(reservation.Wait)
 		return false
 	}
+	held, known := reservation.Held()
+	x.recordHeld(assignment, held, known)
 	assignment.RecordReservation(reservation.Wait)
 	if reservation.Wait > 0 && !x.sleep(reservation.Wait) {
 		x.pacer.Release(assignment.Incarnation, reservation)
--- a/reuser/estimator.go
+++ b/reuser/estimator.go
@@ -73,6 +73,9 @@
 	key string
 }
 
+// Seen reports whether UpdateLoaded was called.
+func (k *Knowledge) Seen() bool { return k.loaded != nil }
+
 // UpdateLoaded records the keys that the server has loaded. What was known for keys that are not
 // loaded any more is dropped. since is when keys that are new were loaded, the zero time if that was
 // long ago.
