--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -32,7 +32,11 @@
 type plainCodec struct{}
 
 func (plainCodec) Request(h http.Header) (relayer.Meta, bool) {
-	return relayer.Meta{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}, h.Get("Id") != ""
+	meta := relayer.Meta{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
+	if h.Get("Parts") != "" {
+		meta.PromptTokens, meta.Parts = 1460, []relayer.Part{{ID: "f", Tokens: 210}, {ID: "s", Tokens: 140}, {ID: "own", Tokens: 1}}
+	}
+	return meta, meta.ID != ""
 }
 
 func (plainCodec) RequestHeader(h http.Header, s relayer.ForwardInfo) http.Header {
