Count prompts by the sender's estimate where the cache's capacity is unknown

The owner counted whole prompts of services whose configuration states no kv-capacity, where it counted half of the shared tokens before, so that prompts waited longer.

go test ./pacer: passed.

--- a/pacer/holdings.go
+++ b/pacer/holdings.go
@@ -55,10 +55,11 @@
 	h.cache.Retain(func(model, adapter uint32) bool { return loaded[weights{model, adapter}] })
 }
 
-// prefillTokens returns how many tokens of a prompt have to be prefilled. stated is
-// Reservation.StatedHeld. p.mu must be held.
+// prefillTokens returns how many tokens of a prompt have to be prefilled, by the sender's estimate if
+// the parts or the capacity of the server's cache are not known. stated is Reservation.StatedHeld. p.mu
+// must be held.
 func (p *Pacer) prefillTokens(now time.Time, q reserveRequest) (tokens, stated int) {
-	if q.Prompt == nil {
+	if q.Prompt == nil || q.FreeCache <= 0 {
 		return q.Tokens, 0
 	}
 	tokens = q.Prompt.Tokens()
@@ -67,7 +68,7 @@
 		return tokens, 0
 	}
 	held, known := h.cache.Held(now, q.Prompt)
-	if !known || q.FreeCache <= 0 {
+	if !known {
 		return tokens, 0
 	}
 	return tokens - held, held + 1
--- a/pacer/holdings_test.go
+++ b/pacer/holdings_test.go
@@ -65,6 +65,19 @@
 		Expect(waits).To(BeNumerically(">", 0))
 	})
 
+	// Guards against counting whole prompts, and so delaying them, where the configuration does not
+	// state the capacity of caches.
+	It("count by the sender's estimate if the capacity of the cache is not known", func() {
+		prompt := reuser.NewPrompt("m0", "")
+		prompt.Add("first", 3000)
+		prompt.Add("own", 3000)
+		for range 5 {
+			r, err := p.Reserve(context.Background(), "s-b", 800, 300*time.Millisecond, balancer.EngineLoad{EventTokens: 4, Prompt: prompt})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r).To(Equal(pacer.Reservation{Reserved: true}))
+		}
+	})
+
 	// Guards against believing that a server holds what a crash, a start under the same incarnation
 	// or an unload has dropped.
 	DescribeTable("know nothing held any more after",
