--- a/balancer/reuse_fleet_test.go
+++ b/balancer/reuse_fleet_test.go
@@ -34,6 +34,7 @@
 type reuseRequest struct {
 	query    balancer.Request
 	instance int
+	chains   [3]reuseChain
 	arrived  time.Time
 	unread   int
 	// stated is how many tokens the server holds according to the owner.
@@ -45,19 +46,28 @@
 	registration     registrar.Server
 	speed            float64
 	reading, running []*reuseRequest
-	held             []string
+	held             []reuseChain
 	active           bool
 }
 
-// chainOf names the parts of a prompt up to a level, with their model.
-func chainOf(q balancer.Request, level int) string {
-	return fmt.Sprint(q.Model, q.Prompt.Parts[:level+1])
+// reuseChain is a part of a prompt with its model and the parts before it.
+type reuseChain struct {
+	hash  uint64
+	level int
+}
+
+// chainsOf returns the chains of a prompt.
+func chainsOf(q balancer.Request) (chains [3]reuseChain) {
+	for level := range chains {
+		chains[level] = reuseChain{balancer.Hash(fmt.Sprint(q.Model, q.Prompt.Parts[:level+1])), level}
+	}
+	return chains
 }
 
 // heldOf returns how many of the leading parts of a prompt a server holds.
-func (s *reuseServer) heldOf(q balancer.Request) int {
+func (s *reuseServer) heldOf(chains [3]reuseChain) int {
 	n := 0
-	for n < len(reuseTokens) && slices.Contains(s.held, chainOf(q, n)) {
+	for n < len(chains) && slices.Contains(s.held, chains[n]) {
 		n++
 	}
 	return n
@@ -80,7 +90,7 @@
 	queues  [][]*reuseRequest
 	// read are the chains that some server has read, again counts shared tokens read once more and
 	// reused those that were not.
-	read          map[string]bool
+	read          map[reuseChain]bool
 	again, reused int
 	// stated and overstated are what owners said of held tokens, and what was not held of that.
 	stated, overstated int
@@ -88,7 +98,8 @@
 	outcome            reuser.Outcome
 	busy               time.Duration
 	moves              int
-	lastServer         map[string]string
+	lastServer         map[reuseChain]string
+	chains             map[*reuser.Prompt][3]reuseChain
 	served             map[string]int
 }
 
@@ -102,8 +113,10 @@
 		for i, id := range parts {
 			r.query.Prompt.Add(id, reuseTokens[i])
 		}
+		r.chains = chainsOf(r.query)
+		f.chains[r.query.Prompt] = r.chains
 		if !f.without {
-			r.query.SessionHash = balancer.Hash(chainOf(r.query, 1))
+			r.query.SessionHash = r.chains[1].hash
 		}
 		f.queues[r.instance] = append(f.queues[r.instance], r)
 		f.serve(r.instance)
@@ -141,7 +154,7 @@
 func (f *reuseFleet) send(id string, r *reuseRequest, o reuser.Outcome) {
 	s := f.servers[id]
 	r.unread, r.stated = r.query.PromptTokens, o.Held
-	chain := chainOf(r.query, 1)
+	chain := r.chains[1]
 	if f.counting {
 		f.outcome.Hits, f.outcome.FalseHits, f.outcome.Misses = f.outcome.Hits+o.Hits, f.outcome.FalseHits+o.FalseHits, f.outcome.Misses+o.Misses
 		f.served[id]++
@@ -200,9 +213,9 @@
 
 // lookUp skips what the server holds of a prompt.
 func (f *reuseFleet) lookUp(s *reuseServer, r *reuseRequest) {
-	held := s.heldOf(r.query)
+	held := s.heldOf(r.chains)
 	for level, tokens := range reuseTokens {
-		chain := chainOf(r.query, level)
+		chain := r.chains[level]
 		switch {
 		case level < held:
 			r.unread -= tokens
@@ -222,16 +235,15 @@
 // keep adds the parts of a prompt to what the server holds and evicts others.
 func (f *reuseFleet) keep(s *reuseServer, r *reuseRequest) {
 	for level := len(reuseTokens) - 1; level >= 0; level-- {
-		chain := chainOf(r.query, level)
-		s.held = append(slices.DeleteFunc(s.held, func(h string) bool { return h == chain }), chain)
+		chain := r.chains[level]
+		s.held = append(slices.DeleteFunc(s.held, func(h reuseChain) bool { return h == chain }), chain)
 	}
-	size := func(chain string) int { return reuseTokens[strings.Count(chain, "{")-1] }
 	total := 1632 * len(s.running)
 	for _, h := range s.held {
-		total += size(h)
+		total += reuseTokens[h.level]
 	}
 	for ; total > reuseCapacity && len(s.held) > 0; s.held = s.held[1:] {
-		total -= size(s.held[0])
+		total -= reuseTokens[s.held[0].level]
 	}
 }
 
@@ -273,7 +285,7 @@
 // runReuseFleet returns the state after reuseDuration of a load, the first 10 s of which don't count.
 func runReuseFleet(load reuseLoad, policy string) *reuseFleet {
 	start := time.Unix(1000, 0)
-	f := &reuseFleet{load: load, without: policy == "none", clock: clockwork.NewFakeClockAt(start), servers: map[string]*reuseServer{}, queues: make([][]*reuseRequest, load.instances), read: map[string]bool{}, lastServer: map[string]string{}, served: map[string]int{}}
+	f := &reuseFleet{load: load, without: policy == "none", clock: clockwork.NewFakeClockAt(start), servers: map[string]*reuseServer{}, queues: make([][]*reuseRequest, load.instances), read: map[reuseChain]bool{}, chains: map[*reuser.Prompt][3]reuseChain{}, lastServer: map[reuseChain]string{}, served: map[string]int{}}
 	f.now, f.random = start, rand.New(rand.NewPCG(5, 6))
 	f.owner = pacer.New("self", nil, messenger.NewClient(f.clock), f.clock, zap.NewNop())
 	for i := range load.servers {
@@ -296,7 +308,7 @@
 				return float64(q.SharedTokens * max(1-rank, 0))
 			},
 			"oracle": func(_ time.Time, id string, _ int, q balancer.Request) float64 {
-				return []float64{0, 210, 350, 1460}[f.servers[id].heldOf(q)]
+				return []float64{0, 210, 350, 1460}[f.servers[id].heldOf(f.chains[q.Prompt])]
 			},
 		}[policy])
 		f.cores = append(f.cores, c)
