Bound the first token of the fleet with prefixes by the detour

The 95th percentile was bounded by 12 % above the choice before, which came from measured figures. It is now bounded by the choice without regard to prefixes plus 30 ms, the longest detour that the choice allows, and by 5 % above the choice before.

go test ./balancer -ginkgo.focus 'share prefixes': passed.

--- a/balancer/reuse_fleet_test.go
+++ b/balancer/reuse_fleet_test.go
@@ -387,11 +387,11 @@
 					float64(o.Hits)/float64(max(o.Hits+o.FalseHits, 1)), float64(o.Misses)/float64(max(o.Hits+o.Misses, 1)), f.moves, f.busy.Round(time.Millisecond), f.stated, f.overstated)
 			}
 			none, estimate := all["none"], all["estimate"]
-			// Over three seeds the 95th percentile differs from that of the choice before by -11 to
-			// +6 %, and one run from the next by as much.
 			Expect(estimate.again).To(BeNumerically("<", none.again*9/10))
 			Expect(estimate.again).To(BeNumerically("<", all["present"].again))
-			Expect(quantile(estimate.first, 0.95)).To(BeNumerically("<", quantile(all["present"].first, 0.95)*112/100))
+			// The choice takes a server that costs up to 30 ms more than the cheapest one.
+			Expect(quantile(estimate.first, 0.95)).To(BeNumerically("<=", quantile(none.first, 0.95)+30*time.Millisecond))
+			Expect(quantile(estimate.first, 0.95)).To(BeNumerically("<=", quantile(all["present"].first, 0.95)*105/100))
 			Expect(estimate.moves).To(BeNumerically("<", all["present"].moves))
 			Expect(estimate.overstated).To(BeNumerically("<=", estimate.stated/50))
 			Expect(float64(estimate.outcome.Hits)).To(BeNumerically(">", 4*float64(estimate.outcome.FalseHits)))
