Count no more held tokens of a part than its prompt states

A prompt that stated many tokens for a part raised the held tokens of all prompts with this part up to the whole prompt, so that the owner reserved too few tokens for them.

go test ./reuser: 'counts no more tokens of a part than the prompt states' failed before (1300 for 200) and passes.

--- a/reuser/cache.go
+++ b/reuser/cache.go
@@ -51,9 +51,10 @@
 		if !ok {
 			break
 		}
-		tokens += element.Value.(*entry).tokens
+		// Another prompt may have stated another number of tokens for the part.
+		tokens += min(element.Value.(*entry).tokens, max(part.Tokens, 0))
 	}
-	return min(tokens, p.Tokens()), true
+	return tokens, true
 }
 
 // Add records that a prompt is sent to the server, which then holds its parts and evicts the least
--- a/reuser/reuser_test.go
+++ b/reuser/reuser_test.go
@@ -46,6 +46,15 @@
 		Expect(held(prompt("m0", "a1", "a", "b", "x"))).To(BeZero())
 	})
 
+	// Guards against a prompt that states many tokens for a part: others with this part would be taken
+	// to need no prefill at all, and too many of them sent.
+	It("counts no more tokens of a part than the prompt states", func() {
+		large, small := reuser.NewPrompt("m0", ""), prompt("m0", "", "a", "b", "x")
+		large.Add("a", 2500)
+		c.Add(now, large, capacity)
+		Expect(held(small)).To(Equal(200))
+	})
+
 	// The load: sessions that come once each. Guards against believing that a server holds more
 	// than its capacity, and against evicting the beginning of a prompt before its end.
 	It("evicts the parts of a long tail of sessions and keeps the part that all of them share", func() {
