Drop known parts of prompts that are too old to be used

An instance kept up to 512 parts for each server until that number was reached, although it uses none that is older than 8 s: with 2,300 servers more than a million entries of some 50 bytes.

go test ./reuser: 'forgets prompts that are too old to be used' failed before (201 parts) and passes.

--- a/reuser/estimator.go
+++ b/reuser/estimator.go
@@ -66,6 +66,8 @@
 	// sent is when this instance last sent the server a chain of parts.
 	sent   map[uint64]sending
 	loaded map[string]time.Time
+	// prunedAt is when sent was last pruned.
+	prunedAt time.Time
 }
 
 type sending struct {
@@ -106,7 +108,7 @@
 	if k.sent == nil {
 		k.sent = map[uint64]sending{}
 	}
-	if len(k.sent)+len(p.Parts) > maxKnown {
+	if now.Sub(k.prunedAt) >= maxBeliefAge || len(k.sent)+len(p.Parts) > maxKnown {
 		k.prune(now)
 	}
 	chain := p.root()
@@ -118,6 +120,7 @@
 
 // prune drops what is too old to be used, or everything if that is not enough.
 func (k *Knowledge) prune(now time.Time) {
+	k.prunedAt = now
 	for chain, s := range k.sent {
 		if now.Sub(s.at) >= maxBeliefAge {
 			delete(k.sent, chain)
--- /dev/null
+++ b/reuser/export_test.go
@@ -0,0 +1,4 @@
+package reuser
+
+// Size returns how many chains of parts are kept.
+func (k *Knowledge) Size() int { return len(k.sent) }
--- a/reuser/reuser_test.go
+++ b/reuser/reuser_test.go
@@ -147,6 +147,16 @@
 		Expect(e.Learn(now, k, "m0", p, 0, 300)).To(Equal(reuser.Outcome{Held: 300, BelievedTokens: 200, Hits: 1, Misses: 1}))
 	})
 
+	// Guards against memory that grows with the servers: 512 parts for each of 2,300 servers take more
+	// than 50 MB.
+	It("forgets prompts that are too old to be used", func() {
+		for i := range 100 {
+			k.RecordSent(now, "m0", prompt("m0", "", "a", fmt.Sprint("s", i), fmt.Sprint("x", i)))
+			now = now.Add(time.Second)
+		}
+		Expect(k.Size()).To(BeNumerically("<", 40))
+	})
+
 	// Guards against believing that a server holds what went away with its weights.
 	It("believes nothing of a server that has just loaded the weights, until it was sent the prompt", func() {
 		k.RecordSent(now, "m0", p)
