Bound the tokens of a prompt's parts by the prompt

A header whose parts had more tokens than the prompt made the owner reserve all of them, which keeps the server's schedule closed for others.

go test ./relayer -ginkgo.focus 'prompt prefix': 'reserves no more tokens than the prompt has' failed before (1000210 for 1460) and passes.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -35,6 +35,9 @@
 	meta := relayer.Meta{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
 	if h.Get("Parts") != "" {
 		meta.PromptTokens, meta.Parts = 1460, []relayer.Part{{ID: "f", Tokens: 210}, {ID: "s", Tokens: 140}, {ID: "own", Tokens: 1}}
+		if n, err := strconv.Atoi(h.Get("Second-Part-Tokens")); err == nil {
+			meta.Parts[1].Tokens = n
+		}
 	}
 	return meta, meta.ID != ""
 }
--- a/relayer/reuse.go
+++ b/relayer/reuse.go
@@ -5,18 +5,19 @@
 	"primrosehook/reuser"
 )
 
-// promptOf returns the prompt of a request in parts. The last one has all tokens beyond those of the
-// others, whatever the header says of it.
+// promptOf returns the prompt of a request in parts, which together have its prompt tokens: the last
+// one has all tokens beyond those of the others, and the others have no more than the prompt, whatever
+// the header says of them.
 func promptOf(meta Meta) *reuser.Prompt {
 	p := reuser.NewPrompt(meta.Model, meta.Adapter)
 	rest := meta.PromptTokens
 	for i, part := range meta.Parts {
-		tokens := part.Tokens
+		tokens := min(part.Tokens, rest)
 		if i == len(meta.Parts)-1 {
 			tokens = rest
 		}
 		p.Add(part.ID, tokens)
-		rest = max(rest-part.Tokens, 0)
+		rest -= tokens
 	}
 	return p
 }
--- a/relayer/reuse_test.go
+++ b/relayer/reuse_test.go
@@ -55,6 +55,15 @@
 		Expect(tries(w)).To(ContainElement(And(HaveKeyWithValue("held_tokens", 210), HaveKey("believed_tokens"))))
 	})
 
+	// Guards against a header with more tokens of parts than the prompt has: the owner would keep the
+	// server's schedule closed for all of them.
+	It("reserves no more tokens than the prompt has", func() {
+		p := &statingPacer{reply: pacer.Reservation{Reserved: true}}
+		send(p, "Parts", "1", "Second-Part-Tokens", "1000000")
+		Expect(p.prompts[0].Tokens()).To(Equal(1460))
+		Expect(p.prompts[0].Parts[1].Tokens).To(Equal(1250))
+	})
+
 	// Guards against counting silence, or an owner of an earlier build, as a statement.
 	DescribeTable("is served without a statement", func(p *statingPacer) {
 		w, metrics := send(p, "Parts", "1")
