--- a/balancer/reuse_test.go
+++ b/balancer/reuse_test.go
@@ -82,4 +82,25 @@
 		core.RecordFirstEvent("s0", r, time.Second)
 		Expect(core.OwnInFlight(now)["s0"].PrefillTokens).To(Equal(1460))
 	})
+
+	// Guards against the same where the request is cancelled or ends without a first event, and against
+	// a reply that is counted twice.
+	DescribeTable("leaves no tokens in flight", func(end func(balancer.Request)) {
+		core.RecordSent(now, "s0", q)
+		core.RecordSent(now, "s0", q)
+		r, _ := core.RecordHeld(now, "s0", q, 350, true)
+		r, _ = core.RecordHeld(now, "s0", r, 210, true)
+		Expect(core.OwnInFlight(now)["s0"].PrefillTokens).To(Equal(1460 + 1250))
+		end(r)
+		core.Cancel("s0", q)
+		f := core.OwnInFlight(now.Add(time.Minute))["s0"]
+		Expect([]int{f.PrefillTokens, f.CacheTokens, f.Requests}).To(Equal([]int{0, 0, 0}))
+		core.RecordSent(now, "s0", q)
+		core.RecordSent(now, "s0", q)
+		end(r)
+		Expect(core.OwnInFlight(now)["s0"].PrefillTokens).To(Equal(2*1460 - 1250))
+	},
+		Entry("once it is cancelled", func(r balancer.Request) { core.Cancel("s0", r) }),
+		Entry("once it has ended without an event", func(r balancer.Request) { core.RecordDone(now, "s0", r, false, true, time.Second) }),
+	)
 })
