Drop held parts of a model that is registered in another version

An unload and a load between two registrations left the parts of the former version in the owner's view, so that it reserved too few tokens.

go test ./pacer: 'an unload and a load of another version between two registrations' failed before and passes.

--- a/pacer/holdings.go
+++ b/pacer/holdings.go
@@ -30,8 +30,8 @@
 			continue
 		}
 		registered[s.Incarnation] = true
+		h.retainLoaded(s)
 		h.server = s
-		h.retainLoaded()
 	}
 	for incarnation := range p.holdings {
 		if !registered[incarnation] {
@@ -40,11 +40,19 @@
 	}
 }
 
-// retainLoaded drops what is held for weights that the registration does not list.
-func (h *holdings) retainLoaded() {
+// retainLoaded drops what is held for weights that a registration does not list, or lists in another
+// version than the registration before: the model was unloaded in between.
+func (h *holdings) retainLoaded(s registrar.Server) {
+	versions := map[string]int64{}
+	for _, l := range h.server.Loaded {
+		versions[l.Model] = l.Version
+	}
 	type weights struct{ model, adapter uint32 }
 	loaded := map[weights]bool{}
-	for _, l := range h.server.Loaded {
+	for _, l := range s.Loaded {
+		if version, ok := versions[l.Model]; ok && version != l.Version {
+			continue
+		}
 		m, _ := reuser.Weights(l.Model, "")
 		loaded[weights{m, 0}] = true
 		for _, name := range l.Adapters {
--- a/pacer/holdings_test.go
+++ b/pacer/holdings_test.go
@@ -91,5 +91,10 @@
 		Entry("a crash", func() []registrar.Server { return nil }, false),
 		Entry("a start with a lower sequence", func() []registrar.Server { return registration(1, "m0") }, false),
 		Entry("an unload", func() []registrar.Server { return registration(8, "m1") }, true),
+		Entry("an unload and a load of another version between two registrations", func() []registrar.Server {
+			list := registration(8, "m0")
+			list[0].Loaded[0].Version = 2
+			return list
+		}, true),
 	)
 })
