Bound what a prompt counts as in a server's schedule

A header that states 2^40 prompt tokens, or parts of as many, closed the server's schedule for years and took an entry for each window, 157 MB for 2^28 tokens at the least budget.

go test ./pacer: 'count a prompt as no more tokens than servers' caches hold' failed before and passes.

--- a/pacer/holdings_test.go
+++ b/pacer/holdings_test.go
@@ -78,6 +78,23 @@
 		}
 	})
 
+	// Guards against a false header that closes the server's schedule for days and takes an entry for
+	// each window of them.
+	It("count a prompt as no more tokens than servers' caches hold", func() {
+		for _, prompt := range []*reuser.Prompt{nil, reuser.NewPrompt("m0", "")} {
+			if prompt != nil {
+				for i := range 16 {
+					prompt.Add(string(rune('a'+i)), 1<<30)
+				}
+			}
+			_, err := p.Reserve(context.Background(), "s-a", 1<<34, 300*time.Millisecond, balancer.EngineLoad{EventTokens: 4, Prompt: prompt, FreeCache: 23000})
+			Expect(err).NotTo(HaveOccurred())
+			clock.Advance(2 * time.Minute)
+			Expect(reserve("m0")).To(Equal(pacer.Reservation{Reserved: true}))
+			clock.Advance(time.Second)
+		}
+	})
+
 	// Guards against believing that a server holds what a crash, a start under the same incarnation
 	// or an unload has dropped.
 	DescribeTable("know nothing held any more after",
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -49,6 +49,9 @@
 	// maxSchedules bounds the number of schedules; beyond it idle ones are
 	// dropped.
 	maxSchedules = 1024
+	// maxPromptTokens bounds what a prompt counts as: more than any server's cache holds. Clients
+	// state the length of a prompt, and a longer one takes a reservation in each of several windows.
+	maxPromptTokens = 1 << 20
 )
 
 // reserveRequest asks the owner of a server's schedule for a reservation for a
@@ -257,7 +260,7 @@
 		p.schedules[q.Incarnation] = s
 	}
 	tokens, stated := p.prefillTokens(now, q)
-	wait, reserved := s.Reserve(now, q.ID, tokens, Limits{
+	wait, reserved := s.Reserve(now, q.ID, min(tokens, maxPromptTokens), Limits{
 		Window: window, Tokens: prefillBudget(window, q.RunningStreams, q.StepsPerEvent, q.SpeedPercent),
 		MaxWait: time.Duration(maxWaitWindows * float64(window)),
 	})
