--- a/relayer/reuse_test.go
+++ b/relayer/reuse_test.go
@@ -29,6 +29,8 @@
 	return p.reply, p.err
 }
 
+func (p *statingPacer) Release(string, pacer.Reservation) {}
+
 var _ = Describe("A request with a prompt prefix", func() {
 	send := func(p *statingPacer, set ...string) (*fixture, *exporter.Registry) {
 		metrics := exporter.New()
