--- a/resetter/resetter.go
+++ b/resetter/resetter.go
@@ -11,7 +11,6 @@
 
 import (
 	"errors"
-	"math"
 	"net"
 	"syscall"
 
@@ -27,11 +26,8 @@
 	if r, ok := c.(Resetter); ok {
 		return r.Reset()
 	}
-	if w, ok := c.(interface{ CloseWrite() error }); ok && outstanding(c) == 0 {
-		// Another goroutine may write until then. Its bytes would be delivered before the FIN.
-		if w.CloseWrite() == nil && outstanding(c) <= finLength {
-			return c.Close()
-		}
+	if acknowledged(c) {
+		return c.Close()
 	}
 	if t, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		return errors.Join(t.SetLinger(0), c.Close())
@@ -39,24 +35,17 @@
 	return c.Close()
 }
 
-// finLength is what a FIN takes of the sequence numbers.
-const finLength = 1
-
-// outstanding returns how many bytes the peer's kernel has not acknowledged, and math.MaxInt if
-// that is not known.
-func outstanding(c net.Conn) int {
+// acknowledged reports whether the peer's kernel has acknowledged all bytes that were written.
+func acknowledged(c net.Conn) bool {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return math.MaxInt
+		return false
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return math.MaxInt
-	}
-	n := 0
-	controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	if controlErr != nil || err != nil {
-		return math.MaxInt
+		return false
 	}
-	return n
+	outstanding := -1
+	controlErr := raw.Control(func(fd uintptr) { outstanding, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return controlErr == nil && err == nil && outstanding == 0
 }
