Planned stop spec: the bound on served requests holds whatever the lag

It had been lowered by the lag that the process measures on itself, without a limit, so that it checked nothing once that was about a second.

--- a/entryassembler/stop_test.go
+++ b/entryassembler/stop_test.go
@@ -159,9 +159,9 @@
 					served++
 				}
 			}
-			// A request is served if it is handled before the linger time is over. As late as this
-			// process ran, requests that were sent shortly before were handled after it.
-			Expect(served).To(BeNumerically(">=", int((linger-lag)/step)-3), fmt.Sprintf("lag %v", lag))
+			// The lag of this process is shown, since it can make requests that were sent shortly
+			// before the end of the linger time come after it.
+			Expect(served).To(BeNumerically(">=", int(linger/step)-3), fmt.Sprintf("lag %v", lag))
 		},
 		Entry("on a connection that had requests before", true, true),
 		Entry("as the first one of a connection that was opened before", true, false),
