--- a/crowder/smallest_test.go
+++ b/crowder/smallest_test.go
@@ -127,7 +127,7 @@
 	// Guards against streams whose clients don't read and whose buffers nobody counts.
 	It("serves others beside clients that don't read their answers", func() {
 		n := startInstance(program, GinkgoT().TempDir(), smallestMemory, smallestDescriptors)
-		n.engine.AnswerBytes = 8 << 20
+		n.engine.SetAnswerBytes(8 << 20)
 		c := &crowd{instance: n}
 		defer c.leave()
 		c.gather(func(i int, w io.Writer) error {
@@ -137,7 +137,7 @@
 			_, err := io.WriteString(w, "x")
 			return err
 		})
-		n.engine.AnswerBytes = 0
+		n.engine.SetAnswerBytes(0)
 		n.expectServed("beside", 100)
 		c.leave()
 		n.expectServed("after", 100)
--- a/crowder/writes_test.go
+++ b/crowder/writes_test.go
@@ -42,7 +42,7 @@
 	// whose answer is cut off or replaced for lack of memory.
 	DescribeTable("keep an instance of 284 MB within its memory, and none that is accepted is cut", func(writers, size, answer int) {
 		n := startInstance(buildProgram(GinkgoT().TempDir()), GinkgoT().TempDir(), writeMemory)
-		n.engine.AnswerBytes = answer
+		n.engine.SetAnswerBytes(answer)
 		var mu sync.Mutex
 		codes := map[int]int{}
 		for burst := range bursts {
@@ -64,7 +64,7 @@
 		Expect(n.exited).NotTo(BeClosed(), "the process has ended")
 		Expect(peak).To(BeNumerically("<=", writeMemory), "peak of memory in MiB")
 		Expect(codes[http.StatusOK]).To(Equal(ran), "writes that ran have their whole answer")
-		n.engine.AnswerBytes = 0
+		n.engine.SetAnswerBytes(0)
 		n.expectServed("small", 100)
 	},
 		Entry("30 writes of 4 MiB whose answers have 4 MiB", 30, 4<<20, 0),
--- a/faker/model_server.go
+++ b/faker/model_server.go
@@ -30,8 +30,6 @@
 	Capacity int
 	WorkTime time.Duration
 	Brittle  string
-	// AnswerBytes is how many bytes an answer that is not a stream has beyond the request's body.
-	AnswerBytes int
 
 	mu         sync.Mutex
 	models     map[string][]string
@@ -54,6 +52,15 @@
 	working  int
 	refusals []time.Time
 	answered int
+	// answerBytes is how many bytes an answer that is not a stream has beyond the request's body.
+	answerBytes int
+}
+
+// SetAnswerBytes sets how many bytes an answer that is not a stream has beyond the request's body.
+func (p *ModelServer) SetAnswerBytes(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answerBytes = n
 }
 
 // NewModelServer returns a server that has some models loaded.
@@ -65,6 +72,13 @@
 	return p
 }
 
+// extraBytes returns what SetAnswerBytes has set.
+func (p *ModelServer) extraBytes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answerBytes
+}
+
 // SetLimit sets the rate limit, in requests per second, that the server names in its
 // answers; an empty text stands for none.
 func (p *ModelServer) SetLimit(perSecond string) {
@@ -285,7 +299,7 @@
 	h.Set("Primrosehook-Server-Signature", p.ID)
 	if model == "" {
 		_, _ = fmt.Fprintf(w, "%s ran %s", p.ID, body)
-		_, _ = w.Write(make([]byte, p.AnswerBytes))
+		_, _ = w.Write(make([]byte, p.extraBytes()))
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
