Usage caps: grant what the window allows, and hand over without a gap

Cause: a bucket of the cap's rate grants rate x 8 in 8 s under sustained overload, where rate x 8 + burst is allowed, and a small account's bucket held less than two requests. Buckets of a new arbiter began empty, and a request that had asked in vain was refused without using the grace.

Change: once the delegated sum has been there for a window, a bucket fills at what the window allows divided by its length, and holds 0.03 of that and half of the setting quota-slack, which was not read before. A new arbiter grants the 0.4 s in which its members looked for it, once in a window. The models of the cap under partitions, kills, freezes and changed caps pass unchanged.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -116,8 +116,9 @@
 	// restarted is set if an earlier process ran at the address.
 	restarted bool
 	// term is how long entitlements are valid, grace the time whose usage is let through while the
-	// arbiter is silent.
+	// arbiter is silent. window is how usage is counted.
 	term, grace time.Duration
+	window      Window
 
 	mu      sync.Mutex
 	shares  *Shares
@@ -174,16 +175,17 @@
 // WithMeter sets the receiver of counts.
 func WithMeter(m Meter) Option { return func(a *Allotter) { a.meter = m } }
 
-// WithTolerance sets the window in which usage is counted and the part by which it may exceed a cap
-// there.
-func WithTolerance(window time.Duration, overage float64) Option {
-	return func(a *Allotter) { a.setTolerance(window, overage) }
+// WithTolerance sets the window in which usage is counted, the part by which it may exceed a cap
+// there, and the usage by which it may exceed any cap.
+func WithTolerance(window time.Duration, overage, slack float64) Option {
+	return func(a *Allotter) { a.setTolerance(window, overage, slack) }
 }
 
-func (a *Allotter) setTolerance(window time.Duration, overage float64) {
+func (a *Allotter) setTolerance(window time.Duration, overage, slack float64) {
 	if window > 0 {
 		a.term = window
 	}
+	a.window = Window{Length: a.term, Slack: max(slack, 0)}
 	a.grace = time.Duration(toleranceShare * max(overage, 0) * float64(a.term))
 }
 
@@ -195,13 +197,13 @@
 func New(instance, self string, peers Peers, clock clockwork.Clock, boot clocker.Clock, log *zap.Logger, options ...Option) *Allotter {
 	a := &Allotter{
 		instance: instance, self: self, peers: peers, clock: clock, boot: boot, log: log, meter: discardMeter{},
-		role: NewArbiter(), own: NewArbiter(), usages: map[string]*usage{}, avoided: map[string]time.Time{}, term: defaultTerm,
+		usages: map[string]*usage{}, avoided: map[string]time.Time{}, term: defaultTerm,
 	}
-	a.setTolerance(0, defaultTolerance)
+	a.setTolerance(0, defaultTolerance, 0)
 	for _, o := range options {
 		o(a)
 	}
-	a.shares = NewShares(a.term)
+	a.shares, a.role, a.own = NewShares(a.term), NewArbiter(a.window, WithTakeover()), NewArbiter(a.window)
 	a.role.onRefusal = a.logRefusal
 	return a
 }
@@ -263,7 +265,7 @@
 	}
 	if s.Delegated = a.holding.Delegate(now, receiver, ttl); s.Delegated.Left > 0 {
 		// What this instance may use itself begins anew when the delegation has lapsed.
-		a.own = NewArbiter()
+		a.own = NewArbiter(a.window)
 	}
 	return s
 }
--- a/allotter/arbiter.go
+++ b/allotter/arbiter.go
@@ -35,11 +35,34 @@
 	// loweredTime is how long refusals are put down to a lowered cap: the usage of the window before
 	// then was within the former one.
 	loweredTime = defaultTerm
-	// minBurst is the time whose rate counts as the burst of a cap that states a smaller one. An
-	// empty burst would let no request through; the tolerance of the caps covers this one.
+	// minBurst is the time whose rate counts as the capacity of a bucket at least. An empty burst
+	// would let no request through; the tolerance of the caps covers this one.
 	minBurst = 100 * time.Millisecond
+	// capacityShare is the capacity of a bucket as a part of what a window allows. The rest of a
+	// tolerance of a tenth covers credit that is used later than it was granted, and what is used
+	// without an answer of an arbiter.
+	capacityShare = 0.03
+	// slackShare is the part of the slack of the caps that the capacity of a bucket has, up to
+	// maxSlackShare of what a window allows: small caps would not bind otherwise.
+	slackShare, maxSlackShare = 0.5, 0.25
+	// takeoverTime is for how long the arbiter before is taken to have granted nothing: its members
+	// find out that it is gone before they delegate to another one.
+	takeoverTime = 400 * time.Millisecond
+	// joinTime is how long after the first member of a new arbiter the others join: a pause between
+	// reports at 390 instances.
+	joinTime = 2 * time.Second
 )
 
+// Window is how usage is counted against caps: in any time of a length, at most the rate times that
+// time plus the burst. Usage may exceed that by Slack, in the accounts' unit, whatever the cap.
+type Window struct {
+	Length time.Duration
+	Slack  float64
+}
+
+// allowance returns what a cap allows in the window.
+func (w Window) allowance(rate, burst float64) float64 { return rate*w.Length.Seconds() + burst }
+
 // Item asks for a part of an account's cap. It is encoded as an array of its fields.
 type Item struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by reflection
@@ -85,9 +108,9 @@
 	version     int64
 	rate, burst float64
 	// level is the credit as of at, when the sum of the delegated fractions was sum. It is
-	// negative after a request that is larger than the capacity.
-	level, sum float64
-	at         time.Time
+	// negative after a request that is larger than the capacity. peak is the largest sum so far.
+	level, sum, peak float64
+	at               time.Time
 	// born is when the bucket was made, rooms is how far below its capacity it was since.
 	born  time.Time
 	rooms []room
@@ -102,10 +125,21 @@
 
 // Arbiter grants credit from the fractions that instances delegate to it. Its grants stay within
 // the cap times the sum of the fractions: at most rate times the window plus the burst in any
-// window, beyond which there is one request. It is not safe for concurrent use.
+// window, beyond which there are the capacity of a bucket and one request. It is not safe for
+// concurrent use.
+//
+// A bucket fills at what the window allows, divided by its length. At the rate of the cap, an
+// account that asks for more than its cap would be refused although its usage in the window is
+// below what the window allows. For the first window after the sum of the fractions has risen, a
+// bucket fills at the rate of the cap: an arbiter before may have granted the burst.
 type Arbiter struct {
+	window  Window
 	members map[string]delegation
-	buckets map[string]*bucket
+	// takesOver is set if buckets get the credit of takeoverTime for the fractions that are delegated
+	// first, tookOverAt is when they last did, overUntil until when they do.
+	takesOver             bool
+	tookOverAt, overUntil time.Time
+	buckets               map[string]*bucket
 	// sum is the sum of the fractions as of sumAt, base the least one since risen.
 	sum, base float64
 	sumAt     time.Time
@@ -133,9 +167,20 @@
 	a.onRefusal(Refusal{Account: account, Granted: b.granted.Rate(now, grantedHalfLife), Cap: b.rate, Delegated: a.sum, Members: len(a.members), Cause: cause})
 }
 
+// ArbiterOption sets an option of an Arbiter.
+type ArbiterOption func(*Arbiter)
+
+// WithTakeover gives an arbiter the credit of the time that its members took to find it. It is given
+// once in a window.
+func WithTakeover() ArbiterOption { return func(a *Arbiter) { a.takesOver = true } }
+
 // NewArbiter returns an arbiter without delegations.
-func NewArbiter() *Arbiter {
-	return &Arbiter{members: map[string]delegation{}, buckets: map[string]*bucket{}}
+func NewArbiter(w Window, options ...ArbiterOption) *Arbiter {
+	a := &Arbiter{window: w, members: map[string]delegation{}, buckets: map[string]*bucket{}}
+	for _, o := range options {
+		o(a)
+	}
+	return a
 }
 
 // Delegate applies the delegation in a report of an instance.
@@ -148,6 +193,10 @@
 		// neither does the credit of that time.
 		clear(a.buckets)
 		a.base, a.risen = 0, now
+		a.overUntil = time.Time{}
+		if a.takesOver && (a.tookOverAt.IsZero() || now.Sub(a.tookOverAt) >= a.window.Length) {
+			a.tookOverAt, a.overUntil = now, now.Add(joinTime)
+		}
 	}
 	if e.Left == 0 {
 		delete(a.members, instance)
@@ -214,7 +263,7 @@
 	a.refreshIfOld(now)
 	for _, l := range late {
 		if b, ok := a.buckets[l.Account]; ok && l.valid() {
-			b.putBack(now, b.advance(now, a.sum), l.Amount, l.Age)
+			b.putBack(now, a.advance(now, b), l.Amount, l.Age)
 		}
 	}
 }
@@ -224,7 +273,7 @@
 		return Grant{Wait: maxWait, Cause: CauseOverCap}
 	}
 	b := a.bucket(now, x)
-	capacity := b.advance(now, a.sum)
+	capacity := a.advance(now, b)
 	b.level = min(b.level+x.Back, capacity)
 	b.granted.Add(now, grantedHalfLife, -min(x.Back, b.granted.Value(now, grantedHalfLife)))
 	if x.Need == 0 && x.Ahead == 0 {
@@ -233,7 +282,7 @@
 	// A request that is larger than the capacity would never be granted otherwise.
 	if need := min(x.Need, max(capacity, 0)); b.level < need || capacity == 0 {
 		wait := unassignedWait
-		if perSecond := b.rate * a.sum; perSecond > 0 {
+		if perSecond := a.fillRate(now, b) * a.sum; perSecond > 0 {
 			missing := need - b.level + b.refused.Value(now, refusedHalfLife)
 			wait = time.Duration(min(missing/perSecond, maxWait.Seconds()) * float64(time.Second))
 		}
@@ -276,7 +325,7 @@
 		a.buckets[x.Account] = b
 	}
 	if x.Version > b.version {
-		b.advance(now, a.sum)
+		a.advance(now, b)
 		if x.Rate < b.rate || x.Burst < b.burst {
 			b.loweredUntil = now.Add(loweredTime)
 		}
@@ -285,14 +334,30 @@
 	return b
 }
 
+// fillRate returns the credit per second that a bucket gets for the whole cap.
+func (a *Arbiter) fillRate(now time.Time, b *bucket) float64 {
+	if now.Sub(a.risen) < a.window.Length {
+		return b.rate
+	}
+	return a.window.allowance(b.rate, b.burst) / a.window.Length.Seconds()
+}
+
 // advance adds the credit of the time since the last call, and returns the capacity.
-func (b *bucket) advance(now time.Time, sum float64) float64 {
+func (a *Arbiter) advance(now time.Time, b *bucket) float64 {
 	if passed := now.Sub(b.at); passed > 0 {
-		b.level += b.rate * min(sum, b.sum) * passed.Seconds()
+		b.level += a.fillRate(b.at, b) * min(a.sum, b.sum) * passed.Seconds()
 		b.at = now
 	}
-	b.sum = sum
-	capacity := max(b.burst, b.rate*minBurst.Seconds()) * sum
+	b.sum = a.sum
+	if a.sum > b.peak {
+		if now.Before(a.overUntil) {
+			b.level += b.rate * (a.sum - b.peak) * takeoverTime.Seconds()
+		}
+		b.peak = a.sum
+	}
+	allowance := a.window.allowance(b.rate, b.burst)
+	capacity := capacityShare*allowance + min(slackShare*a.window.Slack, maxSlackShare*allowance)
+	capacity = max(capacity, b.rate*minBurst.Seconds()) * a.sum
 	b.level = min(b.level, capacity)
 	b.recordRoom(now, capacity)
 	return capacity
--- a/allotter/credit.go
+++ b/allotter/credit.go
@@ -96,6 +96,9 @@
 			wait = askAgainWait
 		}
 		if ctx.Err() != nil || now.Add(wait).After(deadline) {
+			if o.again && ctx.Err() == nil && a.takeOwnGrace(item) {
+				return outcome{ok: true, source: graceSource}
+			}
 			if !o.again && wait <= longestWait {
 				o.denial.Cause = CauseLate
 			}
@@ -180,14 +183,31 @@
 		// The arbiter answers reports: it is asked again first.
 		return outcome{denial: Denial{noArbiterWait, CauseNoArbiter}, again: true}
 	}
-	if now.Sub(u.graceAt) > a.term {
-		u.grace, u.graceAt = u.rate.Rate(now, usageHalfLife)*a.grace.Seconds(), now
+	if !u.useGrace(now, a.term, a.grace, need) {
+		return outcome{denial: Denial{noArbiterWait, CauseNoArbiter}}
+	}
+	return outcome{ok: true, source: graceSource}
+}
+
+// takeOwnGrace takes an amount of what may be used while no arbiter answers, for a request that has
+// asked in vain for as long as it may.
+func (a *Allotter) takeOwnGrace(item Item) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.boot.Now()
+	return a.usage(now, item.Account).useGrace(now, a.term, a.grace, item.Need)
+}
+
+// useGrace takes an amount of the grace, which is the usage of a time and is given once in a term.
+func (u *usage) useGrace(now time.Time, term, grace time.Duration, need float64) bool {
+	if now.Sub(u.graceAt) > term {
+		u.grace, u.graceAt = u.rate.Rate(now, usageHalfLife)*grace.Seconds(), now
 	}
 	if u.grace <= 0 || rand.Float64()*need >= u.grace {
-		return outcome{denial: Denial{noArbiterWait, CauseNoArbiter}}
+		return false
 	}
 	u.grace = max(u.grace-need, 0)
-	return outcome{ok: true, source: graceSource}
+	return true
 }
 
 // dropAhead gives unused credit back.
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -178,7 +178,7 @@
 	e.pacer = pacer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.throttler = throttler.New(s.Control, s.Seeds, e.peers, clock, clocker.SystemClock{}, log)
 	instance := fmt.Sprintf("%s.%x", s.Instance, clock.Now().UnixNano())
-	e.allotter = allotter.New(instance, s.Control, e.peers, clock, clocker.SystemClock{}, log, allotter.WithMeter(e.metrics), allotter.WithTolerance(s.QuotaWindow, s.QuotaOverage), allotter.WithRestarted(s.Restarted))
+	e.allotter = allotter.New(instance, s.Control, e.peers, clock, clocker.SystemClock{}, log, allotter.WithMeter(e.metrics), allotter.WithTolerance(s.QuotaWindow, s.QuotaOverage, s.QuotaSlack), allotter.WithRestarted(s.Restarted))
 	e.pinner = pinner.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.sparer = sparer.New(s.Control, s.Seeds, e.peers, clock, log)
 	e.pauses = &pauses{fleet: e.fleet, detourer: e.detourer, peers: e.peers, clock: clock, log: log}
