--- a/balancer/core.go
+++ b/balancer/core.go
@@ -108,6 +108,7 @@
 	sharedSpeed float64
 	sharedAt    time.Time
 	load        serverLoad
+	outcomes    outcomes
 	// known is what this instance knows of the parts of prompts that the server holds.
 	known reuser.Knowledge
 	// joinedAt is when the server joined the service, zero if it was there before.
@@ -322,7 +323,7 @@
 		if key != "" && !s.loaded[key] {
 			continue
 		}
-		if slices.Contains(q.Exclude, s.ID) || now.Before(s.unreachableUntil) {
+		if slices.Contains(q.Exclude, s.ID) || now.Before(s.unreachableUntil) || s.outcomes.fails(now) {
 			if status == NotLoaded {
 				status = AllExcluded
 			}
@@ -508,6 +509,9 @@
 		rate += failureWeight
 	}
 	s.lastFailureRate, s.lastOutcome = rate, now
+	if !first {
+		s.outcomes.record(now, failed)
+	}
 	if !first && !failed {
 		c.recordLatency(s, delay)
 	}
