--- a/balancer/core.go
+++ b/balancer/core.go
@@ -509,9 +509,6 @@
 		rate += failureWeight
 	}
 	s.lastFailureRate, s.lastOutcome = rate, now
-	if !first {
-		s.outcomes.record(now, failed)
-	}
 	if !first && !failed {
 		c.recordLatency(s, delay)
 	}
--- a/balancer/failing.go
+++ b/balancer/failing.go
@@ -9,23 +9,25 @@
 
 const (
 	// outcomeHalfLife is the half-life of the outcomes of requests at a server. A server that gets no
-	// requests any more counts as failing for two or three half-lives: some seconds, for which such
-	// servers fail.
+	// requests any more counts as failing for two half-lives: some seconds, for which such servers
+	// fail.
 	outcomeHalfLife = 2 * time.Second
 	// minFailing is how many requests of late a server must have failed, of all instances together,
-	// to count as failing, and endFailing the number below which it gets requests again.
-	minFailing, endFailing = 3.0, 1.0
+	// to count as failing. It gets requests again below endFailing, or below endShare of the most.
+	minFailing, endFailing, endShare = 3.0, 1.0, 0.25
 	// maxFailingAnswered is the largest share of requests that a failing server answers.
 	maxFailingAnswered = 0.1
-	// maxWitnesses is how many instances must see a server fail, fewer in a fleet of less than
-	// twice as many: the failures of one instance may be those of its links.
+	// maxWitnesses is how many instances must see a server fail, two in a fleet of up to four: the
+	// failures of one instance may be those of its links.
 	maxWitnesses = 3
 	// minReported is the least count of failures that an instance reports, witnessCount the one
 	// from which it counts as a witness.
 	minReported, witnessCount = 0.1, 0.3
-	// suspicionTime is how long a server must have failed some requests before it counts as failing: two
-	// reports of each instance, which tell of its answers.
-	suspicionTime = 500 * time.Millisecond
+	// suspicionTime is how long a server must have failed some requests at least before it counts as
+	// failing. With many instances it is suspicionPerInstance times their number: two reports of each,
+	// which tell of its answers.
+	suspicionTime        = 500 * time.Millisecond
+	suspicionPerInstance = 8 * time.Millisecond
 	// failingTTL is for how long an instance believes that servers fail.
 	failingTTL = 3 * time.Second
 	// outcomeScale is the scale of Outcomes.
@@ -52,32 +54,48 @@
 }
 
 // failing reports whether a server fails all its requests by the outcomes of a number of instances.
-// A server that failed before does so until its failures are long ago.
-func (o Outcomes) failing(instances int, before bool) bool {
-	failed, all := float64(o.Failed)/outcomeScale, float64(o.Answered+o.Failed)/outcomeScale
-	switch {
-	case float64(o.Answered)/outcomeScale > maxFailingAnswered*all:
-		return false
-	case before:
-		return failed >= endFailing
-	}
-	return failed >= minFailing && o.Witnesses >= min(maxWitnesses, (instances+1)/2)
+func (o Outcomes) failing(instances int) bool {
+	witnesses := min(maxWitnesses, max((instances+1)/2, 2), instances)
+	return float64(o.Failed) >= minFailing*outcomeScale && o.Witnesses >= witnesses && !o.answers()
+}
+
+// answers reports whether a server answers more than a few of its requests.
+func (o Outcomes) answers() bool {
+	return float64(o.Answered) > maxFailingAnswered*float64(o.Answered+o.Failed)
 }
 
 // suspicion is what a FailureTracker keeps of a server that fails requests.
 type suspicion struct {
-	since   time.Time
+	since time.Time
+	// most is the most failures so far, in the scale of Outcomes.
+	most    int
 	failing bool
 }
 
 // FailureTracker decides which servers fail all their requests, by the outcomes of all instances. The
 // zero value knows of none. It is not safe for concurrent use.
-type FailureTracker struct{ suspicions map[string]suspicion }
+type FailureTracker struct {
+	suspicions map[string]suspicion
+	// began is when it got the first outcomes.
+	began time.Time
+}
+
+// Known reports whether outcomes have come for long enough to tell which servers fail.
+func (t *FailureTracker) Known(now time.Time, instances int) bool {
+	return !t.began.IsZero() && now.Sub(t.began) >= 2*suspicionOf(instances)
+}
+
+func suspicionOf(instances int) time.Duration {
+	return max(suspicionTime, time.Duration(instances)*suspicionPerInstance)
+}
 
 // Update applies the present sums of the outcomes of a number of instances, by server ID. It returns
 // the servers that fail some requests, and whether they fail all: instances report what these answer,
 // so that they count as failing only once such reports would have come.
 func (t *FailureTracker) Update(now time.Time, total map[string]Outcomes, instances int) map[string]bool {
+	if t.began.IsZero() {
+		t.began = now
+	}
 	next := map[string]suspicion{}
 	for id, o := range total {
 		if float64(o.Failed) < endFailing*outcomeScale {
@@ -87,7 +105,15 @@
 		if !ok {
 			s.since = now
 		}
-		s.failing = now.Sub(s.since) >= suspicionTime && o.failing(instances, s.failing)
+		s.most = max(s.most, o.Failed)
+		if s.failing {
+			s.failing = float64(o.Failed) >= endShare*float64(s.most) && !o.answers()
+		} else {
+			s.failing = now.Sub(s.since) >= suspicionOf(instances) && o.failing(instances)
+		}
+		if !s.failing {
+			s.most = 0
+		}
 		next[id] = s
 	}
 	t.suspicions = next
@@ -135,10 +161,10 @@
 	return o.failing && now.Sub(o.failingAt) < failingTTL && o.answered.Value(now, outcomeHalfLife) < witnessCount
 }
 
-// RecordAnswered records that a server has begun to answer a request.
-func (c *Core) RecordAnswered(now time.Time, id string) {
+// RecordOutcome records that a server has answered a request, or failed it.
+func (c *Core) RecordOutcome(now time.Time, id string, answered bool) {
 	if s, ok := c.servers[id]; ok {
-		s.outcomes.record(now, false)
+		s.outcomes.record(now, !answered)
 	}
 }
 
@@ -175,6 +201,17 @@
 	}
 }
 
+// RecordOutcome records that the server has answered the request, if only with a refusal, or has failed
+// it. What says nothing of the server, such as a client that left, is not recorded.
+func (a *Assignment) RecordOutcome(answered bool) {
+	f := a.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := a.core(); ok && !a.firstEventSeen {
+		c.RecordOutcome(f.clock.Now(), a.ID, answered)
+	}
+}
+
 // OwnOutcomes returns this instance's outcomes of requests by the ID of servers that failed requests
 // of late.
 func (f *Fleet) OwnOutcomes() map[string]Outcomes {
--- a/balancer/failing_test.go
+++ b/balancer/failing_test.go
@@ -70,10 +70,11 @@
 			c.RecordSent(f.now, id, q)
 			if f.answers(i, id) {
 				c.RecordFirstEvent(id, q, 80*time.Millisecond)
-				c.RecordAnswered(f.now, id)
+				c.RecordOutcome(f.now, id, true)
 				f.open = append(f.open, openRequest{c, id, f.now.Add(f.held)})
 			} else {
 				f.failed[id]++
+				c.RecordOutcome(f.now, id, false)
 				c.RecordDone(f.now, id, q, false, true, time.Millisecond)
 			}
 		}
--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -128,6 +128,7 @@
 	clear(c.totalQueues)
 	clear(c.totalPaces)
 	clear(c.totalOutcomes)
+	c.failures = balancer.FailureTracker{}
 	c.updateAddresses()
 	c.overlays, c.droppedOverlays = nil, 0
 	clear(c.requestedAt)
@@ -232,7 +233,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	c.expireMembers(now)
-	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds(), Speeds: c.speeds(), SpeedsKnown: true, Failing: c.failingServers(now), Starts: c.starts.Recent(now)}
+	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds(), Speeds: c.speeds(), SpeedsKnown: true, Failing: c.failingServers(now), FailingKnown: c.failures.Known(now, len(c.members)), Starts: c.starts.Recent(now)}
 	if m, ok := c.members[r.Instance]; ok {
 		for id, f := range m.inFlight {
 			if left := out.InFlight[id].Sub(f); left != (balancer.InFlight{}) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -159,8 +159,10 @@
 	// SpeedsKnown is set by builds that add up paces.
 	Speeds      map[string]int `msgpack:"sp,omitempty"`
 	SpeedsKnown bool           `msgpack:"sk,omitempty"`
-	// Failing are the servers that fail some requests, and whether they fail all.
-	Failing map[string]bool `msgpack:"fs,omitempty"`
+	// Failing are the servers that fail some requests, and whether they fail all. FailingKnown is set by
+	// senders that have added up outcomes for long enough.
+	Failing      map[string]bool `msgpack:"fs,omitempty"`
+	FailingKnown bool            `msgpack:"fk,omitempty"`
 	// Starts are the servers that have started again of late, as the sender knows them: InFlight,
 	// Speeds and Failing are of these starts.
 	Starts balancer.Starts `msgpack:"st,omitempty"`
--- a/coordinator/speeds.go
+++ b/coordinator/speeds.go
@@ -43,7 +43,9 @@
 // applySpeeds applies the speeds of servers in a reply, unless its sender does not know any, and the
 // servers that fail.
 func (c *Coordinator) applySpeeds(r Reply) {
-	c.Fleet.UpdateFailing(r.Failing, r.Starts)
+	if r.FailingKnown || len(r.Failing) > 0 {
+		c.Fleet.UpdateFailing(r.Failing, r.Starts)
+	}
 	if r.SpeedsKnown {
 		c.Fleet.UpdateSpeeds(r.Speeds, r.Starts)
 	}
