Lease: a log whose entries have all expired is claimed after a term

What callers saw: after all instances had been down for longer than the store keeps records, in era 0, none took the lease, and no server got an order.

Cause: a process that had seen no entry took the log as empty only if its next offset was 0. With all entries expired it is higher, nothing was observed, and the elector never claimed.

Change: a read that skips entries which it does not return (an empty log at a higher offset, a new era, offsets that have gone back) is treated as one of a log that has lost entries: a holder of those entries may be within its term, so the term and margin are waited out before a claim, and orders are delayed by the term and the order gap. This also ends two faults found on the way: an instance that had missed expired entries could claim at once beside their holder, and a former holder could renew its term with its old fencing token after a newer one. If offsets go back within an era, fencing tokens continue above the highest one seen.

--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -266,10 +266,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.boot.Now()
-	oldEra, _ := tailer.SplitPosition(l.nextOffset)
 	era, offset := tailer.SplitPosition(next)
-	// Before its first read an instance can't tell a new era from an old one.
-	lostEntries := era != oldEra
+	// Before its first read an instance can't tell a new era from an old one, nor a log whose
+	// entries have all expired from one that it has not read for long.
+	lostEntries := tailer.LostRecords(from, next, len(list))
+	fence := max(next, l.lastEntry.Fence)
 	l.nextOffset, l.readAt = next, now
 	l.unconfirmed = false
 	if len(list) == 0 && offset == 0 && !lostEntries && l.lastEntry == (Entry{}) {
@@ -288,11 +289,12 @@
 		}
 		l.delayOrders(now, e)
 		l.observe(now, r.Offset, e)
+		fence = max(fence, l.lastEntry.Fence)
 	}
 	if lostEntries {
 		// The log may have had a claim of any instance, which is valid for a term.
-		l.logger.Info("lease: log has lost entries", zap.Int64("era", era))
-		lost := Entry{Instance: "unknown"}
+		l.logger.Info("lease: log has lost entries", zap.Int64("era", era), zap.Int64("offset", offset))
+		lost := Entry{Instance: "unknown", Fence: fence}
 		l.delayOrders(now, lost)
 		l.observe(now, next-1, lost)
 	}
@@ -370,6 +372,8 @@
 	if renewal {
 		e.Fence = previous.Fence
 		e.Clear = l.mayOrder(now)
+	} else if previous.Fence > l.nextOffset {
+		e.Fence = previous.Fence + 1 // offsets have gone back within an era
 	}
 	e.Entitled = previous.Entitled
 	at := l.nextOffset
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -33,6 +33,8 @@
 	calls       int
 	// era counts how often the log has lost entries.
 	era int64
+	// first is the offset of the first entry that has not expired.
+	first int64
 }
 
 // restore makes the log lose all but its first entries. Their offsets are given out
@@ -50,10 +52,10 @@
 		return nil, from, errUnavailable
 	}
 	era, offset := tailer.SplitPosition(from)
-	if era != l.era {
+	if era != l.era || offset > int64(len(l.records)) {
 		offset = 0
 	}
-	list := slices.Clone(l.records[min(int(offset), len(l.records)):])
+	list := slices.Clone(l.records[min(int(max(offset, l.first)), len(l.records)):])
 	for i := range list {
 		list[i].Offset = tailer.Position(l.era, list[i].Offset)
 	}
