Tailer: pause if records are deleted before each read, and never go back

What callers saw: by reading, no report. If the records at the offset after the newest ones had been deleted at each read, an instance called the store for the configuration without a pause. A read of the newest records that ended after a peer had fed newer ones set the position back, also to an era that had ended.

Cause: only failed calls were followed by a pause, and the reader of the configuration has none between reads. The position after a read of the newest records was taken as it was.

Change: from the second time on without a good read in between, a pause follows the read of the newest records, as to an unavailable store. Positions only rise.

Measured: both specs in tailer/tailer_test.go failed before (one did not end within 20 s) and pass.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -159,12 +159,15 @@
 func (t *Tailer) run(ctx context.Context) {
 	unavailable := false
 	pause := minRetryInterval
+	// deletions counts the reads since the last good one that found their records deleted.
+	deletions := 0
 	t.awaitFeed(ctx)
 	for ctx.Err() == nil {
 		if t.fedRecently() {
 			t.sleep(ctx, feedCheckInterval)
 			continue
 		}
+		newest := t.Next() == offsetUnread
 		err := t.readOnce(ctx)
 		switch {
 		case err == nil:
@@ -172,9 +175,13 @@
 				t.log.Info(t.name + ": store is available again")
 			}
 			unavailable, pause = false, minRetryInterval
-			t.sleep(ctx, t.interval())
+			if !newest {
+				deletions = 0
+			}
+			t.sleep(ctx, max(t.interval(), t.deletionPause(deletions)))
 		case errors.Is(err, ErrTrimmed):
 			t.log.Info(t.name + ": records were deleted; reading the newest record of each key")
+			deletions++
 			t.mu.Lock()
 			t.next = offsetUnread
 			t.mu.Unlock()
@@ -190,6 +197,17 @@
 	}
 }
 
+// deletionPause returns the pause after a read of the newest records. There is none the first
+// time, so that a store that comes back from an older copy is followed at once; if records are
+// deleted before each read, calls are no more frequent than to an unavailable store.
+func (t *Tailer) deletionPause(deletions int) time.Duration {
+	const maxDoublings = 10
+	if deletions < 2 {
+		return 0
+	}
+	return min(minRetryInterval<<min(deletions-2, maxDoublings), t.maxRetry())
+}
+
 // awaitFeed waits up to startDelay for a feed, or until ReadNow.
 func (t *Tailer) awaitFeed(ctx context.Context) {
 	until := t.clock.Now().Add(t.startDelay)
@@ -251,7 +269,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sink.Full(list, end)
-	t.next = end
+	t.next = max(t.next, end) // a peer may have fed newer records in the meantime
 	t.readAt = t.clock.Now()
 	t.recordRead(began)
 	return nil
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -21,6 +21,9 @@
 	pending []tailer.Record
 	err     error
 	calls   int
+	// trimmed makes each Read fail with ErrTrimmed. onNewest is called by Newest.
+	trimmed  bool
+	onNewest func()
 }
 
 func (s *source) Newest(context.Context) ([]tailer.Record, int64, error) {
@@ -31,6 +34,9 @@
 		return nil, 0, s.err
 	}
 	s.err = nil
+	if s.onNewest != nil {
+		s.onNewest()
+	}
 	return s.newest, s.next, nil
 }
 
@@ -38,6 +44,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if s.trimmed {
+		return nil, from, tailer.ErrTrimmed
+	}
 	if s.err != nil {
 		return nil, from, s.err
 	}
@@ -178,4 +187,25 @@
 		t.Feed([]tailer.Record{{Offset: 5, Key: "b"}}, 6, true)
 		Expect(t.Next()).To(BeEquivalentTo(7))
 	})
+
+	// Guards against calling the store without a pause, by all instances.
+	It("pauses if records are deleted before each read", func() {
+		t = tailer.New("test", src, dst, clock, zap.NewNop())
+		src.trimmed = true
+		start()
+		for range 100 {
+			advance(200 * time.Millisecond)
+		}
+		Expect(src.count()).To(BeNumerically("<=", 70))
+		fulls, _ := dst.counts()
+		Expect(fulls).To(BeNumerically(">=", 20))
+	})
+
+	// Guards against an old answer of the store that makes an instance report an era that has
+	// ended, and be fed all records again.
+	It("does not go back if a peer feeds it during a read of the newest records", func() {
+		src.onNewest = func() { t.Feed(nil, tailer.Position(1, 2), false) }
+		start()
+		Expect(t.Next()).To(Equal(tailer.Position(1, 2)))
+	})
 })
