Reserver: answers whose wait has ended need not be held, and unread ones are ended

What callers saw: an answer that had waited for memory was held whether or not it fitted, and one whose client did not read it kept its memory for 30 s while others waited.

Change: TryTurn reports that an answer does not fit, ReadFitting returns what was read of it until then, and OnUnread has an answer ended whose client has accepted less than 4 KiB for 3 s while other answers wait. AwaitTurn and ReadAll work as before.

--- a/reserver/read.go
+++ b/reserver/read.go
@@ -12,6 +12,17 @@
 // reserved. The buffer is doubled, up to a size, each time after the memory is reserved by grow.
 // After an error nothing is held for it any more.
 func ReadAll(body io.Reader, first, largest int64, held *Reservation, grow func(int64) bool) ([]byte, error) {
+	read, _, err := ReadFitting(body, first, largest, held, grow)
+	if errors.Is(err, ErrMemory) {
+		held.Shrink(int64(cap(read)))
+		return nil, err
+	}
+	return read, err
+}
+
+// ReadFitting is ReadAll, but with ErrMemory it returns what it has read, whose memory stays reserved,
+// and the byte that follows.
+func ReadFitting(body io.Reader, first, largest int64, held *Reservation, grow func(int64) bool) (read, next []byte, err error) {
 	buffer := make([]byte, 0, first)
 	var probe [1]byte
 	for {
@@ -25,8 +36,7 @@
 			old := int64(cap(buffer))
 			larger := min(2*old, max(largest, old+1))
 			if !grow(larger) {
-				held.Shrink(old)
-				return nil, ErrMemory
+				return buffer, probe[:], ErrMemory
 			}
 			buffer = append(make([]byte, 0, larger), buffer...)
 			held.Shrink(old)
@@ -35,11 +45,11 @@
 			buffer = buffer[:len(buffer)+n]
 		}
 		if errors.Is(err, io.EOF) {
-			return buffer, nil
+			return buffer, nil, nil
 		}
 		if err != nil {
 			held.Shrink(int64(cap(buffer)))
-			return nil, err
+			return nil, nil, err
 		}
 	}
 }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -71,6 +71,9 @@
 	progressBytes = 4 << 10
 	// stallTime is for how long a reservation has made no progress before it may be ended.
 	stallTime = time.Second
+	// unreadTime is the same for an answer that is sent to its client. It is longer, since such an
+	// answer is not repeated; clients of streams have as long.
+	unreadTime = 3 * time.Second
 )
 
 // The rooms.
@@ -246,7 +249,7 @@
 		case !among(s):
 		case s.ended:
 			need -= s.size
-		case s.reclaim != nil && now.Sub(s.progressed) >= r.stallTime:
+		case s.reclaim != nil && now.Sub(s.progressed) >= r.stallTimeOf(s.kind):
 			stalled = append(stalled, s)
 		}
 	}
@@ -266,6 +269,14 @@
 	return tell
 }
 
+// stallTimeOf returns for how long a reservation of a kind has made no progress before it may be ended.
+func (r *Reserver) stallTimeOf(k Kind) time.Duration {
+	if k == Answer {
+		return unreadTime
+	}
+	return r.stallTime
+}
+
 // Reservation is memory that is held. All methods may be called on nil, which holds nothing.
 type Reservation struct {
 	reserver *Reserver
--- a/reserver/turn.go
+++ b/reserver/turn.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+
+	"github.com/jonboulle/clockwork"
 )
 
 // GrowInTurn reserves n more bytes for an answer, which must not be refused. If they don't fit and
@@ -30,32 +32,55 @@
 	return false, r.changed
 }
 
-// AwaitTurn reserves n more bytes for an answer. Above SmallBytes it waits for its turn until the
-// context ends. The bytes are held whether or not they fit then. It calls waits before it waits, if
-// that is not nil.
+// AwaitTurn is TryTurn for an answer that must be held whole: once the context has ended the bytes are
+// held whether or not they fit.
 func (s *Reservation) AwaitTurn(ctx context.Context, n int64, waits func()) {
+	if !s.TryTurn(ctx, n, waits) {
+		s.Force(n)
+	}
+}
+
+// TryTurn reserves n more bytes for an answer. Above SmallBytes it waits for its turn until the
+// context ends. It reports false if they don't fit then; the answer asks no more, and others may be
+// the oldest. It calls waits before it waits, if that is not nil.
+func (s *Reservation) TryTurn(ctx context.Context, n int64, waits func()) bool {
 	if n <= SmallBytes {
 		s.Force(n)
-		return
+		return true
 	}
+	var check clockwork.Ticker
 	for {
 		ok, changed := s.GrowInTurn(n)
 		if ok {
-			return
+			return true
 		}
 		if waits != nil {
 			waits()
 		}
+		if check == nil {
+			check = s.reserver.clock.NewTicker(unreadTime / 4)
+			defer check.Stop()
+			s.reserver.endUnread(n)
+		}
 		select {
 		case <-changed:
+		case <-check.Chan():
+			s.reserver.endUnread(n)
 		case <-ctx.Done():
-			s.Force(n)
-			return
+			s.leaveTurns()
+			return false
 		}
 	}
 }
 
-// endTurn removes an answer that is released, and has those that wait ask again. r.mu must be held.
+// leaveTurns removes an answer that asks for no more memory from those that wait for their turn.
+func (s *Reservation) leaveTurns() {
+	s.reserver.mu.Lock()
+	defer s.reserver.mu.Unlock()
+	s.reserver.endTurn(s)
+}
+
+// endTurn removes an answer that asks no more, and has those that wait ask again. r.mu must be held.
 func (r *Reserver) endTurn(s *Reservation) {
 	if i := slices.Index(r.turns, s); i >= 0 {
 		r.turns = slices.Delete(r.turns, i, i+1)
@@ -70,3 +95,25 @@
 		r.changed, r.waits = make(chan struct{}), 0
 	}
 }
+
+// OnUnread is OnReclaim for an answer that is read, and is sent to its client from now on: it may be
+// ended once its client has accepted less than 4 KiB for 3 s while other answers wait.
+func (s *Reservation) OnUnread(f func()) {
+	if s == nil {
+		return
+	}
+	s.reserver.mu.Lock()
+	defer s.reserver.mu.Unlock()
+	s.reclaim, s.progressed, s.pending = f, s.reserver.clock.Now(), 0
+}
+
+// endUnread ends answers whose clients don't read them until n bytes for another answer are about to
+// be free.
+func (r *Reserver) endUnread(n int64) {
+	r.mu.Lock()
+	ended := r.endStalled(r.over(answerRoom, n), func(o *Reservation) bool { return o.kind == Answer })
+	r.mu.Unlock()
+	for _, reclaim := range ended {
+		reclaim()
+	}
+}
