Relayer: pass answers through for which there is no memory

What callers saw: 200 clients that requested answers of 8 MiB and did not read them took an instance of 144 MB to 166 and 210 MiB. One such client delayed other answers above 64 KiB by half of the time that their requests had left.

Cause: an answer was read whole before it was sent; once its wait for memory was over it was held although it did not fit, until its client was disconnected after 30 s.

Change: the wait ends after a quarter of the time left. What does not fit then is passed through to the client in small parts, after the same checks of status, signature and head. If it breaks off, the client's connection is closed, so that a part never looks complete; the request is not repeated then. The request's deadline does not end it, since the client may need that long to read it. An answer that is held whole is ended when its client receives nothing for 3 s while others wait. An answer that declares more than 16 MiB is not read any more.

--- a/peeker/peeker.go
+++ b/peeker/peeker.go
@@ -82,3 +82,26 @@
 	c, ok := Client(ctx)
 	return ok && Closed(c)
 }
+
+// Unreceived returns how many bytes were written to a connection and are not acknowledged by its peer
+// yet, 0 if that is not known.
+func Unreceived(c net.Conn) int {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			n = queued
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -80,7 +80,7 @@
 		if t.route.Repeatable() && (w.isReplaced() || t.sends < t.route.Attempts) {
 			return true
 		}
-	} else {
+	} else if !t.passes {
 		t.assignment.Done(false)
 		t.assignment.RecordOutcome(true)
 	}
@@ -88,19 +88,26 @@
 		t.giveUp("bad answer", zap.Int("status", t.answer.StatusCode))
 		return false
 	}
+	if t.passes {
+		return t.passThrough(w)
+	}
 	t.suspects.RequestCompleted(t.identity)
 	t.recordSurvival()
 	if !t.failed() {
 		t.record.outcome = "answered with " + strconv.Itoa(t.answer.StatusCode)
 	}
 	t.meter.Observe(MetricFirst+t.route.Kind.String(), t.clock.Since(t.started))
-	defer t.finishAnswered(t.answer.StatusCode)
 	t.copyHeader(t.answer)
 	t.writer.Header().Set("Content-Length", strconv.Itoa(len(t.answerBody)))
 	t.writer.WriteHeader(t.answer.StatusCode)
-	if _, err := t.writer.Write(t.answerBody); err != nil {
+	err := t.deliver()
+	if t.slowClient {
+		t.giveUp("slow client")
+	}
+	if err != nil {
 		t.log.Info("relay: client left", zap.Error(err))
 	}
+	t.finishAnswered(t.answer.StatusCode)
 	return false
 }
 
@@ -230,7 +237,7 @@
 		x.meter.Observe(MetricFirst+x.route.Kind.String(), x.firstByte.Sub(x.started))
 		x.copyHeader(a)
 		x.writer.WriteHeader(a.StatusCode)
-		x.outbox.Store(startOutbox(x.writer, x.memory, x.clock, x.slowClientTimeout))
+		x.outbox.Store(startOutbox(x.writer, x.memory, x.clock, x.slowClientTimeout, maxUnread))
 	} else if pause := now.Sub(x.lastWrite); pause > x.longestPause {
 		x.longestPause, x.longestPauseAt = pause, x.lastWrite.Sub(x.started)
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -28,6 +28,9 @@
 	// deadlineGrace is how long an answer is awaited after the request's
 	// deadline.
 	deadlineGrace = 100 * time.Millisecond
+	// answerWaitShare is the share of the time that a request has left for which its answer waits for
+	// memory. The rest is for the answer, which is passed through to the client then.
+	answerWaitShare = 0.25
 )
 
 // errAnswerTooLarge ends the reading of a body that exceeds maxAnswerBytes.
@@ -59,6 +62,10 @@
 	bodyRead   bool
 	answerBody []byte
 	bodyErr    error
+	// passes is set if there is no memory for the rest of the body: it is passed through to the client.
+	// answerBody is its beginning then, afterBody what was read behind that.
+	passes    bool
+	afterBody []byte
 	// answerHeld is the memory of answerBody.
 	answerHeld *reserver.Reservation
 	// awaitsMemory is set while the answer is not read since it waits for memory, memoryCame is when
@@ -97,6 +104,9 @@
 
 // end releases what the attempt uses. Its answer can't be read any more.
 func (t *attempt) end() {
+	if t.passes {
+		t.answer.Close(false)
+	}
 	t.cancel()
 	t.pass.End(false)
 	t.turn.End(t.broken)
@@ -263,34 +273,45 @@
 	return t.err == nil && t.route.Kind == matcher.Streaming && t.answer.StatusCode == http.StatusOK && t.info.Signed && !t.info.Encoded
 }
 
-// readBody reads the body of an answer that is not a stream.
+// readBody reads the body of an answer that is not a stream, or sets passes if there is no memory for
+// all of it.
 func (t *attempt) readBody() {
 	if t.bodyRead {
 		return
 	}
 	t.bodyRead = true
 	t.answerHeld, _ = t.memory.Acquire(reserver.Answer, 0) // nothing always fits
-	// What is not reserved by half of the time that is left is held nevertheless: the request was
-	// passed on, and its answer is not cut off.
-	ctx, cancel := context.WithTimeout(t.attemptContext, t.deadline.Sub(t.clock.Now())/2)
+	ctx, cancel := context.WithTimeout(t.attemptContext, time.Duration(answerWaitShare*float64(t.deadline.Sub(t.clock.Now()))))
 	defer cancel()
 	grow := func(n int64) bool {
-		t.answerHeld.AwaitTurn(ctx, n, func() { t.awaitsMemory.Store(true) })
+		ok := t.answerHeld.TryTurn(ctx, n, func() { t.awaitsMemory.Store(true) })
 		if t.awaitsMemory.Load() {
 			now := t.clock.Now()
 			t.memoryCame.Store(&now)
 			t.awaitsMemory.Store(false)
 		}
-		return true
+		return ok
 	}
 	first := int64(firstBodyBytes)
 	// An answer to HEAD declares the length of a body that it does not have.
 	if n := t.answer.ContentLength; n > 0 && t.request.Method != http.MethodHead && t.answer.StatusCode != http.StatusNotModified {
-		first = min(n, maxAnswerBytes+1)
+		first = n
 	}
-	grow(first)
-	t.answerBody, t.bodyErr = reserver.ReadAll(io.LimitReader(t.answer.Body, maxAnswerBytes+1), first, maxAnswerBytes+1, t.answerHeld, grow)
 	switch {
+	case first > maxAnswerBytes:
+		t.bodyErr = errAnswerTooLarge
+	case !grow(first):
+		t.bodyErr = reserver.ErrMemory
+	default:
+		t.answerBody, t.afterBody, t.bodyErr = reserver.ReadFitting(io.LimitReader(t.answer.Body, maxAnswerBytes+1), first, maxAnswerBytes+1, t.answerHeld, grow)
+	}
+	switch {
+	case errors.Is(t.bodyErr, reserver.ErrMemory):
+		if t.bodyErr = t.attemptContext.Err(); t.bodyErr == nil {
+			t.passes = true
+			return
+		}
+		t.answerBody, t.afterBody = nil, nil
 	case len(t.answerBody) > maxAnswerBytes:
 		t.answerBody, t.bodyErr = nil, errAnswerTooLarge
 	case t.bodyErr == nil && !t.info.Refused:
@@ -299,7 +320,8 @@
 	t.answer.Close(t.bodyErr == nil)
 }
 
-// intact reports whether the answer is the server's whole answer.
+// intact reports whether the answer is the server's whole answer, or the beginning of one that
+// is passed through.
 func (t *attempt) intact() bool { return t.bodyErr == nil && t.info.Signed && !t.info.Encoded }
 
 // impliesNotRun reports whether clients take the status to mean that the request
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -223,7 +223,7 @@
 		x.refuse(x.writer, max(remaining, minQuarantineRetryAfter), "quarantined")
 		return
 	}
-	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(deadlineGrace))
+	ctx, cancel := x.startExpiry()
 	defer cancel()
 	x.cancel = cancel
 	x.departure.presentAt = x.started
--- a/relayer/outbox.go
+++ b/relayer/outbox.go
@@ -33,6 +33,8 @@
 	control *http.ResponseController
 	clock   clockwork.Clock
 	timeout time.Duration
+	// maxUnread bounds pending.
+	maxUnread int
 	// done is closed when nothing is written any more.
 	done chan struct{}
 
@@ -53,10 +55,10 @@
 	blocking  bool
 }
 
-func startOutbox(w http.ResponseWriter, memory *reserver.Reserver, clock clockwork.Clock, timeout time.Duration) *outbox {
+func startOutbox(w http.ResponseWriter, memory *reserver.Reserver, clock clockwork.Clock, timeout time.Duration, maxUnread int) *outbox {
 	held, _ := memory.Acquire(reserver.Stream, 0) // nothing always fits
 	held.Force(streamReadBytes + writeChunk)
-	o := &outbox{writer: w, held: held, control: http.NewResponseController(w), clock: clock, timeout: timeout, done: make(chan struct{})}
+	o := &outbox{writer: w, held: held, control: http.NewResponseController(w), clock: clock, timeout: timeout, maxUnread: maxUnread, done: make(chan struct{})}
 	o.changed = sync.NewCond(&o.mu)
 	go o.runWriter()
 	return o
@@ -100,7 +102,7 @@
 
 // mustWait reports whether there is no room for more bytes. o.mu must be held.
 func (o *outbox) mustWait(more int) bool {
-	return !o.lost && len(o.pending) > 0 && len(o.pending)+more > maxUnread
+	return !o.lost && len(o.pending) > 0 && len(o.pending)+more > o.maxUnread
 }
 
 // runWriter writes what waits until the outbox is closed or a write fails.
@@ -204,10 +206,15 @@
 	return o.blockedAt
 }
 
-// dropClient ends a stream whose client has left or is too slow. The server is not counted as failed.
+// dropClient ends a stream, or an answer that is passed through, whose client has left or is too slow.
+// The server is not counted as failed.
 func (t *attempt) dropClient() {
 	t.answer.Close(false)
-	t.assignment.Done(false)
+	if t.passes {
+		t.endPassing(false)
+	} else {
+		t.assignment.Done(false)
+	}
 	if !t.outbox.Load().tooSlow() {
 		t.giveUp("client left")
 		return
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -120,6 +120,9 @@
 	MetricFailed     = "requests_failed"
 	MetricClientLeft = "requests_left_by_client"
 	MetricSlowClient = "streams_ended_for_slow_client"
+	// MetricPassedThrough counts answers that were passed through to the client since there was no
+	// memory for all of them.
+	MetricPassedThrough = "answers_passed_through"
 	// MetricLeftBeforeSend counts requests whose client had left when they were to be sent,
 	// MetricLeftBeforeSendFor is for how long it was known then.
 	MetricLeftBeforeSend    = "sends_after_client_left"
@@ -458,6 +461,7 @@
 	// left, for which cancel is called.
 	context context.Context
 	cancel  context.CancelFunc
+	expiry  *expiry
 	// attempts are the attempts and their outcomes, for the log; firstByte is
 	// when the first bytes of a stream were sent to the client.
 	attempts  []*attemptRecord
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -126,6 +126,20 @@
 	}
 }
 
+// keep ends the watch since the answer of the attempt begins to reach the client. It reports false
+// if another server has accepted the request.
+func (w *watchdog) keep() bool {
+	w.mu.Lock()
+	if w.replaced {
+		w.mu.Unlock()
+		return false
+	}
+	w.abandonFailover()
+	w.mu.Unlock()
+	w.settle()
+	return true
+}
+
 // abandon ends the watch of a request that is given up, with its failover.
 func (w *watchdog) abandon() {
 	w.mu.Lock()
