Relayer: no second attempt begins once an answer is passed through

A check of the watchdog between the end of the running second attempt and the end of the watch could begin another one, whose answer would have cut off the one that the client had the beginning of. Found by reading; no run showed it.

--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -134,6 +134,8 @@
 		w.mu.Unlock()
 		return false
 	}
+	// No failover may begin from here on: its server would take the place of the attempt's.
+	w.stopped = true
 	w.abandonFailover()
 	w.mu.Unlock()
 	w.settle()
