Relayer: the rest of a refused body is dropped, so that the refusal arrives

What callers saw: clients that were refused with 503 or 413 before their body was read and went on sending saw a connection reset instead of the answer.

Cause: the connection was closed half a second after the answer with unread bytes in it, which resets it.

--- a/relayer/body.go
+++ b/relayer/body.go
@@ -15,8 +15,7 @@
 	// firstBodyBytes is the first step in which a body of unknown length is charged and
 	// allocated; each further step doubles it.
 	firstBodyBytes = 4 << 10
-	// maxRestTime is how long the rest of a body that is refused is awaited, so that the client
-	// reads the refusal instead of a reset.
+	// maxRestTime is for how long a client may pause while the rest of its refused body is discarded.
 	maxRestTime = 500 * time.Millisecond
 )
 
@@ -83,7 +82,7 @@
 		x.log.Info("relay: no memory for a body", zap.String("why", why), zap.Int64("declared", declared), zap.Int64("held_by_bodies", x.memory.Held(reserver.Body)), zap.Int("refused_since_last_line", n))
 	}
 	x.held.Release()
-	x.closeAfterAnswer()
+	x.closeUnread()
 	x.refuse(x.writer, busyRetryAfter, why)
 }
 
@@ -94,15 +93,6 @@
 		x.log.Info("relay: body too large", zap.Int64("limit", limit), zap.Int("refused_since_last_line", n))
 	}
 	x.held.Release()
-	x.closeAfterAnswer()
+	x.closeUnread()
 	writeStatus(x.writer, http.StatusRequestEntityTooLarge)
 }
-
-// closeAfterAnswer has the connection closed after the answer. The rest of the body is read
-// for a short time only.
-func (x *exchange) closeAfterAnswer() {
-	x.writer.Header().Set("Connection", "close")
-	if err := http.NewResponseController(x.writer).SetReadDeadline(x.clock.Now().Add(maxRestTime)); err != nil {
-		x.log.Debug("relay: connection has no deadlines", zap.Error(err))
-	}
-}
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -99,6 +99,8 @@
 		account: account, hasAccounts: table.HasAccounts(), priority: priorityOf(account, route),
 		started: r.clock.Now(), log: log, tableVersion: table.Version, startEvent: meta.LastEvent,
 	}
+	// The place among the requests in flight is free by then.
+	defer x.discardRest()
 	if !x.takeCredit(q.Context()) {
 		return
 	}
@@ -112,6 +114,9 @@
 		if n, ok := r.crowded.Sample(r.clock); ok {
 			log.Info("relay: too many requests in flight", zap.Int("limit", cap(r.inFlight)), zap.Int("refused_since_last_line", n))
 		}
+		if q.ContentLength < 0 || q.ContentLength > serverDiscards {
+			x.closeUnread()
+		}
 		r.refuse(w, busyRetryAfter, "too_many")
 		return
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -426,8 +426,9 @@
 	priority   int
 	service    string
 	body       []byte
-	// held is the memory of the body.
+	// held is the memory of the body. unread is set if the rest of the body is to be discarded.
 	held     *reserver.Reservation
+	unread   bool
 	started  time.Time
 	deadline time.Time
 	query    balancer.Request
