--- a/relayer/through_test.go
+++ b/relayer/through_test.go
@@ -44,12 +44,13 @@
 		return startRelayerWith(newGuard(), h, relayer.WithMemory(memory), relayer.WithMeter(meter), relayer.WithSlowClientTimeout(10*time.Second))
 	}
 	// ask requests an answer and does not read it.
-	ask := func(w *fixture) {
+	ask := func(w *fixture) net.Conn {
 		c, err := net.Dial("tcp", w.proxy.Listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(c.Close)
 		_, err = fmt.Fprint(c, "GET /read/1 HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n")
 		Expect(err).NotTo(HaveOccurred())
+		return c
 	}
 	// fill holds all memory of answers until the end of the test.
 	fill := func() {
@@ -88,6 +89,25 @@
 		Expect(meter.sum(relayer.MetricFailed)).To(BeZero())
 	})
 
+	// The load: a client that reads an answer of 8 MiB at 128 KiB/s, so that writes to it wait for longer
+	// than 3 s, while others request answers. Guards against taking it for one that does not read.
+	It("keep the connection of a client that reads its own slowly", func() {
+		w := start(large(true))
+		c := ask(w)
+		Eventually(func() int64 { return memory.Held(reserver.Answer) }, "5s").Should(BeEquivalentTo(size))
+		total := 0
+		for range 16 {
+			n, err := io.ReadFull(c, make([]byte, 64<<10))
+			Expect(err).NotTo(HaveOccurred())
+			total += n
+			status, _, err := w.send(http.MethodGet, "/read/small", "")
+			Expect([]any{status, err}).To(Equal([]any{200, nil}))
+		}
+		Expect(w.logs.FilterMessage("relay: slow client").Len()).To(BeZero())
+		n, err := io.CopyN(io.Discard, c, int64(size-total))
+		Expect([]any{n, err}).To(Equal([]any{int64(size - total), nil}))
+	})
+
 	// Guards against an answer that is cut off at its request's deadline since its client took until
 	// then to read what it could only be sent bit by bit.
 	DescribeTable("reach a client whole that takes longer than the request's time limit", func(declared bool) {
