--- a/relayer/through.go
+++ b/relayer/through.go
@@ -129,5 +129,6 @@
 func (t *attempt) endPassing(failed bool) {
 	if !t.failed() {
 		t.assignment.Done(failed)
+		t.assignment.RecordOutcome(!failed)
 	}
 }
