Lease: test of one holder at a time while entries expire

Three instances freeze, entries expire before all have read them, and the log loses replies and comes back from older copies, 300 seeds.

--- a/coordinator/expiry_test.go
+++ b/coordinator/expiry_test.go
@@ -101,4 +101,44 @@
 		Expect(b.Valid()).To(BeFalse())
 		Expect(a.Fence()).To(BeNumerically(">", fence))
 	})
+
+	// Guards against two holders when instances freeze, entries expire before all have read them,
+	// and the log loses replies and comes back from older copies.
+	It("has one holder at a time, with rising fencing tokens", func() {
+		for seed := range uint64(300) {
+			clock.Time = time.Unix(1000, 0)
+			random := rand.New(rand.NewPCG(seed, 3))
+			store = &memoryLog{random: random, lossRate: 0.1}
+			all := []*coordinator.Lease{lease("a"), lease("b"), lease("c")}
+			frozenUntil := make([]time.Time, len(all))
+			highest, held := int64(0), 0
+			for range 600 {
+				clock.Time = clock.Add(50 * time.Millisecond)
+				valid := 0
+				for i, l := range all {
+					if random.IntN(100) == 0 {
+						frozenUntil[i] = clock.Add(time.Duration(random.IntN(8000)) * time.Millisecond)
+					}
+					if !clock.Before(frozenUntil[i]) {
+						l.Step(context.Background())
+					}
+					if l.Valid() {
+						valid++
+						Expect(l.Fence()).To(BeNumerically(">=", highest), "seed %d", seed)
+						highest = l.Fence()
+					}
+				}
+				held += valid
+				Expect(valid).To(BeNumerically("<=", 1), "seed %d", seed)
+				switch random.IntN(120) {
+				case 0:
+					expireAll()
+				case 1:
+					store.restore(max(len(store.records)-random.IntN(6), 0))
+					store.first = min(store.first, int64(len(store.records)))
+				}
+			}
+			Expect(held).To(BeNumerically(">", 0), "seed %d", seed)
+		}
+	})
 })
