--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,30 +14,6 @@
 	"primrosehook/registrar"
 )
 
-// Demand is the demand for a model or adapter since the last report.
-type Demand struct {
-	Service string `msgpack:"s"`
-	Key     string `msgpack:"k"`
-	// Arrived counts the requests that arrived, Waiting those that wait for a
-	// replica now, or were refused since none is there in time.
-	Arrived int `msgpack:"a"`
-	Waiting int `msgpack:"w"`
-	// Build is the only build whose replicas are of use, empty for any.
-	Build string `msgpack:"b,omitempty"`
-	// Done counts the requests that servers have finished, Held is for how long they held a slot
-	// in all.
-	Done int           `msgpack:"d,omitempty"`
-	Held time.Duration `msgpack:"h,omitempty"`
-}
-
-type demandKey struct{ service, key, build string }
-
-// finishedRequests counts requests and sums how long each held a slot of a server.
-type finishedRequests struct {
-	count int
-	held  time.Duration
-}
-
 // Fleet holds the servers of all services as this instance knows them, and the
 // requests that wait for one. It is safe for concurrent use.
 type Fleet struct {
@@ -178,16 +153,6 @@
 	f.dispatchAll()
 }
 
-// RecordArrival counts a request for a model as demand.
-func (f *Fleet) RecordArrival(service string, q Request) {
-	if q.Model == "" {
-		return
-	}
-	f.mu.Lock()
-	f.arrived[demandKey{service, q.Key(), ""}]++
-	f.mu.Unlock()
-}
-
 // Assignment is a server that was chosen for a request, which counts as in flight
 // there. Either Done, Cancel or Postpone must be called once.
 type Assignment struct {
@@ -366,37 +331,6 @@
 	return wq
 }
 
-// dispatch assigns servers to the waiting requests of a service.
-func (f *Fleet) dispatch(service string) {
-	f.refuseHopeless(f.clock.Now(), service)
-	f.queue(service).Serve(f.clock.Now(), func(w *Waiter) bool {
-		a, status := f.take(service, w.Request)
-		if status != Found {
-			return false
-		}
-		if w.awaitsReplica {
-			f.stopAwaiting(service, w.Request)
-		}
-		w.granted <- a
-		return true
-	})
-}
-
-// dispatchAfter dispatches the waiting requests of a service after a delay.
-func (f *Fleet) dispatchAfter(service string, pause time.Duration) {
-	f.clock.AfterFunc(pause, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.dispatch(service)
-	})
-}
-
-func (f *Fleet) dispatchAll() {
-	for service := range f.queues {
-		f.dispatch(service)
-	}
-}
-
 // MarkNotLoaded records that the server does not have the model loaded,
 // contrary to its registration.
 func (a *Assignment) MarkNotLoaded() {
@@ -522,60 +456,6 @@
 	}
 }
 
-// RecordReservation records that the request has a reservation at the server,
-// which starts after a wait.
-func (a *Assignment) RecordReservation(wait time.Duration) {
-	f := a.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if c, ok := a.core(); ok {
-		c.RecordReservation(f.clock.Now(), a.ID, wait, 0)
-	}
-	f.dispatch(a.service)
-}
-
-// ClearReservation records that the owner of the server's schedule did not
-// reply.
-func (a *Assignment) ClearReservation() {
-	f := a.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if c, ok := a.core(); ok {
-		c.ClearReservation(a.ID)
-	}
-	f.dispatch(a.service)
-}
-
-// Postpone is Cancel for a server whose schedule has no slot soon enough. No
-// reservation is requested there before the pause is over.
-func (a *Assignment) Postpone(pause time.Duration) {
-	f := a.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	f.queue(a.service).RevokeGrant(now, a.request)
-	if c, ok := a.core(); ok {
-		c.Cancel(a.ID, a.request)
-		c.RecordReservation(now, a.ID, pause, pause)
-	}
-	f.dispatchAfter(a.service, pause)
-}
-
-// RateLimit is Cancel for a server that may get the next request only after a
-// pause, according to the rate limit that it names.
-func (a *Assignment) RateLimit(pause time.Duration) {
-	f := a.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	f.queue(a.service).RevokeGrant(now, a.request)
-	if c, ok := a.core(); ok {
-		c.Cancel(a.ID, a.request)
-		c.SetRateLimited(a.ID, now.Add(pause))
-	}
-	f.dispatchAfter(a.service, pause)
-}
-
 // Done records the outcome of the request at the server.
 func (a *Assignment) Done(failed bool) {
 	f := a.fleet
@@ -589,56 +469,6 @@
 	}
 }
 
-// recordFinished records that a server has finished a request. f.mu must be held.
-func (f *Fleet) recordFinished(a *Assignment, held time.Duration) {
-	if a.request.Model == "" || !a.firstEventSeen {
-		return
-	}
-	key := demandKey{a.service, a.request.Key(), ""}
-	done := f.finished[key]
-	f.finished[key] = finishedRequests{done.count + 1, done.held + held}
-	f.queue(a.service).traffic(a.request.queueKey()).recordHolding(held)
-}
-
-// TakeDemand returns the demand since the last call, and resets the counts of
-// arrivals.
-func (f *Fleet) TakeDemand() []Demand {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	all := maps.Clone(f.arrived)
-	clear(f.arrived)
-	for k := range f.awaitingReplica {
-		all[k] += 0
-	}
-	missed := maps.Clone(f.missed)
-	clear(f.missed)
-	for k := range missed {
-		all[k] += 0
-	}
-	finished := maps.Clone(f.finished)
-	clear(f.finished)
-	for k := range finished {
-		all[k] += 0
-	}
-	list := make([]Demand, 0, len(all))
-	for k, n := range all {
-		list = append(list, Demand{Service: k.service, Key: k.key, Arrived: n, Waiting: f.awaitingReplica[k] + missed[k], Build: k.build, Done: finished[k].count, Held: finished[k].held})
-	}
-	return list
-}
-
-// OwnInFlight returns this instance's in-flight work by server ID.
-func (f *Fleet) OwnInFlight() map[string]InFlight {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	all := map[string]InFlight{}
-	for _, c := range f.cores {
-		maps.Copy(all, c.OwnInFlight(now))
-	}
-	return all
-}
-
 // QueueLen returns how many requests are queued for a server.
 func (f *Fleet) QueueLen() int {
 	f.mu.Lock()
@@ -649,15 +479,3 @@
 	}
 	return n
 }
-
-// UpdatePeers replaces the in-flight counts of the peers, by server ID. Those of earlier starts of a
-// server are passed over.
-func (f *Fleet) UpdatePeers(inFlight map[string]InFlight, starts Starts) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	for _, c := range f.cores {
-		c.UpdatePeers(now, filterStarts(c, now, inFlight, starts))
-	}
-	f.dispatchAll()
-}
