Balancing: requests of client accounts wait for busy plain servers at the instance

Cause: Core.Choose never says Full for requests without a model, and 76 instances take the server that seems the least busy by the same figures, some 300 ms old.

Change: while the servers hold more than 1.2 times their slots by the newest of own counts, peers' counts and load header, instances send at the rate that the servers do, corrected towards the middle of what they can hold on time; each its share by its part of the arrivals, which instances report as a queue with the key @arrivals. Servers are chosen in proportion to their slots with a slow correction. Other requests wait in the queue of the instance while they can be on time, then go late into free slots or are refused. Only for requests of client accounts with an objective; others are served as before.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -115,7 +115,7 @@
 		l.LateAhead += onTime + (float64(p.ahead(w.Priority, true))-onTime)/2
 	}
 	wait, ok := admitter.LateWait(l)
-	return ok && wait > w.Deadline.Sub(now) || !ok && l.LateAhead >= 1
+	return ok && wait > w.Deadline.Sub(now) || !ok && (l.LateAhead >= 1 || w.isPlain())
 }
 
 // capacity returns the capacity of the servers for the requests of a key, and what those on time
@@ -147,7 +147,11 @@
 		// Only requests on time wait then.
 		load.Capacity = 0
 	}
-	return admitter.Decide(admitter.Request{OnTimeWait: q.MaxWait, LongestWait: q.Deadline.Sub(now)}, load), load
+	onTime := q.MaxWait
+	if q.isPlain() {
+		onTime = f.plainLoad(now, service, q, &load)
+	}
+	return admitter.Decide(admitter.Request{OnTimeWait: onTime, LongestWait: q.Deadline.Sub(now)}, load), load
 }
 
 // returnDelay returns after how long a request that was refused for want of room should come back.
@@ -179,6 +183,9 @@
 		if !ok {
 			_, inFlight, _, _ := f.core(service).sumReplicas(now, w.Key())
 			l = wq.capacity(now, key, inFlight)
+			if w.isPlain() {
+				f.plainLoad(now, service, w.Request, &l)
+			}
 		}
 		if r.late > 0 && w.competes() && !w.awaitsReplica && wq.comesTooLate(now, w, l) {
 			hopeless = append(hopeless, w)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,6 +56,10 @@
 	// Build is the only build that may run the request, empty for any: that which began
 	// its stream.
 	Build string
+	// Objective is how long after its arrival the answer should come, zero if that does not matter.
+	Objective time.Duration
+	// plain is what the choice of a plain server depends on, nil if places there are not rationed.
+	plain *plainChoice
 	// late is set for a request that waits although it will be late.
 	late bool
 	// patient is set if the target time was far off when the request arrived, reserved is how many
--- a/balancer/core.go
+++ b/balancer/core.go
@@ -152,7 +152,9 @@
 	// latency is the mean latency of all servers in milliseconds.
 	latency float64
 	// peersAt is when the peers' in-flight counts were last updated.
-	peersAt     time.Time
+	peersAt time.Time
+	// peersEvery is the mean time between these updates.
+	peersEvery  time.Duration
 	cacheTokens int
 	// eventTokens is the smallest ratio of permitted tokens to events among the
 	// complete streams; streams that ended early have a higher one. sampleStreams
@@ -329,7 +331,7 @@
 			}
 			continue
 		}
-		if q.Model != "" && c.full(now, s, q) {
+		if c.refuses(now, s, q) {
 			status = Full
 			continue
 		}
@@ -344,6 +346,9 @@
 	if len(c.candidates) == 0 {
 		return "", status
 	}
+	if c.plainBusy(now, c.candidates, q) {
+		return "", Full
+	}
 	c.addFailureCosts(now, c.candidates)
 	return c.pick(now, c.candidates, q).ID, Found
 }
@@ -387,6 +392,9 @@
 	if s.Zone != c.zone {
 		cost += crossZoneCost
 	}
+	if q.plain != nil {
+		return cost + c.plainCost(now, s, q)
+	}
 	if q.Model == "" {
 		if slots := c.slots(now, s); now.Before(s.load.fullUntil) || slots > 0 && f.Requests >= slots {
 			cost += fullCost
--- a/balancer/dispatch.go
+++ b/balancer/dispatch.go
@@ -58,6 +58,7 @@
 
 // dispatch assigns servers to the waiting requests of a service.
 func (f *Fleet) dispatch(service string) {
+	f.refuseHopelessPlain(f.clock.Now(), service)
 	f.refuseHopeless(f.clock.Now(), service)
 	f.queue(service).Serve(f.clock.Now(), func(w *Waiter) bool {
 		a, status := f.take(service, w.Request)
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -162,10 +162,14 @@
 	service        string
 	request        Request
 	firstEventSeen bool
-	firstEventAt   time.Time
-	sent           time.Time
-	lastByte       *atomic.Int64
-	openedBefore   time.Time
+	// answered is set once the server has answered with its load, and has not refused the request.
+	answered bool
+	// noneWaited is set if the server had no queue when it answered.
+	noneWaited   bool
+	firstEventAt time.Time
+	sent         time.Time
+	lastByte     *atomic.Int64
+	openedBefore time.Time
 	// Inputs is what the choice was based on.
 	Inputs ChoiceInputs
 }
@@ -204,10 +208,14 @@
 	now := f.clock.Now()
 	q = c.rankReplicas(f.excludeUnproven(c, q))
 	q.reserved = f.reservedSlots(now, c, service, q)
+	q = f.withPlainChoice(now, c, service, q)
 	id, status := c.Choose(now, q)
 	if status != Found {
 		return nil, status
 	}
+	if q.plain != nil {
+		q.plain.credit.Use()
+	}
 	s, _ := c.Server(id)
 	inputs := c.ChoiceInputs(now, id, q)
 	c.RecordSent(now, id, q)
@@ -306,6 +314,7 @@
 	}
 	w := &Waiter{Request: q, service: service, granted: make(chan *Assignment, 1), awaitsReplica: status != Full, since: now}
 	queue.Add(w)
+	f.offerAgain(service)
 	if status != Full {
 		f.awaitingReplica[demandKey{service, q.Key(), q.Build}]++
 	}
@@ -465,6 +474,7 @@
 		now := f.clock.Now()
 		c.RecordDone(now, a.ID, a.request, a.firstEventSeen, failed, now.Sub(a.sent))
 		f.recordFinished(a, now.Sub(a.sent))
+		f.recordPlainHolding(a, now.Sub(a.sent))
 		f.dispatch(a.service)
 	}
 }
--- a/balancer/inflight.go
+++ b/balancer/inflight.go
@@ -80,7 +80,7 @@
 
 // UpdatePeers replaces the in-flight counts of the peers, by server ID.
 func (c *Core) UpdatePeers(now time.Time, inFlight map[string]InFlight) {
-	c.peersAt = now
+	c.recordReports(now)
 	for id, s := range c.servers {
 		s.peers = inFlight[id]
 	}
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -127,6 +127,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c, ok := a.core(); ok {
+		a.answered = a.answered || r.Known && !r.Refused
+		a.noneWaited = r.Known && r.Waiting == 0
 		c.RecordLoad(f.clock.Now(), a.ID, r)
 	}
 }
--- a/balancer/order.go
+++ b/balancer/order.go
@@ -235,7 +235,8 @@
 func (f *Fleet) takeUnlessHeld(now time.Time, service string, q Request) (*Assignment, Status) {
 	queue := f.queue(service)
 	queue.Observe(q)
-	if queue.holdsBack(now, q) {
+	queue.recordPlainArrival(now, q)
+	if queue.holdsBack(now, q) || f.goesAfterPlain(now, service, q) {
 		return nil, Full
 	}
 	return f.take(service, q)
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -46,6 +46,7 @@
 	// peers are the queues of the peers by key as of peersAt.
 	peers   map[string]Queue
 	peersAt time.Time
+	plain   plainState
 }
 
 // NewWaitQueue returns an empty queue.
--- a/balancer/queues.go
+++ b/balancer/queues.go
@@ -81,11 +81,11 @@
 	return rest
 }
 
-// List returns the queues in which requests wait.
+// List returns the queues in which requests wait, and the rates of arrivals for plain servers.
 func (q Queues) List() []Queue {
 	var list []Queue
 	for _, x := range q {
-		if x.waiting() > 0 {
+		if x.waiting() > 0 || x.Key == arrivalsKey {
 			list = append(list, x)
 		}
 	}
@@ -113,6 +113,9 @@
 		}
 		get(key).Granted = rate
 	}
+	if rate := wq.plain.arrivals.Rate(now, arrivalHalfLife); rate >= minReportedRate {
+		get(arrivalsKey).Granted = rate
+	}
 	for _, w := range wq.waiters {
 		q := get(w.queueKey())
 		p := min(max(w.Priority, 0), maxPriority)
@@ -139,7 +142,7 @@
 	now := f.clock.Now()
 	var list []Queue
 	for _, service := range slices.Sorted(maps.Keys(f.queues)) {
-		if c, ok := f.cores[service]; ok && c.hasModels() {
+		if c, ok := f.cores[service]; ok && (c.hasModels() || f.queues[service].plain.used) {
 			list = append(list, f.queues[service].list(now, service)...)
 		}
 	}
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -28,7 +28,7 @@
 // pick therefore expects that work to be spread such that the costs even out, and takes each server
 // with its share of that work. A prompt with a prefix goes to the first server in the order of its
 // prefix instead (holderBelow). An instance without peers takes the cheapest one, and so does a request whose
-// preferred replica is the cheapest one, or that names no model.
+// preferred replica is the cheapest one, or that names no model and no account.
 func (c *Core) pick(now time.Time, candidates []candidate, q Request) *server {
 	cheapest := 0
 	for i, x := range candidates {
@@ -38,7 +38,10 @@
 	}
 	best := candidates[cheapest].server
 	unseen := c.unseenWork(now, candidates)
-	if q.Model == "" || best == q.preferred() || unseen <= 0 {
+	if q.plain != nil {
+		unseen = c.unseenPlainWork(now, candidates)
+	}
+	if q.Model == "" && q.plain == nil || best == q.preferred() || unseen <= 0 {
 		return best
 	}
 	level := levelOf(candidates, unseen)
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -157,6 +157,7 @@
 		Account: accountName(x.account), Priority: x.priority, TargetTime: x.started.Add(x.route.LatencyTarget), Deadline: x.waitDeadline(),
 		MaxWait:          max(time.Duration(targetWaitShare*float64(x.route.LatencyTarget)), minWait),
 		MaxEventGap:      x.route.MaxEventGap,
+		Objective:        x.route.LatencyTarget,
 		NeedsReservation: x.pacer != nil && x.meta.Model != "" && x.route.MaxEventGap > 0,
 	}
 	if n := len(x.meta.Parts); n > 1 {
