--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -208,7 +208,7 @@
 	now := f.clock.Now()
 	q = c.rankReplicas(f.excludeUnproven(c, q))
 	q.reserved = f.reservedSlots(now, c, service, q)
-	q = f.withPlainChoice(now, c, service, q)
+	q = f.withPlainChoice(now, service, q)
 	id, status := c.Choose(now, q)
 	if status != Found {
 		return nil, status
--- a/balancer/plain.go
+++ b/balancer/plain.go
@@ -53,7 +53,7 @@
 
 // withPlainChoice returns the request with what its choice depends on, if it is for a plain server that
 // can answer on time. f.mu must be held.
-func (f *Fleet) withPlainChoice(now time.Time, c *Core, service string, q Request) Request {
+func (f *Fleet) withPlainChoice(now time.Time, service string, q Request) Request {
 	if !q.isPlain() {
 		return q
 	}
@@ -191,7 +191,7 @@
 // f.mu must be held.
 func (f *Fleet) plainLoad(now time.Time, service string, q Request, l *admitter.Load) time.Duration {
 	c := f.core(service)
-	q = f.withPlainChoice(now, c, service, q)
+	q = f.withPlainChoice(now, service, q)
 	if q.plain == nil {
 		return q.MaxWait
 	}
--- a/balancer/plain_fleet_test.go
+++ b/balancer/plain_fleet_test.go
@@ -212,8 +212,10 @@
 // that arrived after a warm-up of three seconds.
 func runPlainModel(account string, seed uint64, cut bool, rate func(time.Duration) float64, duration time.Duration) (plainResult, int) {
 	start := time.Unix(1000, 0)
-	m := &plainModel{now: start, random: rand.New(rand.NewPCG(seed, 1)), account: account, hosts: map[string]*plainHost{}, free: make([]time.Time, plainServers*plainSlots),
-		reports: make([]map[string]balancer.InFlight, plainInstances), queues: make([][]balancer.Queue, plainInstances), cut: cut}
+	m := &plainModel{
+		now: start, random: rand.New(rand.NewPCG(seed, 1)), account: account, hosts: map[string]*plainHost{}, free: make([]time.Time, plainServers*plainSlots),
+		reports: make([]map[string]balancer.InFlight, plainInstances), queues: make([][]balancer.Queue, plainInstances), cut: cut,
+	}
 	var list []registrar.Server
 	for i := range plainServers {
 		s := server(fmt.Sprint("s", i), fmt.Sprint("z", i))
