Late orders: the next lease holder knows those of the one before

What callers saw: an order without an answer was carried out up to 12 s later by a server that had started again under its ID.

Cause: orders without an answer were kept in the holder's memory only.

Change: an order counts as unanswered from before it is sent. Each renewal and release of the lease names these orders and the new servers that the holder knows (field `lo`, formats 4). The next holder waits for the named ones, and for servers that may have started again after the last entry. Servers that have not started again, that the former holder knew, or whose ID is new to an instance that watched the registry do not wait. Executions of orders to a server that has started again end.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -84,6 +84,7 @@
 	// present are the registered servers by ID, starts those that have started again of late.
 	present map[string]registrar.Server
 	starts  balancer.StartTable
+	seen    seenIDs
 	// addresses are the members' addresses in the order of deputies,
 	// addressesDigest their digest; both are rebuilt when they change.
 	addresses       []string
@@ -328,6 +329,7 @@
 		maps.DeleteFunc(c.records, func(_ string, x tailer.Record) bool { return x.Value == nil })
 	}
 	c.recordStarts(c.clock.Now(), servers)
+	c.seen.update(c.clock.Now(), servers)
 	c.servers = servers
 	if len(list) > 0 {
 		c.triggerPlan()
--- a/coordinator/execution.go
+++ b/coordinator/execution.go
@@ -178,11 +178,15 @@
 			return false
 		}
 		x.logSend(expected)
+		answered := x.expectAnswer()
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		out, err := x.OrderSender.Send(call, x.server, Order{
 			Order: x.order, ExpectedOrders: expected, Holder: x.lease.self.Machine, Fence: x.lease.Fence(),
-		}, func() bool { return x.mayOrder(x.term) })
+		}, func() bool { return x.mayOrder(x.term) && ctx.Err() == nil })
 		cancel()
+		if out != Unknown {
+			answered()
+		}
 		switch out {
 		case Accepted:
 			x.unsettled, x.expected, x.acceptedAt = true, expected, x.Clock.Now()
@@ -211,10 +215,6 @@
 			}
 		case Unknown:
 			x.unsettled, x.expected = true, expected
-			x.mu.Lock()
-			late := x.Clock.Now().Add(lateOrderWindow)
-			x.unanswered[x.server.ID] = unansweredOrder{x.server.Incarnation, late}
-			x.mu.Unlock()
 			x.Log.Info("orders: no answer", zap.String("server", x.server.ID), zap.Int64("expected", expected), zap.Error(err))
 		}
 		if !x.sleep(ctx, orderRetryInterval) {
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -73,6 +73,9 @@
 	orderFrom, othersUntil time.Time
 	// entitled returns the instances that have a part of the caps of client accounts.
 	entitled func() *allotter.Entitled
+	// lateOrders returns the orders that may still be executed. It reports false if this instance has
+	// sent none in this term.
+	lateOrders func() (*LateOrders, bool)
 	// termFence is the fencing token that onTerm was last called for.
 	termFence int64
 	// repliedUntil is until when a reply of the holder, or of a deputy that watches the
@@ -101,6 +104,10 @@
 	Elapsed   time.Duration
 	// Entitled are the instances that had a part of the caps of client accounts.
 	Entitled allotter.Entitled
+	// Late are the orders of earlier holders that may still be executed, nil after a build before formats 4.
+	// Released is set if the last of them has released the lease.
+	Late     *LateOrders
+	Released bool
 }
 
 // NewLease returns a lease that has read nothing yet. orderGap is the least time
@@ -375,13 +382,19 @@
 	} else if previous.Fence > l.nextOffset {
 		e.Fence = previous.Fence + 1 // offsets have gone back within an era
 	}
-	e.Entitled = previous.Entitled
+	e.Entitled, e.Late = previous.Entitled, previous.lateOrders()
+	if e.Late == nil {
+		e.Late = &LateOrders{}
+	}
 	at := l.nextOffset
 	e.Era, _ = tailer.SplitPosition(at)
 	l.mu.Unlock()
 	if renewal && l.entitled != nil {
 		e.Entitled = l.entitled()
 	}
+	if renewal && e.Clear {
+		e.updateLate(l.lateOrders)
+	}
 	err := l.append(ctx, e, at)
 	l.recordResult(err == nil || errors.Is(err, ErrOffsetMismatch))
 	l.mu.Lock()
@@ -404,7 +417,7 @@
 	}
 	l.termFence = l.lastEntry.Fence
 	l.logger.Info("lease: taken", zap.Int64("fence", l.lastEntry.Fence), zap.Duration("orders_after", max(l.orderFrom.Sub(now), 0)))
-	h := Handover{HadHolder: !l.othersUntil.IsZero(), Elapsed: now.Sub(l.othersUntil)}
+	h := Handover{HadHolder: !l.othersUntil.IsZero(), Elapsed: now.Sub(l.othersUntil), Late: previous.lateOrders(), Released: previous.Release}
 	if previous.Entitled != nil {
 		h.Entitled = *previous.Entitled
 	}
@@ -451,7 +464,7 @@
 	e.Release, e.Fence = true, l.lastEntry.Fence
 	now := l.boot.Now()
 	e.Clear = l.elector.Valid(now) && !now.Before(l.orderFrom)
-	e.Entitled = l.lastEntry.Entitled
+	e.Entitled, e.Late = l.lastEntry.Entitled, l.lastEntry.Late
 	at := l.nextOffset
 	e.Era, _ = tailer.SplitPosition(at)
 	if isHolder {
@@ -461,6 +474,9 @@
 	if !isHolder {
 		return
 	}
+	if e.updateLate(l.lateOrders) && e.Late != nil {
+		e.Late.Exact = true
+	}
 	if err := l.append(ctx, e, at); err != nil {
 		l.logger.Info("lease: release failed, the term lapses", zap.Error(err))
 	}
--- a/coordinator/lease_entry.go
+++ b/coordinator/lease_entry.go
@@ -27,6 +27,9 @@
 	Clear bool `msgpack:"c"`
 	// Entitled are the instances that have a part of the caps of client accounts, nil for none.
 	Entitled *allotter.Entitled `msgpack:"n,omitempty"`
+	// Late are the holder's orders that may still be executed, nil in entries of builds before
+	// formats 4.
+	Late *LateOrders `msgpack:"lo,omitempty"`
 }
 
 // LogRecord is one record of the lease's log.
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -80,14 +80,11 @@
 	term        int
 	running     map[*execution]context.CancelFunc
 	predictions predictions
-	// unanswered is the last order to a server, by its ID, that got no reply.
+	// unanswered is the last order to a server, by its ID, that has got no reply.
 	unanswered map[string]unansweredOrder
-}
-
-// unansweredOrder may still be executed by a server that was another incarnation when it was sent.
-type unansweredOrder struct {
-	incarnation string
-	until       time.Time
+	// former are the orders of earlier holders. planned is set once this term has planned.
+	former  formerOrders
+	planned bool
 }
 
 func newReconciler(c *Coordinator) *reconciler {
@@ -105,6 +102,7 @@
 		end()
 	}
 	clear(r.servers)
+	r.adoptLateOrders(h)
 	table := r.Table()
 	if table == nil || !h.HadHolder {
 		return
@@ -181,6 +179,7 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	r.updateServers(servers)
+	r.planned = true
 	for name, service := range table.Services {
 		if service.Engine == nil {
 			continue
@@ -207,26 +206,24 @@
 
 // updateServers applies the registrations.
 func (r *reconciler) updateServers(servers []registrar.Server) {
+	now := r.Clock.Now()
 	seen := map[string]bool{}
 	for _, s := range servers {
 		seen[s.ID] = true
 		state, ok := r.servers[s.ID]
 		if !ok || state.registration.Incarnation != s.Incarnation {
 			if ok {
-				state.settleLoads(r.Clock.Now(), math.MaxInt64)
-			}
-			state = &serverState{orderCount: -1}
-			if u := r.unanswered[s.ID]; u.incarnation != s.Incarnation {
-				// An order to the former incarnation may arrive late and match the
-				// new one's order count. Until that can no longer happen, it is
-				// unknown how much memory is left on the server.
-				state.busyUntil = u.until
+				state.settleLoads(now, math.MaxInt64)
+				r.endExecution(state)
 			}
+			state = &serverState{orderCount: -1, formerUntil: r.formerUntil(now, s)}
 			r.servers[s.ID] = state
 		}
 		state.updateRegistration(s)
+		// An order to a former incarnation may arrive late and match the new one's order count. Until
+		// that can no longer happen, it is unknown how much memory is left on the server.
+		state.lateUntil = r.lateUntil(state)
 	}
-	now := r.Clock.Now()
 	maps.DeleteFunc(r.unanswered, func(_ string, u unansweredOrder) bool { return now.After(u.until) })
 	maps.DeleteFunc(r.servers, func(id string, known *serverState) bool {
 		gone := !seen[id] && known.pending == nil
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -146,6 +146,7 @@
 		c.lease.HolderReplied(delay)
 	}
 	c.reconciler = newReconciler(c)
+	c.lease.lateOrders = c.reconciler.lateOrders
 	return c
 }
 
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -30,6 +30,9 @@
 	// busyUntil.
 	pending   *serviceplanner.Order
 	busyUntil time.Time
+	// lateUntil is until when an order to a former process of the server may be executed,
+	// formerUntil the same for those of earlier lease holders that no entry of the lease names.
+	lateUntil, formerUntil time.Time
 	// unsettled are the unloads that were given up and may still be executed.
 	unsettled []unsettledUnload
 	// unsettledLoads are the loads from the weight store that were given up and may still begin.
@@ -125,7 +128,7 @@
 func (s *serverState) plannerInput(now time.Time, unavailable bool) serviceplanner.Server {
 	in := serviceplanner.Server{
 		ID: s.registration.ID, Zone: s.registration.Zone, Build: s.registration.Build, Leaving: s.registration.Draining || unavailable,
-		Busy: s.pending != nil || now.Before(s.busyUntil), Loaded: s.loaded, Pending: s.pending, Warm: map[string]bool{},
+		Busy: s.pending != nil || now.Before(s.busyUntil) || now.Before(s.lateUntil), Loaded: s.loaded, Pending: s.pending, Warm: map[string]bool{},
 	}
 	for _, u := range s.unsettled {
 		if now.Before(u.until) {
--- a/coordinator/world_machine_test.go
+++ b/coordinator/world_machine_test.go
@@ -74,9 +74,10 @@
 
 // worldInstance is a process on a machine.
 type worldInstance struct {
-	fleet *balancer.Fleet
-	stop  context.CancelFunc
-	ended sync.WaitGroup
+	coordinator *coordinator.Coordinator
+	fleet       *balancer.Fleet
+	stop        context.CancelFunc
+	ended       sync.WaitGroup
 }
 
 // end kills the process.
@@ -98,7 +99,7 @@
 		Log: zap.NewNop(), Peers: messenger.NewClient(clock), OnMembers: func([]string) {},
 	})
 	ctx, stop := context.WithCancel(context.Background())
-	i.stop = stop
+	i.coordinator, i.stop = c, stop
 	i.ended.Go(func() { c.Run(ctx) })
 	i.ended.Go(func() {
 		for ctx.Err() == nil {
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -86,6 +86,8 @@
 	// or, if that is zero, at random.
 	lateShare float64
 	lateBy    time.Duration
+	// lateAt is when the first of them was sent.
+	lateAt time.Time
 	// unloadTime is how long an unload takes at least.
 	unloadTime time.Duration
 	// registryLag is how far the registry lags behind the servers.
@@ -352,6 +354,11 @@
 		return coordinator.NotSent, errNoAnswer
 	}
 	if late {
+		w.mu.Lock()
+		if w.lateAt.IsZero() {
+			w.lateAt = time.Now()
+		}
+		w.mu.Unlock()
 		time.AfterFunc(lateBy, func() {
 			if server := w.server(s.ID); server != nil {
 				w.accept(server, o)
--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -48,6 +48,7 @@
 	queues := []balancer.Queue{{Service: "llm", Key: "m0", Waiting: []int{1, 0, 2}, Granted: 1.5}}
 	record := tailer.Record{Offset: 41, Key: "k", Value: []byte("value")}
 	entitlement := allotter.Entitlement{Fraction: 0.125, Left: time.Second}
+	late := coordinator.LateOrders{Known: []uint32{7, 8}, Orders: []coordinator.LateOrder{{Server: "s1", Incarnation: 9, Left: time.Second}}, Open: time.Second, Exact: true}
 	reserve, release := pacerRequests()
 	return map[string]any{
 		"allot request": allotter.AllotRequest{Instance: "front-1.5f", Items: []allotter.Item{{Account: "a", Version: 7, Rate: 2700, Burst: 900, Need: 1500, Ahead: 300, Back: 200}}, Late: []allotter.Late{{Account: "a", Amount: 700, Age: time.Second}}},
@@ -76,7 +77,7 @@
 			Limits: []throttler.Statement{limit}, Holder: "10.1.0.39:7380", LeaseFresh: true, Queues: queues, Builds: map[string]int{"1a2b3c4d5e6f (formats 1)": 9},
 			Entitlement: &entitlement, Failing: map[string]bool{"s1": true}, FailingKnown: true,
 		},
-		"lease entry":    coordinator.Entry{Instance: "front-1.5f", Machine: "front-1", Address: "10.1.0.38:7380", Era: 2, Fence: 5, Release: true, Clear: true},
+		"lease entry":    coordinator.Entry{Instance: "front-1.5f", Machine: "front-1", Address: "10.1.0.38:7380", Era: 2, Fence: 5, Release: true, Clear: true, Late: &late},
 		"config request": coordinator.ConfigQuery{Offset: 41, From: 100},
 		"config reply":   coordinator.ConfigPart{Version: 7, Offset: 41, Key: "config", Size: 300, From: 100, Bytes: []byte("part")},
 		"pin request": pinner.PinRequest{
