--- a/admitter/plain.go
+++ b/admitter/plain.go
@@ -17,8 +17,9 @@
 	busyShare = 1.2
 	// spareShare is the share of the slots up to which late requests are sent.
 	spareShare = 0.8
-	// maxCredit is for how many requests an instance saves up.
-	maxCredit = 3
+	// creditTime is for how many requests beyond one an instance saves up, times the interval of the
+	// reports: what all of them have saved and send is seen the later, the longer that is.
+	creditTime = 300 * time.Millisecond
 )
 
 // PlainServer is a server that runs requests in the order in which they come, a number at a time.
@@ -90,6 +91,9 @@
 	return max(p.Rate+(p.Aim-p.Requests)/(settleReports*p.Interval.Seconds()), 0)
 }
 
+// MaxCredit returns for how many requests an instance may save up credit.
+func (p Plain) MaxCredit() float64 { return 1 + float64(creditTime)/float64(p.Interval) }
+
 // Credit is for how many requests an instance may send to busy plain servers. All instances know about
 // the same numbers; so each sends its share, one after the other, rather than all of them together. The
 // zero value has no credit.
@@ -98,10 +102,10 @@
 	at    time.Time
 }
 
-// Update adds what an instance gets of a rate since the last update.
-func (c *Credit) Update(now time.Time, rate float64) {
+// Update adds what an instance gets of a rate since the last update, up to a number of requests.
+func (c *Credit) Update(now time.Time, rate, most float64) {
 	if !c.at.IsZero() {
-		c.level = min(c.level+rate*now.Sub(c.at).Seconds(), maxCredit)
+		c.level = min(c.level+rate*now.Sub(c.at).Seconds(), most)
 	}
 	c.at = now
 }
--- a/admitter/plain_test.go
+++ b/admitter/plain_test.go
@@ -39,13 +39,13 @@
 	It("get no more of an instance than its credit, which does not grow for ever", func() {
 		var c admitter.Credit
 		now := time.Unix(1000, 0)
-		c.Update(now, 4)
+		c.Update(now, 4, 3)
 		Expect(c.Suffices()).To(BeFalse())
-		c.Update(now.Add(250*time.Millisecond), 4)
+		c.Update(now.Add(250*time.Millisecond), 4, 3)
 		Expect(c.Suffices()).To(BeTrue())
 		c.Use()
 		Expect(c.Suffices()).To(BeFalse())
-		c.Update(now.Add(time.Hour), 4)
+		c.Update(now.Add(time.Hour), 4, 3)
 		for range 3 {
 			Expect(c.Suffices()).To(BeTrue())
 			c.Use()
--- a/balancer/plain.go
+++ b/balancer/plain.go
@@ -138,7 +138,7 @@
 		}
 		all.Add(p, c.plainRequests(now, x.server), q.plain.objective)
 	}
-	q.plain.credit.Update(now, q.plain.share*all.SendRate())
+	q.plain.credit.Update(now, q.plain.share*all.SendRate(), all.MaxCredit())
 	if q.plain.late {
 		return !all.Spare() || !q.plain.credit.Suffices()
 	}
@@ -148,7 +148,11 @@
 // recordReports records that the peers' counts came again.
 func (c *Core) recordReports(now time.Time) {
 	if !c.peersAt.IsZero() && now.Sub(c.peersAt) < peersTTL {
-		c.peersEvery += time.Duration(intervalWeight * float64(now.Sub(c.peersAt)-c.peersEvery))
+		interval := now.Sub(c.peersAt)
+		if c.peersEvery == 0 {
+			c.peersEvery = interval
+		}
+		c.peersEvery += time.Duration(intervalWeight * float64(interval-c.peersEvery))
 	}
 	c.peersAt = now
 }
