Balancing: take back that failing servers are known to all instances

Cause: servers that reset all requests were left out although the others had no room for their share; these then answered late. Which of its parts does that is not traced.

--- a/balancer/core.go
+++ b/balancer/core.go
@@ -108,7 +108,6 @@
 	sharedSpeed float64
 	sharedAt    time.Time
 	load        serverLoad
-	outcomes    outcomes
 	// known is what this instance knows of the parts of prompts that the server holds.
 	known reuser.Knowledge
 	// joinedAt is when the server joined the service, zero if it was there before.
@@ -325,7 +324,7 @@
 		if key != "" && !s.loaded[key] {
 			continue
 		}
-		if slices.Contains(q.Exclude, s.ID) || now.Before(s.unreachableUntil) || s.outcomes.fails(now) {
+		if slices.Contains(q.Exclude, s.ID) || now.Before(s.unreachableUntil) {
 			if status == NotLoaded {
 				status = AllExcluded
 			}
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -393,7 +393,6 @@
 	if c, ok := a.core(); ok && !a.firstEventSeen {
 		a.firstEventSeen, a.firstEventAt = true, f.clock.Now()
 		c.RecordFirstEvent(a.ID, a.request, f.clock.Since(a.sent))
-		c.RecordOutcome(a.firstEventAt, a.ID, true)
 		f.dispatch(a.service)
 	}
 }
--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -42,7 +42,6 @@
 	unavailable []string
 	queues      []balancer.Queue
 	paces       map[string]balancer.Pace
-	outcomes    map[string]balancer.Outcomes
 	build       string
 }
 
@@ -78,9 +77,6 @@
 	totalQueues balancer.Queues
 	// totalPaces sums the evidence of all members of the speed of each server.
 	totalPaces map[string]balancer.Pace
-	// totalOutcomes sums what became of all members' requests at servers that fail some.
-	totalOutcomes map[string]balancer.Outcomes
-	failures      balancer.FailureTracker
 	// present are the registered servers by ID, starts those that have started again of late.
 	present map[string]registrar.Server
 	starts  balancer.StartTable
@@ -115,7 +111,7 @@
 
 func newClusterState(clock clockwork.Clock, linkMbps float64) *clusterState {
 	return &clusterState{
-		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, totalPaces: map[string]balancer.Pace{}, totalOutcomes: map[string]balancer.Outcomes{}, demand: map[demandKey]*demandRates{}, holdings: map[string]*holding{}, requestedAt: map[modelKey]time.Time{},
+		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, totalPaces: map[string]balancer.Pace{}, demand: map[demandKey]*demandRates{}, holdings: map[string]*holding{}, requestedAt: map[modelKey]time.Time{},
 		records: map[string]tailer.Record{}, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
 	}
 }
@@ -128,8 +124,6 @@
 	clear(c.totalInFlight)
 	clear(c.totalQueues)
 	clear(c.totalPaces)
-	clear(c.totalOutcomes)
-	c.failures = balancer.FailureTracker{}
 	c.updateAddresses()
 	c.overlays, c.droppedOverlays = nil, 0
 	clear(c.requestedAt)
@@ -141,16 +135,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	m := &member{address: r.Address, order: balancer.Hash("deputy " + r.Address), link: r.Link, reportedAt: now, inFlight: ofPresentStarts(c, now, r.InFlight, r.Starts), waiting: map[demandKey]int{}, unavailable: r.Unavailable, queues: r.Queues, paces: ofPresentStarts(c, now, r.Paces, r.Starts), outcomes: ofPresentStarts(c, now, r.Outcomes, r.Starts), build: r.Build.String()}
+	m := &member{address: r.Address, order: balancer.Hash("deputy " + r.Address), link: r.Link, reportedAt: now, inFlight: ofPresentStarts(c, now, r.InFlight, r.Starts), waiting: map[demandKey]int{}, unavailable: r.Unavailable, queues: r.Queues, paces: ofPresentStarts(c, now, r.Paces, r.Starts), build: r.Build.String()}
 	old, ok := c.members[r.Instance]
 	if ok {
 		c.subtractInFlight(old)
 		c.totalQueues.Remove(old.queues)
 		c.subtractPaces(old)
-		c.subtractOutcomes(old)
 	}
 	c.addPaces(m)
-	c.addOutcomes(m)
 	c.members[r.Instance] = m
 	c.totalQueues.Add(m.queues)
 	for id, f := range m.inFlight {
@@ -204,7 +196,6 @@
 			c.subtractInFlight(m)
 			c.totalQueues.Remove(m.queues)
 			c.subtractPaces(m)
-			c.subtractOutcomes(m)
 			delete(c.members, name)
 		}
 	}
@@ -234,7 +225,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	c.expireMembers(now)
-	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds(), Speeds: c.speeds(), SpeedsKnown: true, Failing: c.failingServers(now), FailingKnown: c.failures.Known(now, len(c.members)), Starts: c.starts.Recent(now)}
+	out := Reply{HoldsLease: true, Instances: len(c.members), InFlight: maps.Clone(c.totalInFlight), Queues: c.totalQueues.Without(r.Queues).List(), Builds: c.builds(), Speeds: c.speeds(), SpeedsKnown: true, Starts: c.starts.Recent(now)}
 	if m, ok := c.members[r.Instance]; ok {
 		for id, f := range m.inFlight {
 			if left := out.InFlight[id].Sub(f); left != (balancer.InFlight{}) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -105,10 +105,8 @@
 	Queues []balancer.Queue `msgpack:"wq,omitempty"`
 	// Paces is what streams told of the speed of servers, by server ID.
 	Paces map[string]balancer.Pace `msgpack:"pc,omitempty"`
-	// Outcomes is what became of requests at servers that failed some of late, by server ID.
-	Outcomes map[string]balancer.Outcomes `msgpack:"oc,omitempty"`
-	// Starts are the servers that have started again of late, as the instance knows them: InFlight,
-	// Paces and Outcomes are of these starts.
+	// Starts are the servers that have started again of late, as the instance knows them: InFlight
+	// and Paces are of these starts.
 	Starts balancer.Starts `msgpack:"st,omitempty"`
 	// Build is the build that the instance runs.
 	Build upgrader.Build `msgpack:"bd"`
@@ -159,12 +157,8 @@
 	// SpeedsKnown is set by builds that add up paces.
 	Speeds      map[string]int `msgpack:"sp,omitempty"`
 	SpeedsKnown bool           `msgpack:"sk,omitempty"`
-	// Failing are the servers that fail some requests, and whether they fail all. FailingKnown is set by
-	// senders that have added up outcomes for long enough.
-	Failing      map[string]bool `msgpack:"fs,omitempty"`
-	FailingKnown bool            `msgpack:"fk,omitempty"`
-	// Starts are the servers that have started again of late, as the sender knows them: InFlight,
-	// Speeds and Failing are of these starts.
+	// Starts are the servers that have started again of late, as the sender knows them: InFlight and
+	// Speeds are of these starts.
 	Starts balancer.Starts `msgpack:"st,omitempty"`
 	// Builds is how many instances run each build.
 	Builds map[string]int `msgpack:"bs,omitempty"`
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -267,7 +267,7 @@
 		r := Report{
 			Instance: c.Instance, Address: c.Address, Link: c.LinkMbps, Members: c.membersDigest, Demand: demand, InFlight: c.Fleet.OwnInFlight(),
 			Registry: c.Registry.Next(), Config: c.configVersion(), Overlay: c.overlaysSeen, Fence: c.fence,
-			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy, Queues: c.Fleet.OwnQueues(), Paces: c.Fleet.OwnPaces(), Outcomes: c.Fleet.OwnOutcomes(), Starts: c.Fleet.Starts(), Build: c.build,
+			Suspects: c.Suspects.ExportRecent(suspectsResend), Parts: c.reportParts(address), Limits: c.exportLimits(), Unavailable: c.Fleet.Unavailable(), Waiting: hasWaiting(demand), Deputy: deputy, Queues: c.Fleet.OwnQueues(), Paces: c.Fleet.OwnPaces(), Starts: c.Fleet.Starts(), Build: c.build,
 		}
 		accountsSent := c.stateAccounts(ctx, &r, address)
 		sent := c.Clock.Now()
--- a/coordinator/speeds.go
+++ b/coordinator/speeds.go
@@ -40,12 +40,8 @@
 	return percent
 }
 
-// applySpeeds applies the speeds of servers in a reply, unless its sender does not know any, and the
-// servers that fail.
+// applySpeeds applies the speeds of servers in a reply, unless its sender does not know any.
 func (c *Coordinator) applySpeeds(r Reply) {
-	if r.FailingKnown || len(r.Failing) > 0 {
-		c.Fleet.UpdateFailing(r.Failing, r.Starts)
-	}
 	if r.SpeedsKnown {
 		c.Fleet.UpdateSpeeds(r.Speeds, r.Starts)
 	}
--- a/coordinator/starts.go
+++ b/coordinator/starts.go
@@ -21,9 +21,8 @@
 		c.starts.Record(now, s)
 		delete(c.totalInFlight, s.ID)
 		delete(c.totalPaces, s.ID)
-		delete(c.totalOutcomes, s.ID)
 		for _, m := range c.members {
-			m.inFlight, m.paces, m.outcomes = without(m.inFlight, s.ID), without(m.paces, s.ID), without(m.outcomes, s.ID)
+			m.inFlight, m.paces = without(m.inFlight, s.ID), without(m.paces, s.ID)
 		}
 	}
 	c.present = present
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -27,7 +27,6 @@
 		"servers_behind_peers":    func() int64 { return int64(e.detourer.BrokenPaths()) },
 		"servers_unreachable":     func() int64 { return int64(len(e.fleet.Unavailable())) },
 		"servers_slow":            func() int64 { return int64(e.fleet.SlowServers()) },
-		"servers_failing":         func() int64 { return int64(e.fleet.FailingServers()) },
 		"server_connections_made": e.fleet.Dials.Count,
 		"memory_bytes":            memoryBytes,
 		"allot_fraction_permille": func() int64 { return permille(e.allotter.Status().Fraction) },
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -82,7 +82,6 @@
 		}
 	} else if !t.passes {
 		t.assignment.Done(false)
-		t.assignment.RecordOutcome(true)
 	}
 	if !t.intact() || t.impliesNotRun() || t.headerSent {
 		t.giveUp("bad answer", zap.Int("status", t.answer.StatusCode))
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -362,9 +362,6 @@
 	default:
 		t.reached, t.ran = true, true
 		t.assignment.Done(!t.clientGone() && (!t.intact() || t.answer.StatusCode >= http.StatusInternalServerError))
-		if !t.clientGone() {
-			t.assignment.RecordOutcome(false)
-		}
 		t.record.outcome = describeBadAnswer(t.answer.StatusCode, t.info, t.bodyErr)
 		switch {
 		case t.bodyErr == nil:
@@ -394,9 +391,6 @@
 	t.reached = verdict != judge.NotRun
 	t.ran = t.reached
 	t.assignment.Done(!t.clientGone() && !errors.Is(t.err, errPaused) && !errors.Is(t.err, connector.ErrGivenUp))
-	if !t.clientGone() && !t.withheld() {
-		t.assignment.RecordOutcome(false)
-	}
 	t.record.outcome = verdict.String() + ": " + causeText(t.err)
 	if t.clientGone() {
 		if t.reached {
@@ -433,7 +427,6 @@
 	t.reached = true
 	t.readBody()
 	t.assignment.Done(false)
-	t.assignment.RecordOutcome(true)
 	if t.info.NotLoaded {
 		t.assignment.MarkNotLoaded()
 	}
--- a/relayer/through.go
+++ b/relayer/through.go
@@ -129,6 +129,5 @@
 func (t *attempt) endPassing(failed bool) {
 	if !t.failed() {
 		t.assignment.Done(failed)
-		t.assignment.RecordOutcome(!failed)
 	}
 }
--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -63,7 +63,6 @@
 			},
 			Limits: []throttler.Statement{limit}, Unavailable: []string{"s2-a"}, Waiting: true, Deputy: true, Queues: queues, Build: upgrader.Build{Revision: "1a2b3c4d5e6f", Formats: 1},
 			Accounts: &allotter.Statement{Held: entitlement, Delegated: entitlement},
-			Outcomes: map[string]balancer.Outcomes{"s1": {Answered: 5, Failed: 300, Witnesses: 1}},
 		},
 		"exchange reply": coordinator.Reply{
 			HoldsLease: true, Fence: 5, Instances: 9, Members: []string{"10.1.0.38:7380"}, InFlight: inFlight,
@@ -75,7 +74,7 @@
 				Suspected: []uint64{12}, Watched: []uint64{13}, Trials: []uint64{14},
 			},
 			Limits: []throttler.Statement{limit}, Holder: "10.1.0.39:7380", LeaseFresh: true, Queues: queues, Builds: map[string]int{"1a2b3c4d5e6f (formats 1)": 9},
-			Entitlement: &entitlement, Failing: map[string]bool{"s1": true}, FailingKnown: true,
+			Entitlement: &entitlement,
 		},
 		"lease entry":    coordinator.Entry{Instance: "front-1.5f", Machine: "front-1", Address: "10.1.0.38:7380", Era: 2, Fence: 5, Release: true, Clear: true, Late: &late},
 		"config request": coordinator.ConfigQuery{Offset: 41, From: 100},
