Readiness: log why an instance is not ready, and who gave a stream its position

Changes of the readiness are logged with their reason, and the first position in each stream of the store with its source.

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -281,6 +281,7 @@
 	e.start(func() { e.detourer.Run(work) })
 	e.start(func() { e.listenControl(work, messages, control, failed) })
 	e.start(func() { e.loopRetryShare(work) })
+	e.start(func() { e.loopReadinessLog(work) })
 	e.start(func() { e.registry.loopExpiry(work) })
 	if e.source.Read != nil {
 		e.start(func() { e.loopSettings(work) })
@@ -380,17 +381,3 @@
 // replyTTL returns how long records that the coordinator forwards replace our own reads of the
 // store.
 func (e *Entry) replyTTL() time.Duration { return e.coordinator.ReplyTTL() }
-
-// ready handles the platform's readiness checks. The instance is ready once it
-// has a configuration and the registry.
-func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	// These take the locks on the path of each request: an instance that hangs there does not
-	// answer, and gets no clients any more.
-	e.fleet.QueueLen()
-	e.detourer.BrokenPaths()
-	if e.stopping.Load() || e.relayer.Table() == nil || !e.registry.isSynced() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -15,6 +15,7 @@
 // name.
 func (e *Entry) values() map[string]func() int64 {
 	return map[string]func() int64{
+		"ready":                   func() int64 { return boolValue(e.unready() == "") },
 		"config_version":          e.configVersion,
 		"config_age_ms":           func() int64 { return e.tails.config.Age().Milliseconds() },
 		"registry_age_ms":         func() int64 { return e.tails.registry.Age().Milliseconds() },
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -90,6 +90,8 @@
 	// fedAt is when a peer that reads the store at its usual pace last fed the
 	// stream.
 	fedAt time.Time
+	// begun is set once the stream has a position.
+	begun bool
 	// readAtOnce is set if the next read does not wait for a record.
 	readAtOnce bool
 	// asOf is when the newest read began whose records this instance has, its own or a
@@ -268,6 +270,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.logBegin("store", len(list), end)
 	t.sink.Full(list, end)
 	t.next = max(t.next, end) // a peer may have fed newer records in the meantime
 	t.readAt = t.clock.Now()
@@ -275,6 +278,14 @@
 	return nil
 }
 
+// logBegin logs where the first position in the stream comes from. t.mu must be held.
+func (t *Tailer) logBegin(source string, records int, next int64) {
+	if !t.begun {
+		t.begun = true
+		t.log.Info(t.name+": first position", zap.String("source", source), zap.Int("records", records), zap.Int64("next", next))
+	}
+}
+
 // recordRead records when the newest read began. t.mu must be held.
 func (t *Tailer) recordRead(began time.Time) {
 	if began.After(t.asOf) {
@@ -337,6 +348,7 @@
 	// The sink is also called for a fresh feed without records, so that it does
 	// not mistake a quiet stream for an unavailable store.
 	if next > t.next || fresh && next == t.next {
+		t.logBegin("peer", len(list), next)
 		t.sink.Apply(list)
 		t.next = next
 	}
