--- a/entryassembler/entryassembler_test.go
+++ b/entryassembler/entryassembler_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,8 @@
 	// settings are those of the instances, controls their addresses for peers.
 	settings []platform.Settings
 	controls []string
+	// seeded makes the instances that are started earlier the seeds of each.
+	seeded bool
 }
 
 const config = `{"version":%d,"routes":[
@@ -106,6 +109,9 @@
 		Memory: 284, Descriptors: 4100, Grace: 3 * time.Second, Drain: 2 * time.Second, Lease: 300 * time.Millisecond,
 		RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, CeilingWindow: 5 * time.Second, CeilingOverage: 1.1,
 	}
+	if g.seeded {
+		s.Seeds = slices.Clone(g.controls)
+	}
 	g.settings, g.controls, g.storeCut = append(g.settings, s), append(g.controls, s.Control), append(g.storeCut, cut)
 	g.links = append(g.links, &serverLinks{})
 	g.metrics = append(g.metrics, s.Metrics)
