Configuration: no position in its stream comes from an instance that has none

With a slow store half of the instances, the lease holder among them, had none.

Cause: a lease holder or deputy without a configuration answered a report with an empty record and with its offset plus one, which is 1. The other instances read the stream on from there, and skipped the record at offset 0 for good. No configuration was known by version 0 in one place and -1 in the other, so that "nothing newer" was never found. A part of a configuration that a peer without one sends had the same fault.

Change: noConfig is the one value for none, and such an instance sends neither a record nor a position. At the place of the act: a tailer takes no position from a peer until its sink has what the stream must contain, and until then reads the newest records again (WithComplete). That holds beside a holder of an earlier build, too.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -97,10 +97,12 @@
 	droppedOverlays int
 	// records are the newest registry records by key, all of them of the same era of
 	// the store.
-	records       map[string]tailer.Record
-	era           int64
-	servers       []registrar.Server
-	linkMbps      float64
+	records  map[string]tailer.Record
+	era      int64
+	servers  []registrar.Server
+	linkMbps float64
+	// configRecord is the newest configuration, configVersion its version, noConfig if there is
+	// none.
 	configRecord  tailer.Record
 	configVersion int64
 	// overlaysAdded is closed and replaced when overlays are added.
@@ -112,7 +114,7 @@
 func newClusterState(clock clockwork.Clock, linkMbps float64) *clusterState {
 	return &clusterState{
 		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, totalPaces: map[string]balancer.Pace{}, demand: map[demandKey]*demandRates{}, holdings: map[string]*holding{}, requestedAt: map[modelKey]time.Time{},
-		records: map[string]tailer.Record{}, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
+		records: map[string]tailer.Record{}, configVersion: noConfig, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
 	}
 }
 
--- a/coordinator/config_fetch.go
+++ b/coordinator/config_fetch.go
@@ -33,6 +33,9 @@
 	maxConfigRecord = 16 << 20
 )
 
+// noConfig is the version of an instance that has no configuration.
+const noConfig = -1
+
 // ConfigQuery asks a peer for a part of the newest configuration that it has.
 type ConfigQuery struct {
 	// Offset is the offset of the record that earlier parts belong to, From the
@@ -43,7 +46,8 @@
 
 // ConfigPart is a part of a configuration.
 type ConfigPart struct {
-	// Version is the version of the configuration, 0 if the peer has none.
+	// Version is the version of the configuration, noConfig if the peer has none. Earlier builds
+	// then send 0 and no Key.
 	Version int64 `msgpack:"v"`
 	// Offset, Key and Size are those of the record, From is where in its value
 	// Bytes begin.
@@ -109,8 +113,8 @@
 		if err != nil {
 			return tailer.Record{}, 0, eris.Wrap(err, "fetch a part of the configuration")
 		}
-		if part.Version <= c.configVersion() {
-			return tailer.Record{}, part.Version, nil
+		if part.Version <= c.configVersion() || part.Key == "" {
+			return tailer.Record{}, noConfig, nil
 		}
 		if part.Offset != q.Offset {
 			q.Offset, value = part.Offset, nil
@@ -140,8 +144,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x := c.configRecord
-	if c.configVersion == 0 {
-		return ConfigPart{}
+	if c.configVersion == noConfig {
+		return ConfigPart{Version: noConfig}
 	}
 	from := 0
 	if q.Offset == x.Offset && q.From >= 0 && q.From <= len(x.Value) {
--- a/coordinator/config_test.go
+++ b/coordinator/config_test.go
@@ -121,3 +121,21 @@
 		Entry("whose reads of the store are behind", &countingSource{}, 400<<10, 1, false),
 	)
 })
+
+var _ = Describe("An instance without a configuration", func() {
+	// Guards against peers that take a position in the configuration's stream from an instance
+	// that has not read it, and never get the first configuration.
+	It("gives its peers no record and no position", func() {
+		all := startInstances(1, 0, &sharedLog{})
+		Eventually(all[0].coordinator.HoldsLease, "5s").Should(BeTrue())
+		peers := messenger.NewClient(clockwork.NewRealClock())
+		var reply coordinator.Reply
+		Expect(peers.Call(context.Background(), all[0].address, "exchange", coordinator.Report{Instance: "b", Config: -1}, &reply)).To(Succeed())
+		Expect(reply.HoldsLease).To(BeTrue())
+		Expect(reply.Config).To(BeEmpty())
+		Expect(reply.ConfigNext).To(BeZero())
+		var part coordinator.ConfigPart
+		Expect(peers.Call(context.Background(), all[0].address, "config", coordinator.ConfigQuery{Offset: -1}, &part)).To(Succeed())
+		Expect(part.Version).To(BeEquivalentTo(-1))
+	})
+})
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -139,10 +139,13 @@
 	RegistryFresh bool            `msgpack:"rf"`
 	// RegistryAge is the time since the read of the registry began whose records the
 	// sender has, zero if it does not say.
-	RegistryAge time.Duration   `msgpack:"ra"`
-	ConfigFresh bool            `msgpack:"cf"`
-	Config      []tailer.Record `msgpack:"c"`
-	ConfigNext  int64           `msgpack:"cx"`
+	RegistryAge time.Duration `msgpack:"ra"`
+	ConfigFresh bool          `msgpack:"cf"`
+	// Config is the newest configuration if it is newer than that of the report, ConfigNext where to
+	// read on after it. A sender of an earlier build that has none sends an empty record and
+	// position 1.
+	Config     []tailer.Record `msgpack:"c"`
+	ConfigNext int64           `msgpack:"cx"`
 	// ConfigInStore is set if the newest configuration is too large for a reply
 	// and is to be read from the store.
 	ConfigInStore bool                  `msgpack:"cs"`
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -324,7 +324,7 @@
 	if t := c.Table(); t != nil {
 		return t.Version
 	}
-	return -1
+	return noConfig
 }
 
 func (c *Coordinator) sendReport(ctx context.Context, address string, r Report) (Reply, error) {
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -191,9 +191,9 @@
 	e.config = &configuration{relayer: e.relayer, log: log}
 	startDelay := coordinator.StartDelay(s.Link, s.Control, s.Seeds)
 	e.tails.config = tailer.New("config", e.store.Topic(platform.TopicOperator), e.config, clock, log,
-		tailer.WithWait(configWait), tailer.WithFeedTTL(e.replyTTL), tailer.WithStartDelay(startDelay), tailer.WithMaxRetryInterval(e.maxRetryInterval))
+		tailer.WithWait(configWait), tailer.WithComplete(func() bool { return e.relayer.Table() != nil }), tailer.WithFeedTTL(e.replyTTL), tailer.WithStartDelay(startDelay), tailer.WithMaxRetryInterval(e.maxRetryInterval))
 	e.tails.registry = tailer.New("registry", e.store.Topic(platform.TopicServers), e.registry, clock, log,
-		tailer.WithInterval(func() time.Duration { return e.currentSettings().Drain / registryReadsPerDrain }), tailer.WithOnRead(e.fleet.RecordRead), tailer.WithFeedTTL(e.replyTTL), tailer.WithStartDelay(startDelay), tailer.WithMaxRetryInterval(e.maxRetryInterval))
+		tailer.WithInterval(func() time.Duration { return e.currentSettings().Drain / registryReadsPerDrain }), tailer.WithOnRead(e.fleet.RecordRead), tailer.WithComplete(e.registry.isSynced), tailer.WithFeedTTL(e.replyTTL), tailer.WithStartDelay(startDelay), tailer.WithMaxRetryInterval(e.maxRetryInterval))
 	e.coordinator = coordinator.New(coordinator.Dependencies{
 		Instance: instance, Machine: s.Instance, Address: s.Control, Seeds: s.Seeds, LinkMbps: s.Link,
 		OrderGap: s.Lease, ColdLoadWindow: s.CeilingWindow, ColdLoadOverage: s.CeilingOverage, LeaseLog: e.store.Leases(), OrderSender: platform.NewOrderClient(sender.NewClient()),
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -80,6 +80,7 @@
 	interval func() time.Duration
 	maxRetry func() time.Duration
 	onRead   func(asOf time.Time)
+	complete func() bool
 	readNow  chan struct{}
 	// startDelay is how long the first read waits for a feed.
 	startDelay time.Duration
@@ -127,6 +128,12 @@
 // a peer passes on, with the time at which it began.
 func WithOnRead(f func(asOf time.Time)) Option { return func(t *Tailer) { t.onRead = f } }
 
+// WithComplete sets a function that reports whether the sink has what the stream must at least
+// contain. Until it has, the newest records are read again after each read that finds none, no
+// position is taken from a peer, and a peer's feed does not replace reads of the store for longer
+// than the longest pause after a failed call.
+func WithComplete(f func() bool) Option { return func(t *Tailer) { t.complete = f } }
+
 // New returns a tailer that has read nothing yet.
 func New(name string, source Source, sink Sink, clock clockwork.Clock, log *zap.Logger, options ...Option) *Tailer {
 	t := &Tailer{
@@ -134,6 +141,7 @@
 		interval: func() time.Duration { return 0 },
 		maxRetry: func() time.Duration { return maxRetryInterval },
 		onRead:   func(time.Time) {},
+		complete: func() bool { return true },
 		feedTTL:  func() time.Duration { return 0 },
 		readNow:  make(chan struct{}, 1), next: offsetUnread,
 	}
@@ -260,6 +268,9 @@
 		defer t.mu.Unlock()
 		t.sink.Apply(list)
 		t.next = max(t.next, end)
+		if !t.complete() {
+			t.next = offsetUnread
+		}
 		t.readAt = t.clock.Now()
 		t.recordRead(began)
 		return nil
@@ -348,9 +359,11 @@
 	// The sink is also called for a fresh feed without records, so that it does
 	// not mistake a quiet stream for an unavailable store.
 	if next > t.next || fresh && next == t.next {
-		t.logBegin("peer", len(list), next)
 		t.sink.Apply(list)
-		t.next = next
+		if t.complete() {
+			t.logBegin("peer", len(list), next)
+			t.next = next
+		}
 	}
 	if fresh {
 		t.fedAt = t.clock.Now()
@@ -368,7 +381,10 @@
 func (t *Tailer) fedRecently() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.fedAt.IsZero() && t.clock.Since(t.fedAt) < t.feedTTL()
+	if t.fedAt.IsZero() || t.clock.Since(t.fedAt) >= t.feedTTL() {
+		return false
+	}
+	return t.complete() || !t.readAt.IsZero() && t.clock.Since(t.readAt) < t.maxRetry()
 }
 
 func (t *Tailer) sleep(ctx context.Context, d time.Duration) {
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -208,4 +209,47 @@
 		start()
 		Expect(t.Next()).To(Equal(tailer.Position(1, 2)))
 	})
+
+	Describe("whose sink lacks what it must have", func() {
+		var complete atomic.Bool
+		BeforeEach(func() {
+			complete.Store(false)
+			src.newest, src.next = nil, 0
+			t = tailer.New("test", src, dst, clock, zap.NewNop(), tailer.WithFeedTTL(func() time.Duration { return time.Hour }),
+				tailer.WithInterval(func() time.Duration { return 500 * time.Millisecond }), tailer.WithMaxRetryInterval(func() time.Duration { return 2 * time.Second }),
+				tailer.WithComplete(complete.Load))
+		})
+
+		// Guards against skipping the first record since a peer without records names a position
+		// after it.
+		It("takes no position from a peer", func() {
+			t.Feed(nil, 1, true)
+			Expect(t.Next()).To(BeNumerically("<", 0))
+			complete.Store(true)
+			t.Feed(nil, 1, true)
+			Expect(t.Next()).To(BeEquivalentTo(1))
+		})
+
+		// Guards against waiting for new records for good although the newest ones suffice.
+		It("reads the newest records again", func() {
+			start()
+			src.set(func() { src.newest, src.next = []tailer.Record{{Offset: 0, Key: "a"}}, 1 })
+			advance(500 * time.Millisecond)
+			advance(500 * time.Millisecond)
+			Eventually(t.Next).Should(BeEquivalentTo(1))
+		})
+
+		// Guards against relying on a peer that reads the store and lacks the same, and against
+		// calls to the store by all instances of a large fleet as if none were fed.
+		It("reads the store beside a peer's feed, at the longest pause", func() {
+			start()
+			t.Feed(nil, 0, true)
+			before := src.count()
+			for range 100 {
+				advance(200 * time.Millisecond)
+				t.Feed(nil, 0, true)
+			}
+			Expect(src.count() - before).To(And(BeNumerically(">=", 6), BeNumerically("<=", 20)))
+		})
+	})
 })
