Process: the reader of the output does not decide whether an instance lives

What callers saw: instances whose log went to a pipe ended with SIGPIPE, all of a site together, when its reader ended, and again at each start until there was a new one. While the reader of standard error had stopped, "serve" did not start, and a store that sent bytes between its answers was never read again.

Cause: Go ends a process that writes to descriptor 1 or 2 without a reader. "serve" wrote its log without a queue. The servers of checks and metrics, the HTTP clients and the trace exporter log to standard error directly; net/http does so while it holds the lock of a connection, so that the next call on it waits for good.

Change: "entry" and "serve" ignore SIGPIPE; the log's writer counts lines that its output did not take as dropped. "serve" logs through the same queue, without the limit of lines a second, and counts in log.lines_dropped. The loggers of the standard library and of OpenTelemetry go to the log ("log: message of a library", "tracer: spans were not exported").

--- a/cmd/primrosehook/entry.go
+++ b/cmd/primrosehook/entry.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/signal"
 	"strconv"
 	"syscall"
-	"time"
 
 	"github.com/google/subcommands"
 	"github.com/jonboulle/clockwork"
@@ -54,9 +52,10 @@
 }
 
 func (e *entry) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	surviveOutput()
 	settings, err := platform.ReadSettings(e.settings)
 	if err != nil {
-		_, _ = fmt.Fprintln(e.errs, err)
+		printError(e.errs, err)
 		return subcommands.ExitUsageError
 	}
 	if e.metrics > 0 {
@@ -65,12 +64,14 @@
 	clock := clockwork.NewRealClock()
 	lines := logger.NewWriter(e.out, clock)
 	go lines.Run()
-	defer e.closeLog(lines)
+	defer closeLog(lines)
 	log := logger.New(lines, zapcore.InfoLevel)
+	logger.RedirectStandard(log)
+	tracer.LogErrors(log)
 	e.traces.Instance, e.traces.Zone = settings.Instance, settings.Zone
 	traces, err := tracer.New(ctx, e.traces, e.out)
 	if err != nil {
-		_, _ = fmt.Fprintln(e.errs, err)
+		printError(e.errs, err)
 		return subcommands.ExitUsageError
 	}
 	changed := make(chan os.Signal, 1)
@@ -85,12 +86,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-// logCloseTimeout limits how long the exit waits for queued log lines to be written.
-const logCloseTimeout = 200 * time.Millisecond
-
-func (*entry) closeLog(lines *logger.Writer) {
-	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
-	defer cancel()
-	lines.Close(ctx)
-}
--- a/cmd/primrosehook/serve.go
+++ b/cmd/primrosehook/serve.go
@@ -9,10 +9,14 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"primrosehook/configurer"
+	"primrosehook/logger"
 	"primrosehook/serveassembler"
+	"primrosehook/tracer"
 )
 
 // serve is the subcommand that runs an entry instance.
@@ -38,25 +42,30 @@
 func (s *serve) SetFlags(f *flag.FlagSet) { s.table = configurer.Register(f, &s.settings) }
 
 func (s *serve) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	surviveOutput()
 	if f.NArg() > 0 {
-		_, _ = fmt.Fprintf(s.errs, "serve takes no argument: %q\n", f.Arg(0))
+		printError(s.errs, eris.Errorf("serve takes no argument: %q", f.Arg(0)))
 		return subcommands.ExitUsageError
 	}
 	if err := configurer.Load(f, &s.settings, s.table, os.Environ()); err != nil {
-		_, _ = fmt.Fprintln(s.errs, err)
+		printError(s.errs, err)
 		return subcommands.ExitUsageError
 	}
 	if s.settings.Name == "" {
 		// The start time makes the name unique to this incarnation.
 		s.settings.Name = fmt.Sprintf("%s.%x", s.settings.Listen, time.Now().UnixMicro())
 	}
-	log, err := configurer.NewLog(s.settings, s.errs)
+	lines := logger.NewWriter(s.errs, clockwork.NewRealClock(), logger.WithoutRateLimit())
+	go lines.Run()
+	defer closeLog(lines)
+	log, err := configurer.NewLog(s.settings, lines)
 	if err != nil {
-		_, _ = fmt.Fprintln(s.errs, err)
+		printError(s.errs, err)
 		return subcommands.ExitUsageError
 	}
-	defer func() { _ = log.Sync() }()
-	if err := serveassembler.Run(ctx, s.settings, log, s.out); err != nil {
+	logger.RedirectStandard(log)
+	tracer.LogErrors(log)
+	if err := serveassembler.Run(ctx, s.settings, log, s.out, serveassembler.WithLinesDropped(lines.Total)); err != nil {
 		log.Error("serve: instance failed", zap.Error(err))
 		return subcommands.ExitFailure
 	}
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -27,6 +27,7 @@
 	"primrosehook/coordinator"
 	"primrosehook/detourer"
 	"primrosehook/exporter"
+	"primrosehook/logger"
 	"primrosehook/messenger"
 	"primrosehook/pacer"
 	"primrosehook/peeker"
@@ -255,11 +256,11 @@
 	checkers := acceptor.New("ready", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
 	clientServer := &http.Server{
 		Handler: acceptor.Handler(http.HandlerFunc(e.front), e.clock), ConnContext: peeker.WithClient, ConnState: acceptor.Observe, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(e.log),
+		ErrorLog: logger.NewStandard(e.log),
 	}
-	checks := checkServer(http.HandlerFunc(e.ready))
+	checks := e.checkServer(http.HandlerFunc(e.ready))
 	readers := acceptor.New("metrics", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
-	metricsServer := checkServer(e.metrics)
+	metricsServer := e.checkServer(e.metrics)
 	messages := messenger.NewServer(e.log, messenger.WithMaxConns(machineOf(e.initial).MaxPeerConnections()), messenger.WithMemory(e.memory), messenger.WithMaxQueuedBytes(machineOf(e.initial).MaxPeerQueue()))
 	e.coordinator.Serve(messages)
 	e.pacer.Serve(messages)
@@ -328,8 +329,8 @@
 
 // checkServer returns the server of a port that only the operator's own programs use. They send
 // no bodies.
-func checkServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ConnState: acceptor.Observe, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCheckHeaderBytes}
+func (e *Entry) checkServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ErrorLog: logger.NewStandard(e.log), ConnState: acceptor.Observe, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCheckHeaderBytes}
 }
 
 // listenMetrics serves the metrics. A failure is only logged, since clients can
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -1,8 +1,8 @@
 // Package logger writes log lines without ever blocking the caller.
 //
 // Lines wait in a bounded queue for one goroutine that writes them. Lines are dropped
-// while the queue is full or the rate limit is exceeded. They are counted, and the
-// count is logged.
+// while the queue is full or the rate limit is exceeded, and lost if the output fails.
+// They are counted, and the count is logged.
 package logger
 
 import (
@@ -44,13 +44,23 @@
 	stop    chan struct{}
 }
 
+// Option configures a writer.
+type Option func(*Writer)
+
+// WithoutRateLimit drops lines only while the queue is full.
+func WithoutRateLimit() Option { return func(w *Writer) { w.limit.SetLimit(rate.Inf) } }
+
 // NewWriter returns a writer to an output. The caller must call Run in a goroutine of
 // its own.
-func NewWriter(out io.Writer, clock clockwork.Clock) *Writer {
-	return &Writer{
+func NewWriter(out io.Writer, clock clockwork.Clock, set ...Option) *Writer {
+	w := &Writer{
 		out: out, clock: clock, lines: make(chan []byte, queueLines),
 		limit: rate.NewLimiter(lineRate, lineBurst), done: make(chan struct{}), stop: make(chan struct{}),
 	}
+	for _, f := range set {
+		f(w)
+	}
+	return w
 }
 
 // New returns a logger that writes JSON lines to a writer.
@@ -76,10 +86,10 @@
 // lines.
 func (*Writer) Sync() error { return nil }
 
-// Dropped returns the number of dropped lines that have not been reported yet.
+// Dropped returns the number of dropped and lost lines that have not been reported yet.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Total returns the number of lines dropped since the start.
+// Total returns the number of lines dropped or lost since the start.
 func (w *Writer) Total() int64 { return w.total.Load() + w.dropped.Load() }
 
 // Run writes lines until Close.
@@ -116,15 +126,23 @@
 
 func (w *Writer) writeLine(line []byte) {
 	// An error of the log's own output can't be logged anywhere.
-	_, _ = w.out.Write(line)
+	if _, err := w.out.Write(line); err != nil {
+		w.dropped.Add(1)
+	}
 }
 
 func (w *Writer) reportDropped() {
-	if n := w.dropped.Swap(0); n > 0 {
-		w.total.Add(n)
-		w.writeLine([]byte(fmt.Sprintf("{\"level\":\"warn\",\"ts\":%.3f,\"msg\":\"log: lines were dropped\",\"count\":%d}\n",
-			float64(w.clock.Now().UnixMilli())/1000, n)))
+	n := w.dropped.Load()
+	if n == 0 {
+		return
+	}
+	_, err := fmt.Fprintf(w.out, "{\"level\":\"warn\",\"ts\":%.3f,\"msg\":\"log: lines were dropped\",\"count\":%d}\n",
+		float64(w.clock.Now().UnixMilli())/1000, n)
+	if err != nil {
+		return // reported once the output works again
 	}
+	w.dropped.Add(-n)
+	w.total.Add(n)
 }
 
 // Close stops the writer and waits until the queued lines are written or ctx ends.
--- a/serveassembler/metrics.go
+++ b/serveassembler/metrics.go
@@ -13,6 +13,12 @@
 	Received int64 `json:"bytes_received"`
 }
 
+// Lines counts log lines.
+type Lines struct {
+	// Dropped were not written: nobody read the output, or it failed.
+	Dropped int64 `json:"lines_dropped"`
+}
+
 // Process is the resource usage of the process.
 type Process struct {
 	// CPUSeconds is the CPU time of goroutines in seconds, without that of the
@@ -44,6 +50,7 @@
 	m.Set("connections", expvar.Func(func() any {
 		return ClosedConnections{Idle: i.closed.Idle.Load(), HeadOverdue: i.closed.Heads.Load(), HeadMemory: i.closed.HeadMemory.Load()}
 	}))
+	m.Set("log", expvar.Func(func() any { return Lines{Dropped: i.linesDropped()} }))
 	m.Set("process", expvar.Func(func() any { return readProcess() }))
 	return m
 }
--- a/serveassembler/serveassembler.go
+++ b/serveassembler/serveassembler.go
@@ -84,17 +84,24 @@
 	reader       *poolmanager.Reader
 	engines      *engineView
 	server       *server.Server
+	linesDropped func() int64
 }
 
+// Option configures an instance.
+type Option func(*Instance)
+
+// WithLinesDropped adds the number of dropped log lines to the metrics.
+func WithLinesDropped(read func() int64) Option { return func(i *Instance) { i.linesDropped = read } }
+
 // Run builds an instance and runs it until the context ends; then it finishes
 // the requests in flight. Spans are written to the writer if the settings ask
 // for it.
-func Run(ctx context.Context, s configurer.Settings, log *zap.Logger, spans io.Writer) error {
+func Run(ctx context.Context, s configurer.Settings, log *zap.Logger, spans io.Writer, set ...Option) error {
 	clock := clockwork.NewRealClock()
 	machine := reserver.OwnMachine().Or(int64(s.MemoryMB)<<20, s.Descriptors)
 	debug.SetMemoryLimit(machine.CollectorLimit())
 	log.Info("assembler: limits of the process", zap.Int64("memory_mb", machine.Memory>>20), zap.Int("descriptors", machine.Descriptors))
-	i, err := New(ctx, s, machine, clock, log, spans)
+	i, err := New(ctx, s, machine, clock, log, spans, set...)
 	if err != nil {
 		return err
 	}
@@ -102,8 +109,11 @@
 }
 
 // New builds an instance. It does no I/O except that of the trace exporter.
-func New(ctx context.Context, s configurer.Settings, machine reserver.Machine, clock clockwork.Clock, log *zap.Logger, spans io.Writer) (*Instance, error) {
-	i := &Instance{settings: s, machine: machine, clock: clock, log: log, self: self(s, clock)}
+func New(ctx context.Context, s configurer.Settings, machine reserver.Machine, clock clockwork.Clock, log *zap.Logger, spans io.Writer, set ...Option) (*Instance, error) {
+	i := &Instance{settings: s, machine: machine, clock: clock, log: log, self: self(s, clock), linesDropped: func() int64 { return 0 }}
+	for _, f := range set {
+		f(i)
+	}
 	i.memory = reserver.New(machine.Budget(), reserver.WithClock(clock))
 	traces, err := tracer.New(ctx, tracer.Settings{
 		Export: s.Trace, Endpoint: s.TraceURL, SampleRatio: s.TraceSampleRatio, Instance: i.self.Name, Zone: s.Zone,
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
@@ -21,6 +22,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
 )
 
 // Values of Settings.Export.
@@ -91,6 +93,14 @@
 	)}, nil
 }
 
+// LogErrors logs failures of the export. By default they go to standard error, where they
+// block the export while nobody reads that.
+func LogErrors(log *zap.Logger) {
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
+		log.Warn("tracer: spans were not exported", zap.Error(err))
+	}))
+}
+
 // Tracer returns a tracer. It records nothing if tracing is off.
 func (p *Provider) Tracer() trace.Tracer {
 	if p.sdk == nil {
@@ -99,11 +109,14 @@
 	return p.sdk.Tracer(scopeName)
 }
 
-// Shutdown exports the remaining spans and stops the export.
+// Shutdown exports the remaining spans and stops the export. It gives up after
+// exportTimeout, since standard output may have no reader.
 func (p *Provider) Shutdown(ctx context.Context) error {
 	if p.sdk == nil {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+	defer cancel()
 	return eris.Wrap(p.sdk.Shutdown(ctx), "trace export")
 }
 
