Answers: a part that a reset cut off is not complete while the upload is written

A server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

On Linux a reset that arrives before the peer's end of the connection fails one call with ECONNRESET. If that is the concurrent write of the upload, the reader of the answer finds the end of the connection, which is also the end of a body without length or chunks. The probe that follows finds a server that takes connections. A reset that arrives after the peer's end fails writes with EPIPE only, so the two can be told apart by what the write got.

Package confirmer wraps connections to servers: at the end of the connection it stops a write that is in progress, and Read returns the error of a write in place of io.EOF unless that error follows from the peer's end. connector uses it for each connection of a pool, sender for net/http's transport, whose body readers believe the end of the connection as well.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -144,12 +145,12 @@
 			continue
 		}
 		c.bodyFailed = true
-		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) {
 			// The reader of the answer reports the failure.
 			c.abort()
 		}
 		// Otherwise the upstream closed the connection. An answer that it sent before can
-		// still be read, and the reader then finds the end of the connection.
+		// still be read. Package confirmer tells the reader whether it was cut by a reset.
 		return
 	}
 }
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"primrosehook/confirmer"
 	"primrosehook/judge"
 	"primrosehook/sender"
 )
@@ -268,6 +269,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
+	n = confirmer.Wrap(n)
 	source := &headLimiter{source: n}
 	return &connection{conn: n, source: source, reader: bufio.NewReaderSize(source, readerBytes), openedAt: p.clock.Now()}, nil
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -26,6 +26,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"primrosehook/confirmer"
 	"primrosehook/judge"
 )
 
@@ -92,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: c, meter: d.meter}, nil
+	return &countingConn{Conn: confirmer.Wrap(c), meter: d.meter}, nil
 }
 
 // countingConn is a connection that counts the calls of Write.
