Detours: a server's reset during an upload is passed on as a reset

Through a peer, too, an answer without a length that its server cut off by a reset reached clients as complete while the upload was being written. Early answers that were complete failed instead.

The peer's write of the upload may take the error of the reset; its read of the server's connection then finds an end, which it passes on as one. And as soon as the write failed, the peer closed the server's connection with the rest of the answer unread. Closing the stream to the asking instance with the upload unread is a reset as well, which drops what that instance has not got yet.

The peer's connections to servers confirm their end like direct ones. A failed write no longer closes the connection: the reader finds the end of the answer or the error, and the rest of the upload is dropped. After the end the asking instance closes the stream, or the peer does after 2 s.

Before, specs "An answer through a peer to an upload that is still being written":

is not complete if its server resets the connection [FAILED] Expected an error to have occurred.

--- a/detourer/tunnel.go
+++ b/detourer/tunnel.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"primrosehook/confirmer"
 	"primrosehook/judge"
 	"primrosehook/messenger"
 	"primrosehook/reserver"
@@ -40,6 +41,8 @@
 	watchInterval = 100 * time.Millisecond
 	// leaveInterval is the pause between checks whether detours are idle.
 	leaveInterval = 50 * time.Millisecond
+	// endTimeout is how long the peer may take to close a detour that the server has ended.
+	endTimeout = 2 * time.Second
 )
 
 // errNoPeers means that there is no peer to open connections through.
@@ -202,7 +205,7 @@
 		r.Cause = err
 		return nil, r
 	}
-	t.server = c
+	t.server = confirmer.Wrap(c)
 	d.meter.Add(MetricServed, 1)
 	return t.serve, nil
 }
@@ -312,14 +315,16 @@
 	}
 }
 
-// serve transfers bytes both ways until either side ends.
+// serve transfers bytes both ways until either side ends. The server's end is that of its
+// answer, so its connection is read until then even if it takes no bytes any more.
 func (t *tunnel) serve(ctx context.Context, s *messenger.Stream) {
 	defer t.detourer.unregister(t)
 	defer t.closeServer()
 	t.stream.Store(s)
 	stop := context.AfterFunc(ctx, t.closeServer)
 	defer stop()
-	go t.runUp(s)
+	ended := make(chan struct{})
+	go t.runUp(s, ended)
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := t.server.Read(buffer)
@@ -333,6 +338,13 @@
 		if err != nil {
 			if endErr := s.End(err); endErr != nil {
 				t.detourer.log.Debug("detour: peer is gone", zap.Error(endErr))
+				return
+			}
+			t.closeServer()
+			select {
+			case <-ended:
+			case <-t.detourer.clock.After(endTimeout):
+			case <-ctx.Done():
 			}
 			return
 		}
@@ -351,21 +363,21 @@
 
 // runUp transfers bytes from the peer to the server. When the peer closes the detour, the
 // connection to the server is closed. Bytes that are read after that are not passed on: the
-// request that they belong to is given up.
-func (t *tunnel) runUp(s *messenger.Stream) {
+// request that they belong to is given up. Nor are those that follow a failed write, whose
+// error the reader of the server's bytes gets where it matters. ended is closed in the end.
+func (t *tunnel) runUp(s *messenger.Stream, ended chan<- struct{}) {
+	defer close(ended)
 	defer t.closeServer()
 	buffer := make([]byte, bufferBytes)
-	for {
+	for failed := false; ; {
 		n, err := s.Read(buffer)
-		if n > 0 {
+		if n > 0 && !failed {
 			if s.Closed() {
 				return
 			}
 			t.sentAt.Store(0)
 			t.unanswered.Store(true)
-			if writeErr := t.pass(s, buffer[:n]); writeErr != nil {
-				return
-			}
+			failed = t.pass(s, buffer[:n]) != nil
 		}
 		if err != nil {
 			return
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -165,7 +165,8 @@
 }
 
 // End tells the peer that nothing more comes, because of an error of what this instance
-// passes on, and closes the stream.
+// passes on. The stream is to be closed later, by the peer if possible: with bytes unread, a
+// close is a reset, which drops what the peer has not got yet.
 func (s *Stream) End(cause error) error {
 	reason := endBroken
 	switch {
@@ -174,7 +175,7 @@
 	case errors.Is(cause, syscall.ECONNRESET):
 		reason = endReset
 	}
-	return errors.Join(s.send(kindEnd, reason), s.Close())
+	return s.send(kindEnd, reason)
 }
 
 // Reset closes the stream and drops what was written and not sent yet. The peer drops what it
