Deploy: the revision is in the program where git names it

Without VCS stamping, builds of two revisions could not be told apart in builds_in_fleet during an upgrade.

--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -18,24 +18,29 @@
 	Formats  int    `msgpack:"f"`
 }
 
+// revision is set by the linker where the build does not ask the version control itself.
+var revision string
+
 // revisionLength is how much of a revision is kept, in characters.
 const revisionLength = 12
 
 // Current returns the build of this process.
 func Current() Build {
-	b := Build{Formats: Formats}
+	b := Build{Revision: shorten(revision), Formats: Formats}
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return b
 	}
 	for _, s := range info.Settings {
 		if s.Key == "vcs.revision" {
-			b.Revision = s.Value[:min(len(s.Value), revisionLength)]
+			b.Revision = shorten(s.Value)
 		}
 	}
 	return b
 }
 
+func shorten(revision string) string { return revision[:min(len(revision), revisionLength)] }
+
 // String returns the build as it is shown, for example "1a2b3c4d5e6f (formats 1)".
 func (b Build) String() string {
 	if b.Revision == "" {
