Reports: bound what the answers of servers take once they are decoded

What callers saw: an instance whose engines sent bytes without end in place of a report took several times its memory, so that the system ended the process and all requests on it.

Cause: a report was limited to 8 MB of text (1 MB for model servers), of which a decoder's buffer takes three times as much while it doubles, and a list of empty objects forty times as much once it is decoded. None of it was charged, and 16 reports of a pool are read at a time.

Change: weigher decodes JSON of others. It bounds the bytes and the number of values of a text while it arrives, and charges both to the memory budget, as an answer, in turn: reports that are large together are read one after the other, small ones at once. A report that does not fit within its time limit counts as none.

--- a/crowder/instance_test.go
+++ b/crowder/instance_test.go
@@ -66,6 +66,7 @@
 	// served is the status of an ordinary request that is served.
 	served  int
 	engine  *faker.ModelServer
+	records *faker.MetadataStore
 	process *exec.Cmd
 	exited  chan struct{}
 }
@@ -108,7 +109,7 @@
 	server := httptest.NewServer(engine)
 	DeferCleanup(server.Close)
 	records.Put(platform.TopicServers, engine.ID, engine.Registration("api", server.Listener.Addr().String(), "z1", "ready", 1))
-	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/form/1", readyPath: "/-/readiness", served: http.StatusOK, engine: engine}
+	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/form/1", readyPath: "/-/readiness", served: http.StatusOK, engine: engine, records: records}
 	file := filepath.Join(dir, "settings.toml")
 	text := fmt.Sprintf(settings, n.control, n.front, n.ready, n.control, memory, append(descriptors, maxDescriptors)[0], store.Listener.Addr().String())
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
--- a/crowder/own_api_test.go
+++ b/crowder/own_api_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -33,7 +34,7 @@
 // startOwnAPI starts an instance with the system's own API, between stand-ins of its platform,
 // of an engine and of a plain service. Its limits are those of the process, without settings,
 // unless further arguments say otherwise.
-func startOwnAPI(program string, more ...string) *instance {
+func startOwnAPI(program string, prepare func(platform string), more ...string) *instance {
 	records := faker.NewLog(faker.LogSettings{})
 	list := faker.NewList(faker.ListSettings{})
 	platform := httptest.NewServer(faker.Platform{Log: records, List: list, Store: faker.NewStore(faker.StoreSettings{})}.Handler())
@@ -43,6 +44,9 @@
 	announce(platform.URL, lister.KindEngine, "gpu", engine.Handler())
 	service := faker.NewService("form", faker.ServiceSettings{CallTime: 300 * time.Millisecond})
 	announce(platform.URL, lister.KindService, "form", service.Handler())
+	if prepare != nil {
+		prepare(platform.URL)
+	}
 	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/services/form/form/1", readyPath: "/readyz", served: http.StatusCreated}
 	args := append([]string{
 		"-c", `ulimit -n "$1"; shift; exec "$@"`, "sh", strconv.Itoa(maxDescriptors), program, "serve",
@@ -67,10 +71,12 @@
 func announce(platform string, kind, pool string, h http.Handler) {
 	server := httptest.NewServer(h)
 	DeferCleanup(server.Close)
-	one := lister.Instance{
-		Name: kind + "-0", Kind: kind, Pool: pool, Region: "local", Zone: "a",
-		Addr: server.Listener.Addr().String(), State: lister.StateLive,
-	}
+	announceAs(platform, kind+"-0", kind, pool, server.Listener.Addr())
+}
+
+// announceAs puts a server with a name and an address on the instance list of a platform.
+func announceAs(platform, name, kind, pool string, address net.Addr) {
+	one := lister.Instance{Name: name, Kind: kind, Pool: pool, Region: "local", Zone: "a", Addr: address.String(), State: lister.StateLive}
 	a := faker.NewAnnouncer(lister.NewClient(platform, http.DefaultClient), clockwork.NewRealClock(), time.Second, func() lister.Instance { return one })
 	a.Announce(context.Background())
 }
@@ -107,7 +113,7 @@
 	// Guards against a process that clients take over its memory or its descriptors.
 	DescribeTable("lives within its limits and serves others",
 		func(path string, send func(i int, w io.Writer) error) {
-			n := startOwnAPI(program)
+			n := startOwnAPI(program, nil)
 			AddReportEntry("before", fmt.Sprintf("%.0f MiB", n.memory("VmHWM")))
 			c := &crowd{instance: n}
 			defer c.leave()
@@ -131,7 +137,7 @@
 	// Guards against a port whose connections are all taken by clients that send nothing, and
 	// against a process without descriptors for its servers.
 	It("serves others beside many idle connections to each port", func() {
-		n := startOwnAPI(program)
+		n := startOwnAPI(program, nil)
 		for _, address := range []string{n.front, n.ready, n.control} {
 			c := &crowd{instance: n, address: address}
 			defer c.leave()
@@ -146,7 +152,7 @@
 
 	// Guards against messages to the peers' port that stop short of their end.
 	It("lives within its limits beside many messages that stop short", func() {
-		n := startOwnAPI(program)
+		n := startOwnAPI(program, nil)
 		c := &crowd{instance: n, address: n.control}
 		defer c.leave()
 		c.gather(func(_ int, w io.Writer) error {
--- a/driver/client.go
+++ b/driver/client.go
@@ -10,25 +10,40 @@
 	"net/url"
 
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/sender"
+	"primrosehook/weigher"
 )
 
 // Limits of an answer, in bytes.
 const (
-	maxAnswerBytes = 8 << 20
 	maxCacheBytes  = 64 << 20
 	maxReasonBytes = 1 << 10
 )
 
+// answerLimits bound a report and a list of cache events.
+var answerLimits = weigher.Limits{Bytes: 1 << 20, Values: 32 << 10}
+
 // Client calls one engine over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	memory *reserver.Reserver
 }
 
+// Option sets one option of a client.
+type Option func(*Client)
+
+// WithMemory sets the budget that answers are charged to while they are decoded.
+func WithMemory(m *reserver.Reserver) Option { return func(c *Client) { c.memory = m } }
+
 // NewClient returns a client of the engine at an address of the form "IP:port".
-func NewClient(addr string, client *http.Client) *Client {
-	return &Client{base: "http://" + addr, http: client}
+func NewClient(addr string, client *http.Client, set ...Option) *Client {
+	c := &Client{base: "http://" + addr, http: client}
+	for _, f := range set {
+		f(c)
+	}
+	return c
 }
 
 var _ Engine = (*Client)(nil)
@@ -111,7 +126,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(p.Body, maxAnswerBytes)).Decode(out); err != nil {
+	if err := weigher.Decode(ctx, p.Body, answerLimits, c.memory, out); err != nil {
 		return judge.Unknown("engine", "engine answer was cut", err)
 	}
 	return nil
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -197,7 +197,7 @@
 		tailer.WithInterval(func() time.Duration { return e.currentSettings().Drain / registryReadsPerDrain }), tailer.WithOnRead(e.fleet.RecordRead), tailer.WithComplete(e.registry.isSynced), tailer.WithFeedTTL(e.replyTTL), tailer.WithStartDelay(startDelay), tailer.WithMaxRetryInterval(e.maxRetryInterval))
 	e.coordinator = coordinator.New(coordinator.Dependencies{
 		Instance: instance, Machine: s.Instance, Address: s.Control, Seeds: s.Seeds, LinkMbps: s.Link,
-		OrderGap: s.Lease, ColdLoadWindow: s.CeilingWindow, ColdLoadOverage: s.CeilingOverage, LeaseLog: e.store.Leases(), OrderSender: platform.NewOrderClient(sender.NewClient()),
+		OrderGap: s.Lease, ColdLoadWindow: s.CeilingWindow, ColdLoadOverage: s.CeilingOverage, LeaseLog: e.store.Leases(), OrderSender: platform.NewOrderClient(sender.NewClient(), platform.WithReportMemory(e.memory)),
 		Fleet: e.fleet, Suspects: e.suspects, Parts: e.parts, Limits: e.throttler, Accounts: e.allotter, Registry: e.tails.registry, Config: e.tails.config,
 		Table: e.relayer.Table, Clock: clock, Boot: clocker.SystemClock{}, Log: log, Peers: e.peers, Meter: e.metrics, OnMembers: e.updateMembers,
 	})
--- a/serveassembler/serveassembler.go
+++ b/serveassembler/serveassembler.go
@@ -283,7 +283,9 @@
 	i.messages.Handle(kindStatus, i.answerStatus)
 }
 
-func (i *Instance) driver(addr string) driver.Engine { return driver.NewClient(addr, i.http) }
+func (i *Instance) driver(addr string) driver.Engine {
+	return driver.NewClient(addr, i.http, driver.WithMemory(i.memory))
+}
 
 func (i *Instance) checkRules() error {
 	if i.rules.Ready() {
