Addresses: a port that is taken, or an address that is not there yet, is awaited

What callers saw: an instance whose former process still closed, or that started before its machine had the address, ended with code 1, again at each restart.

Cause: the first failure to listen ended the process.

Change: package binder opens the addresses of "entry" and "serve" and tries again for up to 30 s if the port is taken (EADDRINUSE) or no interface has the address (EADDRNOTAVAIL); the reason is logged once. SIGTERM ends the wait with code 0. The port for clients is opened last. The port of the metrics is awaited beside serving.

"serves once the port is free" and "ends with code 0 when it is asked to stop" failed before: "listen for clients: ... bind: address already in use" and "... cannot assign requested address", then "entry: failed".

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -22,6 +22,7 @@
 	"primrosehook/acceptor"
 	"primrosehook/allotter"
 	"primrosehook/balancer"
+	"primrosehook/binder"
 	"primrosehook/clocker"
 	"primrosehook/connector"
 	"primrosehook/coordinator"
@@ -238,18 +239,19 @@
 const assumedInstances = 9
 
 func (e *Entry) serve(ctx context.Context) error {
-	front, err := net.Listen("tcp", e.initial.Front)
+	// Clients come last: a port that is open and has no server yet holds them up.
+	open, err := binder.New(e.clock, e.log).Open(ctx,
+		binder.Address{Name: "peers", Address: e.initial.Control, Config: peerConfig},
+		binder.Address{Name: "readiness checks", Address: e.initial.Ready},
+		binder.Address{Name: "clients", Address: e.initial.Front})
 	if err != nil {
-		return eris.Wrap(err, "listen for clients")
-	}
-	ready, err := net.Listen("tcp", e.initial.Ready)
-	if err != nil {
-		return eris.Wrap(err, "listen for readiness checks")
-	}
-	control, err := listenForPeers(e.initial.Control)
-	if err != nil {
-		return eris.Wrap(err, "listen for peers")
+		if ctx.Err() != nil {
+			e.log.Info("entry: stopped before it served")
+			return nil
+		}
+		return err
 	}
+	control, ready, front := open[0], open[1], open[2]
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clients := acceptor.New("front", machineOf(e.initial).MaxConnections(), e.memory, &e.closedConns, e.clock, e.log)
@@ -288,7 +290,7 @@
 		e.start(func() { e.loopSettings(work) })
 	}
 	if e.initial.Metrics != "" {
-		e.start(func() { e.listenMetrics(metricsServer, readers) })
+		e.start(func() { e.listenMetrics(work, metricsServer, readers) })
 	}
 	e.log.Info("entry: started", zap.String("front", e.initial.Front), zap.String("zone", e.initial.Zone), zap.Stringer("build", upgrader.Current()))
 	if len(e.initial.Unused) > 0 {
@@ -309,12 +311,9 @@
 	return nil
 }
 
-// listenForPeers listens for peers. Keep-alive probes find those that are gone without a
-// word, whose detours would stay open.
-func listenForPeers(address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}}
-	return c.Listen(context.Background(), "tcp", address)
-}
+// peerConfig are the options of the port for peers. Keep-alive probes find those that are gone
+// without a word, whose detours would stay open.
+var peerConfig = net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}}
 
 // start runs a component in a goroutine that serve waits for.
 func (e *Entry) start(run func()) { e.work.Go(run) }
@@ -335,12 +334,12 @@
 
 // listenMetrics serves the metrics. A failure is only logged, since clients can
 // be served without metrics.
-func (e *Entry) listenMetrics(s *http.Server, g *acceptor.Acceptor) {
-	l, err := net.Listen("tcp", e.initial.Metrics)
+func (e *Entry) listenMetrics(ctx context.Context, s *http.Server, g *acceptor.Acceptor) {
+	open, err := binder.New(e.clock, e.log).Open(ctx, binder.Address{Name: "metrics", Address: e.initial.Metrics})
 	if err == nil {
-		err = s.Serve(g.Listen(l))
+		err = s.Serve(g.Listen(open[0]))
 	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
 		e.log.Warn("entry: metrics are not served", zap.Error(err))
 	}
 }
--- a/serveassembler/serveassembler.go
+++ b/serveassembler/serveassembler.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"primrosehook/acceptor"
+	"primrosehook/binder"
 	"primrosehook/configurer"
 	"primrosehook/dispatcher"
 	"primrosehook/driver"
@@ -304,18 +305,19 @@
 // Run serves until the context ends, then finishes the requests in flight. The
 // components behind the server run until the last request has been answered.
 func (i *Instance) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", i.settings.Listen)
+	// Callers come last: a port that is open and has no server yet holds them up.
+	open, err := binder.New(i.clock, i.log).Open(ctx,
+		binder.Address{Name: "peers", Address: i.settings.Peer},
+		binder.Address{Name: "operators", Address: i.settings.Operate},
+		binder.Address{Name: "callers", Address: i.settings.Listen})
 	if err != nil {
-		return eris.Wrap(err, "address for callers")
-	}
-	operators, err := net.Listen("tcp", i.settings.Operate)
-	if err != nil {
-		return eris.Wrap(err, "address for operators")
-	}
-	peers, err := net.Listen("tcp", i.settings.Peer)
-	if err != nil {
-		return eris.Wrap(err, "address for peers")
+		if ctx.Err() != nil {
+			i.log.Info("assembler: stopped before it served")
+			return nil
+		}
+		return err
 	}
+	peers, operators, callers := open[0], open[1], open[2]
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go i.runMessages(parts, peers)
