Settings: missing bounds are assumed instead of ending every start

Cause: all times were required, and numbers were decoded into Go's number types.

Name, addresses and store stay required and are named all at once; so are values of another type.

"list all missing fields in one error" expected drain-ms and lease-ms in the error. They are not required any more; the three tests in its place check the exact list of required fields, that of missing ones, and values of other types.

"serves, and logs what it assumes" failed before: "settings lack [bounds.ceiling-window-s bounds.drain-ms bounds.grace-s bounds.lease-ms bounds.budget-window-s]", exit 2.

--- a/cmd/primrosehook/check.go
+++ b/cmd/primrosehook/check.go
@@ -10,8 +10,9 @@
 
 	"github.com/google/subcommands"
 
+	"primrosehook/assumer"
 	"primrosehook/configurer"
-	"primrosehook/platform"
+
 	"primrosehook/ruler"
 )
 
@@ -83,12 +84,15 @@
 
 // checkSettings validates the settings file that the entry command would load.
 func (c *check) checkSettings() subcommands.ExitStatus {
-	s, err := platform.ReadSettings(c.platform)
+	s, assumed, err := assumer.Read(c.platform)
 	if err != nil {
 		_, _ = fmt.Fprintln(c.errs, err)
 		return subcommands.ExitFailure
 	}
 	_, _ = fmt.Fprintf(c.out, "%s: settings of %s are good\n", c.platform, s.Instance)
+	if len(assumed) > 0 {
+		_, _ = fmt.Fprintf(c.errs, "warning: fields that are missing, with what is assumed: %s\n", strings.Join(assumed, " "))
+	}
 	if len(s.Unused) > 0 {
 		_, _ = fmt.Fprintf(c.errs, "warning: fields that are not used: %s\n", strings.Join(s.Unused, " "))
 	}
--- a/cmd/primrosehook/check_configuration.go
+++ b/cmd/primrosehook/check_configuration.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"primrosehook/assumer"
 	"primrosehook/inspector"
 	"primrosehook/platform"
 )
@@ -31,7 +32,7 @@
 	}
 	var options []inspector.Option
 	if c.platform != "" {
-		s, err := platform.ReadSettings(c.platform)
+		s, _, err := assumer.Read(c.platform)
 		var unreadable *fs.PathError
 		switch {
 		case errors.As(err, &unreadable):
--- a/cmd/primrosehook/entry.go
+++ b/cmd/primrosehook/entry.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"primrosehook/assumer"
 	"primrosehook/entryassembler"
 	"primrosehook/logger"
 	"primrosehook/platform"
@@ -53,7 +54,7 @@
 
 func (e *entry) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	surviveOutput()
-	settings, err := platform.ReadSettings(e.settings)
+	settings, assumed, err := assumer.Read(e.settings)
 	if err != nil {
 		printError(e.errs, err)
 		return subcommands.ExitUsageError
@@ -68,6 +69,9 @@
 	log := logger.New(lines, zapcore.InfoLevel)
 	logger.RedirectStandard(log)
 	tracer.LogErrors(log)
+	if len(assumed) > 0 {
+		log.Warn("entry: settings are missing, defaults are assumed", zap.Strings("assumed", assumed))
+	}
 	e.traces.Instance, e.traces.Zone = settings.Instance, settings.Zone
 	traces, err := tracer.New(ctx, e.traces, e.out)
 	if err != nil {
@@ -77,7 +81,10 @@
 	changed := make(chan os.Signal, 1)
 	signal.Notify(changed, syscall.SIGHUP)
 	defer signal.Stop(changed)
-	read := func() (platform.Settings, error) { return platform.ReadSettings(e.settings) }
+	read := func() (platform.Settings, error) {
+		s, _, err := assumer.Read(e.settings)
+		return s, err
+	}
 	err = entryassembler.Run(ctx, settings, clock, log, entryassembler.WithTracer(traces.Tracer()),
 		entryassembler.WithMetric("log_lines_dropped", lines.Total), entryassembler.WithSettingsSource(entryassembler.SettingsSource{Read: read, Signals: changed}))
 	if err != nil {
--- a/entryassembler/reload.go
+++ b/entryassembler/reload.go
@@ -93,7 +93,7 @@
 		switch name := x.Type().Field(i).Name; name {
 		case "Grace", "Drain", "Memory", "RetryRatio", "RetrySlack":
 			live = append(live, name)
-		case "Unused":
+		case "Unused", "Missing":
 		default:
 			later = append(later, name)
 		}
