Answers: a malformed head is refused before any of it is passed on

A server in trouble answered with a status of 000, or with a field whose name held a blank. Clients got such answers: with the line passed on, or with a body that was not the server's, since a "Content-Length : 4" is none to net/http and the body then is all that follows until the connection ends.

net/http's parser tolerates, merges and joins; what it returns no longer shows what the server sent. Package headchecker checks the raw bytes of heads, interim answers included, in front of the parser and keeps back the end of a head that breaks the grammar or the framing of HTTP/1.1. It holds no copy of a head but of a line that arrives in two reads. Trailers are checked at the end of the body. connector uses it for all connections to servers, direct or through a peer.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -17,38 +17,16 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"primrosehook/headchecker"
 	"primrosehook/resetter"
 )
 
-// headLimiter limits what is read of a connection while a head is awaited.
-type headLimiter struct {
-	source io.Reader
-	// limited is set while a head is awaited, left is how many bytes may be read.
-	limited bool
-	left    int
-}
-
-// Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(p)
-	}
-	if l.left == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.source.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
-var (
-	errHeadTooLarge  = errors.New("the head of the answer is too large")
-	errOtherTooLarge = errors.New("an answer to another request is too large")
-)
+// errOtherTooLarge ends the reading of an answer to another request.
+var errOtherTooLarge = errors.New("an answer to another request is too large")
 
 type connection struct {
 	conn   net.Conn
-	source *headLimiter
+	source *headchecker.Reader
 	reader *bufio.Reader
 	// openedAt is when the connection was opened, idleSince when it last became idle.
 	openedAt  time.Time
@@ -158,9 +136,7 @@
 // readHead reads answers until one matches the request.
 func (c *connection) readHead(method string, matches AnswerMatcher) (*Answer, error) {
 	for range maxAnswerHeads {
-		c.source.limited, c.source.left = true, maxHeadBytes
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		c.source.limited = false
+		r, err := c.readResponse(method)
 		if err != nil {
 			return nil, brokenError(err, false)
 		}
@@ -182,3 +158,20 @@
 	}
 	return nil, brokenError(eris.New("answers to other requests"), false)
 }
+
+// readResponse reads the head of one answer.
+func (c *connection) readResponse(method string) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.source.Await(buffered); err != nil {
+		return nil, err
+	}
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	headchecker.GuardTrailers(r)
+	return r, nil
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sys/unix"
 
 	"primrosehook/confirmer"
+	"primrosehook/headchecker"
 	"primrosehook/judge"
 	"primrosehook/sender"
 )
@@ -59,9 +60,8 @@
 	// requests included, are read for one request before the connection is
 	// closed.
 	maxAnswerHeads = 3
-	// maxHeadBytes bounds the head of an answer, maxOtherBody the body of an answer to
-	// another request, in bytes. Servers in trouble may send either without end.
-	maxHeadBytes = 64 << 10
+	// maxOtherBody bounds the body of an answer to another request, in bytes: servers in
+	// trouble may send one without end.
 	maxOtherBody = 1 << 20
 )
 
@@ -270,7 +270,7 @@
 		return nil, eris.Wrap(err, "dial")
 	}
 	n = confirmer.Wrap(n)
-	source := &headLimiter{source: n}
+	source := headchecker.NewReader(n)
 	return &connection{conn: n, source: source, reader: bufio.NewReaderSize(source, readerBytes), openedAt: p.clock.Now()}, nil
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +16,7 @@
 
 	"primrosehook/balancer"
 	"primrosehook/connector"
+	"primrosehook/headchecker"
 	"primrosehook/judge"
 	"primrosehook/matcher"
 	"primrosehook/reserver"
@@ -352,6 +354,9 @@
 // log record, for the choice of servers and for the search of requests that
 // crash servers. It changes no state of the exchange.
 func (t *attempt) recordFailure() {
+	if reason := headchecker.ReasonOf(cmp.Or(t.err, t.bodyErr)); reason != "" {
+		t.meter.Add(MetricMalformed+reason, 1)
+	}
 	switch {
 	case t.abandoned:
 		t.abandon()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -123,6 +123,8 @@
 	// MetricPassedThrough counts answers that were passed through to the client since there was no
 	// memory for all of them.
 	MetricPassedThrough = "answers_passed_through"
+	// MetricMalformed counts answers of servers that were refused, by their headchecker reason.
+	MetricMalformed = "answers_malformed_"
 	// MetricLeftBeforeSend counts requests whose client had left when they were to be sent,
 	// MetricLeftBeforeSendFor is for how long it was known then.
 	MetricLeftBeforeSend    = "sends_after_client_left"
