Own API and store: answers that net/http's client should not have taken

The clients of the platform's store, of orders and reports, and of the services behind the own API read answers with net/http, which returned status 000, fields whose name holds a blank and a length beside chunks. It also took bytes behind an answer for the answer to the next request, if that request got the connection before the reader had looked at them: of 4,000 requests from 32 goroutines to a server that sends each answer twice, 136 and 175 got another request's answer.

The transport of sender.NewClient checks heads and trailers with headchecker, also for users that do not call sender.Do. Bytes that arrive before the request is written are refused, and so is an answer whose head was not read since. The tracker of Do serves both; other requests get one of their own.

--- a/sender/sender.go
+++ b/sender/sender.go
@@ -26,7 +26,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"primrosehook/confirmer"
+	"primrosehook/headchecker"
 	"primrosehook/judge"
 )
 
@@ -37,7 +37,6 @@
 	keepAliveInterval   = 15 * time.Second
 	maxIdleConns        = 4096
 	maxIdleConnsPerHost = 64
-	maxHeaderBytes      = 64 << 10
 	// bufferSize is the size of each of a connection's two buffers, in bytes. A
 	// token takes about 50 bytes, and an open stream keeps its connection. The
 	// default of net/http is 4 KB each; larger bodies bypass the buffers.
@@ -59,7 +58,7 @@
 func WithMeter(m *Meter) Option { return func(d *dialer) { d.meter = m } }
 
 // NewClient returns a client whose connections count the writes on them, as Do
-// requires. It follows no redirects, because a redirect may turn a write into a
+// requires, and which refuses malformed answers (package headchecker). It follows no redirects, because a redirect may turn a write into a
 // read.
 func NewClient(set ...Option) *http.Client {
 	d := &dialer{base: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}, meter: new(Meter)}
@@ -67,64 +66,22 @@
 		f(d)
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: &strictTransport{base: &http.Transport{
 			DialContext:            d.dial,
 			MaxIdleConns:           maxIdleConns,
 			MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 			IdleConnTimeout:        idleTimeout,
-			MaxResponseHeaderBytes: maxHeaderBytes,
+			MaxResponseHeaderBytes: headchecker.MaxBytes,
 			ReadBufferSize:         bufferSize,
 			WriteBufferSize:        bufferSize,
 			DisableCompression:     true,
-		},
+		}},
 		CheckRedirect: returnRedirect,
 	}
 }
 
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-type dialer struct {
-	base  net.Dialer
-	meter *Meter
-}
-
-func (d *dialer) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := d.base.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: confirmer.Wrap(c), meter: d.meter}, nil
-}
-
-// countingConn is a connection that counts the calls of Write.
-type countingConn struct {
-	net.Conn
-	writes atomic.Int64
-	meter  *Meter
-	// wanted is asked before each write for the request that uses the connection, nil if it
-	// is wanted in any case.
-	wanted atomic.Pointer[func() bool]
-}
-
-// Read implements net.Conn.
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.meter.Received.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn. It counts before it writes, so that an unchanged
-// count after Close means that nothing was written and nothing will be.
-func (c *countingConn) Write(p []byte) (int, error) {
-	if wanted := c.wanted.Load(); wanted != nil && !(*wanted)() {
-		return 0, ErrUnwanted
-	}
-	c.writes.Add(1)
-	n, err := c.Conn.Write(p)
-	c.meter.Sent.Add(int64(n))
-	return n, err
-}
-
 // ErrUnwanted means that nothing more of a request was written, since it was not wanted any more.
 var ErrUnwanted = errors.New("the request is not wanted any more")
 
@@ -155,8 +112,7 @@
 	if wanted, ok := q.Context().Value(wantedKey{}).(func() bool); ok && wanted != nil {
 		w.wanted = &wanted
 	}
-	trace := &httptrace.ClientTrace{GetConn: w.getConn, GotConn: w.gotConn}
-	p, err := client.Do(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
+	p, err := client.Do(q.WithContext(w.watch(q.Context())))
 	if err == nil {
 		return p, nil
 	}
@@ -295,6 +251,15 @@
 	writesBefore int64
 }
 
+// trackerKey is the context key of a request's tracker.
+type trackerKey struct{}
+
+// watch returns a context whose request is tracked.
+func (w *connTracker) watch(ctx context.Context) context.Context {
+	trace := &httptrace.ClientTrace{GetConn: w.getConn, GotConn: w.gotConn}
+	return httptrace.WithClientTrace(context.WithValue(ctx, trackerKey{}, w), trace)
+}
+
 func (w *connTracker) getConn(string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -308,10 +273,23 @@
 	if c, ok := info.Conn.(*countingConn); ok {
 		u.writesBefore = c.writes.Load()
 		c.wanted.Store(w.wanted)
+		c.unsent.Store(true)
 	}
 	w.conns = append(w.conns, u)
 }
 
+// answered reports whether the answer's head is the one that was checked: not one that came
+// behind the answer before.
+func (w *connTracker) answered() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.conns) == 0 {
+		return false
+	}
+	c, ok := w.conns[len(w.conns)-1].conn.(*countingConn)
+	return ok && !c.unsent.Load() && !c.head.Awaiting()
+}
+
 // nothingWritten reports whether it is certain that nothing was written. It
 // closes the connections first, so that no write can follow.
 func (w *connTracker) nothingWritten() bool {
