Streams: charge an event that has arrived in part

What callers saw: an entry instance whose servers sent one event without end on each of their streams held more than its memory, so that the system ended the process and the streams and requests of all others on it.

Cause: an event that is not complete is kept up to 1 MB and its buffer doubles; nothing was charged for it, whatever the number of streams.

Change: above 64 KiB an event is charged to the memory budget. The oldest one always goes on, up to 1 MB. Another one for which there is no memory ends like one that is too large: the stream broke off, and may be resumed at another server. It does not wait, since the server would be taken for silent. Events up to 64 KiB are as before.

New test, 18 servers, 72 clients, 64 MB, on the code before:

An instance whose servers send without end lives within its memory and serves others by sound servers [It] streams of one event [FAILED] peak of memory in MiB Expected <float64>: 84.05859375 to be <= <int>: 64

--- a/crowder/endless_test.go
+++ b/crowder/endless_test.go
@@ -111,6 +111,8 @@
 			n.expectWithinLimits()
 		},
 		Entry("heads", endless{begin: signedHead, repeat: "X: y\r\n"}),
+		Entry("bodies", endless{begin: signedHead + "\r\n", repeat: "x"}),
+		Entry("streams of one event", endless{begin: signedHead + "Content-Type: text/event-stream\r\n\r\n", repeat: "data: x\n"}),
 		Entry("reports of empty models", endless{begin: plainHead + `{"models":[{}`, repeat: ",{}"}),
 		Entry("reports of one name", endless{begin: plainHead + `{"models":[{"name":"`, repeat: "x"}),
 	)
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"primrosehook/connector"
+	"primrosehook/reserver"
 	"primrosehook/streamer"
 )
 
@@ -126,12 +127,17 @@
 	t.creditUsed = true
 	splitter := streamer.NewSplitterAfter(t.meta.LastEvent)
 	buffer := make([]byte, streamReadBytes)
+	event := reserver.NewIncomplete(t.memory)
+	defer event.Release()
 	var err error
 	for {
 		var n int
 		n, err = t.answer.Body.Read(buffer)
 		if n > 0 {
 			out, splitErr := splitter.Push(buffer[:n])
+			if splitErr == nil && !event.Fits(len(splitter.Partial())) {
+				splitErr = reserver.ErrIncomplete
+			}
 			if splitErr != nil {
 				err = splitErr
 				break
