Engines: charge a token that has arrived in part

What callers saw: an instance of the system's own API whose engines answered each request for generation with a line without end held more than its memory, so that the system ended the process.

Cause: a token's line is kept up to 1 MB, in a buffer that doubles, and nothing was charged for it.

Change: above 64 KiB a line is charged as an event of a stream is. One that is not the oldest and does not fit counts as cut, as one of more than 1 MB does.

New entry of the test, 72 clients, 64 MB, on the code before:

An instance whose servers send without end lives within its memory with the system's own API [It] tokens [FAILED] peak of memory in MiB Expected <float64>: 81.22265625 to be <= <int>: 64

--- a/crowder/endless_test.go
+++ b/crowder/endless_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 
+	"primrosehook/driver"
 	"primrosehook/faker"
 	"primrosehook/lister"
 	"primrosehook/platform"
@@ -23,10 +24,18 @@
 )
 
 // endless is a server that answers with bytes that repeat until its caller closes the connection.
-type endless struct{ begin, repeat string }
+// What other answers if it is set: only requests for generation.
+type endless struct {
+	begin, repeat string
+	other         http.Handler
+}
 
 // ServeHTTP implements http.Handler.
 func (e endless) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if e.other != nil && q.URL.Path != "/generate" {
+		e.other.ServeHTTP(w, q)
+		return
+	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -121,6 +130,11 @@
 	DescribeTable("lives within its memory with the system's own API",
 		func(faulty endless) {
 			n := startOwnAPI(program, func(platform string) {
+				engine := faker.NewEngine("faulty", faker.DefaultEngine())
+				engine.Preload(driver.Weights{Model: "tiny"}, 1000)
+				if faulty.other != nil {
+					faulty.other = engine.Handler()
+				}
 				server := httptest.NewServer(faulty)
 				DeferCleanup(server.Close)
 				for i := range faultyServers {
@@ -133,5 +147,6 @@
 		},
 		Entry("reports of empty weights", endless{begin: plainHead + `{"residents":[{}`, repeat: ",{}"}),
 		Entry("reports of one name", endless{begin: plainHead + `{"residents":[{"model":"`, repeat: "x"}),
+		Entry("tokens", endless{begin: plainHead + `{"offset":0,"text":"`, repeat: "x", other: http.NotFoundHandler()}),
 	)
 })
--- a/driver/client.go
+++ b/driver/client.go
@@ -165,5 +165,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream{ctx: ctx, client: c, id: id, body: p.Body}, nil
+	return &stream{ctx: ctx, client: c, id: id, body: p.Body, line: reserver.NewIncomplete(c.memory)}, nil
 }
--- a/driver/stream.go
+++ b/driver/stream.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/sender"
 )
 
@@ -39,6 +40,8 @@
 	// done with.
 	buffer   []byte
 	consumed int
+	// line is the memory of a line that has arrived in part.
+	line *reserver.Incomplete
 	// bytesRead counts the bytes received; readErr is the error after which no
 	// more arrive.
 	bytesRead int
@@ -76,6 +79,10 @@
 		s.readErr = errTooLong
 		return
 	}
+	if !s.line.Fits(len(s.buffer)) {
+		s.readErr = reserver.ErrIncomplete
+		return
+	}
 	if len(s.buffer) == cap(s.buffer) {
 		s.buffer = slices.Grow(s.buffer, max(initialBufferBytes, len(s.buffer)))
 	}
@@ -124,6 +131,7 @@
 		return nil
 	}
 	s.closed = true
+	s.line.Release()
 	unwanted := !s.cut || s.ctx.Err() != nil
 	if !s.finished && unwanted {
 		go s.runCancel()
