--- a/cmd/primrosehook/check.go
+++ b/cmd/primrosehook/check.go
@@ -12,7 +12,6 @@
 
 	"primrosehook/assumer"
 	"primrosehook/configurer"
-
 	"primrosehook/ruler"
 )
 
