Cold loads: a lease holder with a late configuration counts those of the holder before

What servers saw: up to 21 loads from the weight store in a window that allows 14, if a lease holder is replaced and the next one gets its configuration after the lease, as it does when the store comes back in between.

Cause: the loads of earlier holders were counted at the start of the term, for the services of the configuration; without one there were none to count, and nothing was counted later.

Change: they are counted at the first plan of each service in the term.

--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -82,6 +82,10 @@
 	predictions predictions
 	// unanswered is the last order to a server, by its ID, that has got no reply.
 	unanswered map[string]unansweredOrder
+	// formerLoadsAt is when an earlier holder last may have sent an order, zero if there was none.
+	// formerCounted has the services whose loads by earlier holders are counted in this term.
+	formerLoadsAt time.Time
+	formerCounted map[string]bool
 	// former are the orders of earlier holders. planned is set once this term has planned.
 	former  formerOrders
 	planned bool
@@ -92,8 +96,7 @@
 }
 
 // startTerm ends the executions of an earlier term of this instance, drops the state that they
-// assumed, and counts the loads that other lease holders may have started, the last of them when it
-// last may have sent an order. Loads of this instance go on to count.
+// assumed. Loads of this instance go on to count.
 func (r *reconciler) startTerm(h Handover) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -103,24 +106,28 @@
 	}
 	clear(r.servers)
 	r.adoptLateOrders(h)
-	table := r.Table()
-	if table == nil || !h.HadHolder {
+	r.formerLoadsAt, r.formerCounted = time.Time{}, map[string]bool{}
+	if h.HadHolder {
+		r.formerLoadsAt = r.Clock.Now().Add(-h.Elapsed)
+	}
+}
+
+// countFormerLoads counts the loads of a service that earlier lease holders may have started, the
+// last of them when they last may have sent an order. That is done at the first plan of the service
+// in each term, since the configuration may arrive after the lease was taken. r.mu must be held.
+func (r *reconciler) countFormerLoads(name string, e *matcher.Engine) {
+	if r.formerLoadsAt.IsZero() || r.formerCounted[name] {
 		return
 	}
-	lastOrder := r.Clock.Now().Add(-h.Elapsed)
-	for name, s := range table.Services {
-		if s.Engine == nil {
-			continue
-		}
-		c := r.coldLoadCounter(name)
-		limit := coldLoadLimit(s.Engine, r.ColdLoadWindow, r.ColdLoadOverage)
-		late := unansweredLoadLimit(limit)
-		for range late {
-			c.Add(lastOrder.Add(lateOrderWindow))
-		}
-		for range limit - late {
-			c.Add(lastOrder)
-		}
+	r.formerCounted[name] = true
+	c := r.coldLoadCounter(name)
+	limit := coldLoadLimit(e, r.ColdLoadWindow, r.ColdLoadOverage)
+	late := unansweredLoadLimit(limit)
+	for range late {
+		c.Add(r.formerLoadsAt.Add(lateOrderWindow))
+	}
+	for range limit - late {
+		c.Add(r.formerLoadsAt)
 	}
 }
 
@@ -184,6 +191,7 @@
 		if service.Engine == nil {
 			continue
 		}
+		r.countFormerLoads(name, service.Engine)
 		demand, waiting, builds := r.cluster.serviceDemand(name)
 		if table.HasAccounts() {
 			growth := r.cluster.growingDemand(name, service.Engine)
--- a/coordinator/world_machine_test.go
+++ b/coordinator/world_machine_test.go
@@ -90,12 +90,18 @@
 func (w *world) start(machine string, number int) *worldInstance {
 	clock := clockwork.NewRealClock()
 	table := &matcher.Table{Services: map[string]matcher.Service{"llm": {Engine: w.engine}}}
+	configAt := time.Now().Add(w.configDelay)
 	i := &worldInstance{fleet: balancer.NewFleet("z", 1, clock)}
 	stream := tailer.New("stream", &countingSource{}, discard{}, clock, zap.NewNop())
 	c := coordinator.New(coordinator.Dependencies{
 		Instance: fmt.Sprint(machine, "-", number), Machine: machine, Address: "127.0.0.1:" + machine, OrderGap: time.Second, ColdLoadWindow: worldWindow, ColdLoadOverage: worldOverage,
 		LeaseLog: machineLog{w.log, machine}, OrderSender: w, Fleet: i.fleet, Suspects: quarantiner.NewGuard(clock, quarantiner.DefaultOptions()),
-		Registry: stream, Config: stream, Meter: discard{}, Table: func() *matcher.Table { return table }, Clock: clock, Boot: bootClock{},
+		Registry: stream, Config: stream, Meter: discard{}, Table: func() *matcher.Table {
+			if time.Now().Before(configAt) {
+				return nil
+			}
+			return table
+		}, Clock: clock, Boot: bootClock{},
 		Log: zap.NewNop(), Peers: messenger.NewClient(clock), OnMembers: func([]string) {},
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -95,6 +95,8 @@
 	// firstOrders are when each term's first order was accepted, since the kill before.
 	killedAt    time.Time
 	firstOrders []time.Duration
+	// configDelay is how long after its start an instance gets its configuration.
+	configDelay time.Duration
 }
 
 func newWorld(size worldSize, seed uint64) *world {
