Store: the newest records of a large registry are read from a slow store

What callers would see: no server is ever known, and all requests are refused, on deployments whose registry has several pages, while the store answers slowly.

Cause: one timeout of 1.2 s for all pages; each try began with the first one.

Change: the timeout is that of each page, 20 s bound all of them.

--- a/entryassembler/entryassembler_test.go
+++ b/entryassembler/entryassembler_test.go
@@ -58,6 +58,11 @@
 	controls []string
 	// seeded makes the instances that are started earlier the seeds of each.
 	seeded bool
+	// fixed are the addresses for peers of all instances, each a seed of all; link is their links' speed.
+	fixed []string
+	link  float64
+	// rejects makes the store reject a call of an instance with 503.
+	rejects func(i int, q *http.Request) bool
 }
 
 const config = `{"version":%d,"routes":[
@@ -101,6 +106,10 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
+		if g.rejects != nil && g.rejects(i, q) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		g.metadata.ServeHTTP(w, q)
 	}))
 	DeferCleanup(store.Close)
@@ -109,6 +118,10 @@
 		Memory: 284, Descriptors: 4100, Grace: 3 * time.Second, Drain: 2 * time.Second, Lease: 300 * time.Millisecond,
 		RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, CeilingWindow: 5 * time.Second, CeilingOverage: 1.1,
 	}
+	s.Link = g.link
+	if g.fixed != nil {
+		s.Control, s.Seeds = g.fixed[i], slices.Clone(g.fixed)
+	}
 	if g.seeded {
 		s.Seeds = slices.Clone(g.controls)
 	}
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -25,7 +25,8 @@
 
 // Source reads a stream.
 type Source interface {
-	// Newest returns the newest record of each key, and where to read on.
+	// Newest returns the newest record of each key, and where to read on. It limits the time of
+	// each of its calls.
 	Newest(ctx context.Context) ([]Record, int64, error)
 	// Read returns the records from an offset on, and where to read on. If
 	// there are none it waits for one, for at most the time given.
@@ -45,6 +46,8 @@
 	// waits for records: a slow store replies in some 250 ms, and a silent
 	// connection never does.
 	callTimeout = 1200 * time.Millisecond
+	// newestTimeout is the timeout of a read of the newest records, which may take many calls.
+	newestTimeout = 20 * time.Second
 	// minRetryInterval and maxRetryInterval bound the pause after a failed
 	// call, unless WithMaxRetryInterval sets another upper bound.
 	minRetryInterval = 100 * time.Millisecond
@@ -256,9 +259,13 @@
 // readOnce reads the newest records if the stream has not been read yet, and new
 // records otherwise.
 func (t *Tailer) readOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, t.wait+callTimeout)
-	defer cancel()
 	from, began := t.Next(), t.clock.Now()
+	timeout := newestTimeout
+	if from != offsetUnread {
+		timeout = t.wait + callTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if from != offsetUnread {
 		list, end, err := t.source.Read(ctx, from, t.readWait())
 		if err != nil {
