Configuration: fetched from seeds while no lease holder has named the members

An instance that the store rejects, beside peers with a configuration that is too large for a reply, had nobody to fetch it from until there was a lease holder: members are known from its replies only. It asks the seeds then.

"gets the configuration from its peers, link 0" failed before (instance 2 not ready within 12 s); with a link of 1,000 Mbit/s it passed.

--- a/coordinator/config_fetch.go
+++ b/coordinator/config_fetch.go
@@ -84,7 +84,12 @@
 // fetchConfig fetches the newest configuration from a peer that has a newer one
 // than this instance.
 func (c *Coordinator) fetchConfig(ctx context.Context) {
-	peers := slices.DeleteFunc(slices.Clone(*c.peerAddresses.Load()), func(a string) bool { return a == c.Address })
+	known := *c.peerAddresses.Load()
+	if len(known) == 0 {
+		// No lease holder has named the members yet.
+		known = c.Seeds
+	}
+	peers := slices.DeleteFunc(slices.Clone(known), func(a string) bool { return a == c.Address })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, address := range peers[:min(maxConfigPeers, len(peers))] {
 		record, version, err := c.fetchConfigFrom(ctx, address)
