Sender: heads are counted, not awaited

What callers saw: nothing outside tests; sound answers of the own API's upstreams and of the store could be refused as early when the next request had the connection before the answer was returned.

Cause: the check asked whether a head was still awaited on the connection, which the next request sets again.

Change: an answer is refused if fewer heads than requests have been checked on its connection. The spec with 4,000 concurrent requests checks that none of them fails.

--- a/headchecker/headchecker.go
+++ b/headchecker/headchecker.go
@@ -60,8 +60,9 @@
 	source io.Reader
 
 	mu sync.Mutex
-	// awaiting is set until a head that is awaited is complete.
+	// awaiting is set until a head that is awaited is complete, heads counts those that are.
 	awaiting bool
+	heads    int64
 	head     head
 	err      error
 }
@@ -79,11 +80,11 @@
 	return r.check(buffered)
 }
 
-// Awaiting reports whether a head is awaited that is not complete.
-func (r *Reader) Awaiting() bool {
+// Heads returns how many heads have been checked to their end.
+func (r *Reader) Heads() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.awaiting
+	return r.heads
 }
 
 // Read implements io.Reader. Of bytes that complete a malformed head it passes on none.
@@ -109,6 +110,7 @@
 	}
 	if complete {
 		r.awaiting, r.head.partial = false, nil
+		r.heads++
 	}
 	return nil
 }
--- a/sender/malformed_test.go
+++ b/sender/malformed_test.go
@@ -53,6 +53,21 @@
 		return string(body), err
 	}
 
+	// concurrently calls send some thousand times, 32 at a time.
+	concurrently := func(send func(n int)) {
+		var senders sync.WaitGroup
+		var next atomic.Int64
+		for range 32 {
+			senders.Go(func() {
+				defer GinkgoRecover()
+				for n := next.Add(1); n < 4000; n = next.Add(1) {
+					send(int(n))
+				}
+			})
+		}
+		senders.Wait()
+	}
+
 	// Guards against answers that net/http's client returns although they say something else
 	// than it reads, or nothing that it could return.
 	DescribeTable("is an error, and the request may have run",
@@ -95,20 +110,32 @@
 			}
 		})
 		client := sender.NewClient()
-		var senders sync.WaitGroup
-		var next, wrong atomic.Int64
-		for range 32 {
-			senders.Go(func() {
-				defer GinkgoRecover()
-				for n := next.Add(1); n < 4000; n = next.Add(1) {
-					path := strconv.Itoa(int(1000 + n))
-					if body, err := fetch(client, http.MethodPost, url+"/"+path); err == nil && body != path {
-						wrong.Add(1)
-					}
-				}
-			})
-		}
-		senders.Wait()
+		var wrong atomic.Int64
+		concurrently(func(n int) {
+			path := strconv.Itoa(1000 + n)
+			if body, err := fetch(client, http.MethodPost, url+"/"+path); err == nil && body != path {
+				wrong.Add(1)
+			}
+		})
 		Expect(wrong.Load()).To(BeZero())
 	})
+
+	// Guards against refusing an answer without a body, whose connection the next request may get
+	// before the answer has been returned.
+	It("is none that has no body", func() {
+		url := serve(func(c net.Conn, r *bufio.Reader) {
+			for q, err := http.ReadRequest(r); err == nil; q, err = http.ReadRequest(r) {
+				_, _ = io.Copy(io.Discard, q.Body)
+				_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+			}
+		})
+		client := sender.NewClient()
+		var failed atomic.Int64
+		concurrently(func(int) {
+			if _, err := fetch(client, http.MethodPost, url); err != nil {
+				failed.Add(1)
+			}
+		})
+		Expect(failed.Load()).To(BeZero())
+	})
 })
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -249,6 +249,8 @@
 type trackedConn struct {
 	conn         net.Conn
 	writesBefore int64
+	// number is the request's number on the connection, from one.
+	number int64
 }
 
 // trackerKey is the context key of a request's tracker.
@@ -273,21 +275,22 @@
 	if c, ok := info.Conn.(*countingConn); ok {
 		u.writesBefore = c.writes.Load()
 		c.wanted.Store(w.wanted)
-		c.unsent.Store(true)
+		u.number = c.begin()
 	}
 	w.conns = append(w.conns, u)
 }
 
-// answered reports whether the answer's head is the one that was checked: not one that came
-// behind the answer before.
+// answered reports whether the request's answer is one whose head was checked: not bytes that
+// came behind the answer before. The connection may already be another request's.
 func (w *connTracker) answered() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.conns) == 0 {
 		return false
 	}
-	c, ok := w.conns[len(w.conns)-1].conn.(*countingConn)
-	return ok && !c.unsent.Load() && !c.head.Awaiting()
+	u := w.conns[len(w.conns)-1]
+	c, ok := u.conn.(*countingConn)
+	return ok && c.head.Heads() >= u.number
 }
 
 // nothingWritten reports whether it is certain that nothing was written. It
--- a/sender/transport.go
+++ b/sender/transport.go
@@ -61,10 +61,18 @@
 	// is wanted in any case.
 	wanted atomic.Pointer[func() bool]
 	head   *headchecker.Reader
+	// requests counts the requests that got the connection.
+	requests atomic.Int64
 	// unsent is set from when a request gets the connection until it begins to be written.
 	unsent atomic.Bool
 }
 
+// begin counts a request that gets the connection, and returns its number.
+func (c *countingConn) begin() int64 {
+	c.unsent.Store(true)
+	return c.requests.Add(1)
+}
+
 // Read implements net.Conn. Bytes that arrive before the request is written are no answer to it.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.head.Read(p)
@@ -82,6 +90,10 @@
 		return 0, ErrUnwanted
 	}
 	if c.unsent.Load() {
+		// The answer before was not one to the request before.
+		if c.head.Heads() != c.requests.Load()-1 {
+			return 0, &headchecker.Error{Reason: headchecker.ReasonEarly}
+		}
 		if err := c.head.Await(nil); err != nil {
 			return 0, err
 		}
