SIGHUP: ignored before Go's runtime starts

What callers saw: instances that got SIGHUP in their first milliseconds ended.

Cause: main ignores the signal, and the initialization of the runtime and of the packages comes before main.

Change: a constructor in package ignorer, which the C library's loader calls, ignores it. Go's runtime does not install a handler for an ignored SIGHUP until the subcommand entry asks for the signal. Builds without cgo stay as they were.

--- a/cmd/primrosehook/main.go
+++ b/cmd/primrosehook/main.go
@@ -12,11 +12,14 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	_ "primrosehook/ignorer"
 )
 
 func main() {
 	// By default SIGHUP terminates the process. It means "reload the settings" to the
-	// entry command only, and may arrive before that command has subscribed to it.
+	// entry command only, and may arrive before that command has subscribed to it. Builds
+	// without cgo do not ignore it before this line.
 	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	result := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
