Own API: bound what answers of the log and of the instance list take

What callers saw: an instance of the system's own API whose log service sent bytes without end took more than its memory, so that the system ended the process.

Cause: 64 MB of an answer of the log and 16 MB of the list were read, decoded into several times as much, and not charged.

Change: both are decoded by weigher, charged and within 4 MiB. A list may have 131,072 values, several thousand instances; an answer of the log 8 for each record that was asked for. Records that are too large together are read in a smaller number, down to one, which always fits.

--- a/crowder/endless_test.go
+++ b/crowder/endless_test.go
@@ -153,7 +153,7 @@
 					read.ServeHTTP(w, q)
 				}
 			}
-			n.storeFault.Store((*http.HandlerFunc)(&fault))
+			n.platformFault.Store((*http.HandlerFunc)(&fault))
 			time.Sleep(askFor)
 			n.expectServed("small", 100)
 			n.expectWithinLimits()
@@ -164,6 +164,28 @@
 		Entry("empty keyed records", http.NotFoundHandler(), endless{begin: plainHead + strings.Repeat("\x00", 16), repeat: "\x00\x00\x00\x01\x00"}),
 	)
 
+	// Guards against a process that answers of a list or a log in trouble take over its memory.
+	DescribeTable("lives within its memory and serves others with the system's own API",
+		func(path string, faulty endless) {
+			n := startOwnAPI(program, nil)
+			fault := func(w http.ResponseWriter, q *http.Request) {
+				if strings.HasPrefix(q.URL.Path, path) {
+					faulty.ServeHTTP(w, q)
+					return
+				}
+				n.platform.ServeHTTP(w, q)
+			}
+			n.platformFault.Store((*http.HandlerFunc)(&fault))
+			time.Sleep(askFor)
+			n.expectServed("small", 100)
+			n.expectWithinLimits()
+		},
+		Entry("lists of empty instances", "/instances", endless{begin: plainHead + `{"instances":[{}`, repeat: ",{}"}),
+		Entry("lists of one name", "/instances", endless{begin: plainHead + `{"instances":[{"name":"`, repeat: "x"}),
+		Entry("logs of empty records", "/streams/", endless{begin: plainHead + `{"records":[{}`, repeat: ",{}"}),
+		Entry("logs of one record", "/streams/", endless{begin: plainHead + `{"records":[{"data":"`, repeat: "x"}),
+	)
+
 	// Guards against a process that reports and tokens of engines in trouble take over its memory.
 	DescribeTable("lives within its memory with the system's own API",
 		func(faulty endless) {
--- a/crowder/instance_test.go
+++ b/crowder/instance_test.go
@@ -68,10 +68,11 @@
 	served  int
 	engine  *faker.ModelServer
 	records *faker.MetadataStore
-	// storeFault answers calls to the store if it is set.
-	storeFault atomic.Pointer[http.HandlerFunc]
-	process    *exec.Cmd
-	exited     chan struct{}
+	// platform answers calls to the platform, platformFault in its place if it is set.
+	platform      http.Handler
+	platformFault atomic.Pointer[http.HandlerFunc]
+	process       *exec.Cmd
+	exited        chan struct{}
 }
 
 // maxBodyOf returns the limit of bodies of an instance with a memory in MB: that of the sites
@@ -104,8 +105,8 @@
 // maxDescriptors if there are any, and waits until it is ready.
 func startInstance(program, dir string, memory int, descriptors ...int) *instance {
 	records := faker.NewMetadataStore()
-	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/form/1", readyPath: "/-/readiness", served: http.StatusOK, records: records}
-	store := httptest.NewServer(http.HandlerFunc(n.answerStore))
+	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/form/1", readyPath: "/-/readiness", served: http.StatusOK, records: records, platform: records}
+	store := httptest.NewServer(http.HandlerFunc(n.answerPlatform))
 	DeferCleanup(store.Close)
 	records.Put(platform.TopicOperator, platform.KeyConfig, fmt.Appendf(nil, configuration, maxBodyOf(memory)))
 	engine := faker.NewModelServer("i-0")
@@ -122,13 +123,13 @@
 	return n
 }
 
-// answerStore answers a call to the store.
-func (n *instance) answerStore(w http.ResponseWriter, q *http.Request) {
-	if fault := n.storeFault.Load(); fault != nil {
+// answerPlatform answers a call to the platform.
+func (n *instance) answerPlatform(w http.ResponseWriter, q *http.Request) {
+	if fault := n.platformFault.Load(); fault != nil {
 		(*fault)(w, q)
 		return
 	}
-	n.records.ServeHTTP(w, q)
+	n.platform.ServeHTTP(w, q)
 }
 
 // start starts the process, which is killed at the end of the test.
--- a/crowder/own_api_test.go
+++ b/crowder/own_api_test.go
@@ -37,7 +37,9 @@
 func startOwnAPI(program string, prepare func(platform string), more ...string) *instance {
 	records := faker.NewLog(faker.LogSettings{})
 	list := faker.NewList(faker.ListSettings{})
-	platform := httptest.NewServer(faker.Platform{Log: records, List: list, Store: faker.NewStore(faker.StoreSettings{})}.Handler())
+	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/services/form/form/1", readyPath: "/readyz", served: http.StatusCreated}
+	n.platform = faker.Platform{Log: records, List: list, Store: faker.NewStore(faker.StoreSettings{})}.Handler()
+	platform := httptest.NewServer(http.HandlerFunc(n.answerPlatform))
 	DeferCleanup(platform.Close)
 	engine := faker.NewEngine("engine", faker.DefaultEngine())
 	engine.Preload(driver.Weights{Model: "tiny"}, 1000)
@@ -47,7 +49,6 @@
 	if prepare != nil {
 		prepare(platform.URL)
 	}
-	n := &instance{front: freeAddress(), ready: freeAddress(), control: freeAddress(), path: "/services/form/form/1", readyPath: "/readyz", served: http.StatusCreated}
 	args := append([]string{
 		"-c", `ulimit -n "$1"; shift; exec "$@"`, "sh", strconv.Itoa(maxDescriptors), program, "serve",
 		"-listen", n.front, "-operate", n.ready, "-peer", n.control, "-list", platform.URL, "-log", platform.URL, "-store", platform.URL,
--- a/follower/options.go
+++ b/follower/options.go
@@ -21,9 +21,8 @@
 	readTimeoutMargin      = 2 * time.Second
 	defaultRetryInterval   = 200 * time.Millisecond
 	defaultSnapshotRecords = 20_000
-	// maxReadRecords times the size of the largest record, in base64, must
-	// stay below the largest reply that the log's client accepts; otherwise a
-	// sequence of large records could never be read.
+	// maxReadRecords bounds the records of a read. The log's client reads fewer
+	// if they are too large together.
 	maxReadRecords = 32
 	// snapshotChecksPerInterval is how often per snapshot interval the age of
 	// the newest snapshot is checked.
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -14,7 +14,9 @@
 	"sync"
 
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/sender"
+	"primrosehook/weigher"
 )
 
 // The kinds of instances.
@@ -30,8 +32,8 @@
 	StateLeaving = "leaving"
 )
 
-// maxListBytes limits the size of the list.
-const maxListBytes = 16 << 20
+// listLimits bound the list: several thousand instances.
+var listLimits = weigher.Limits{Bytes: 4 << 20, Values: 128 << 10}
 
 // Instance is one entry of the instance list.
 type Instance struct {
@@ -69,17 +71,28 @@
 // 383 upstreams of a region would otherwise cost about 90 KB per second for
 // each instance that reads the list.
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	memory *reserver.Reserver
 
 	mu       sync.Mutex
 	tag      string
 	lastList []Instance
 }
 
+// Option sets one option of a client.
+type Option func(*Client)
+
+// WithMemory sets the budget that lists are charged to while they are decoded.
+func WithMemory(m *reserver.Reserver) Option { return func(c *Client) { c.memory = m } }
+
 // NewClient returns a client of the list at a base URL.
-func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: base, http: client}
+func NewClient(base string, client *http.Client, set ...Option) *Client {
+	c := &Client{base: base, http: client}
+	for _, f := range set {
+		f(c)
+	}
+	return c
 }
 
 // Instances implements List.
@@ -87,19 +100,16 @@
 	c.mu.Lock()
 	tag, last := c.tag, c.lastList
 	c.mu.Unlock()
-	body, fresh, err := c.do(ctx, http.MethodGet, "/instances", tag, nil)
+	var answer struct {
+		Instances []Instance `json:"instances"`
+	}
+	fresh, err := c.do(ctx, http.MethodGet, "/instances", tag, nil, &answer)
 	if err != nil {
 		return nil, err
 	}
 	if fresh == tag && tag != "" {
 		return slices.Clone(last), nil
 	}
-	var answer struct {
-		Instances []Instance `json:"instances"`
-	}
-	if err := json.Unmarshal(body, &answer); err != nil {
-		return nil, judge.Unknown("list", "instance list is malformed", err)
-	}
 	c.mu.Lock()
 	c.tag, c.lastList = fresh, answer.Instances
 	c.mu.Unlock()
@@ -112,44 +122,46 @@
 	if err != nil {
 		return judge.Invalid("encode", "instance cannot be encoded")
 	}
-	_, _, err = c.do(ctx, http.MethodPut, "/instances/"+url.PathEscape(instance.Name), "", body)
+	_, err = c.do(ctx, http.MethodPut, "/instances/"+url.PathEscape(instance.Name), "", body, nil)
 	return err
 }
 
 // Withdraw implements List.
 func (c *Client) Withdraw(ctx context.Context, name string) error {
-	_, _, err := c.do(ctx, http.MethodDelete, "/instances/"+url.PathEscape(name), "", nil)
+	_, err := c.do(ctx, http.MethodDelete, "/instances/"+url.PathEscape(name), "", nil, nil)
 	return err
 }
 
-// do sends a request and returns the body of the response and its entity tag.
-// If the tag is still the given one, it returns that tag and no body.
-func (c *Client) do(ctx context.Context, method, path, tag string, body []byte) ([]byte, string, error) {
+// do sends a request, decodes the body of the response, unless into is nil, and returns its entity
+// tag. If the tag is still the given one, it returns that tag and decodes nothing.
+func (c *Client) do(ctx context.Context, method, path, tag string, body []byte, into any) (string, error) {
 	q, err := http.NewRequestWithContext(ctx, method, c.base+path, bodyReader(body))
 	if err != nil {
-		return nil, "", judge.Invalid("list", "instance list address is malformed")
+		return "", judge.Invalid("list", "instance list address is malformed")
 	}
 	if tag != "" {
 		q.Header.Set("If-None-Match", tag)
 	}
 	p, err := sender.Do(c.http, q, "list", "instance list was not reached or gave no answer")
 	if err != nil {
-		return nil, "", err
+		return "", err
 	}
 	defer func() { _ = p.Body.Close() }()
 	if p.StatusCode == http.StatusNotModified && tag != "" {
-		return nil, tag, nil
+		return tag, nil
 	}
 	if p.StatusCode >= http.StatusMultipleChoices {
 		r := sender.Refusal(p, "list", fmt.Sprintf("instance list answered status %d", p.StatusCode))
 		r.Status = http.StatusServiceUnavailable
-		return nil, "", r
+		return "", r
 	}
-	answer, err := io.ReadAll(io.LimitReader(p.Body, maxListBytes))
-	if err != nil {
-		return nil, "", judge.Unknown("list", "instance list answer was cut", err)
+	if into == nil {
+		return "", nil
+	}
+	if err := weigher.DecodeWhole(ctx, p.Body, listLimits, c.memory, into); err != nil {
+		return "", judge.Unknown("list", "instance list answer was cut or is malformed", err)
 	}
-	return answer, p.Header.Get("ETag"), nil
+	return p.Header.Get("ETag"), nil
 }
 
 func bodyReader(body []byte) io.Reader {
--- a/recorder/client.go
+++ b/recorder/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,25 +14,40 @@
 	"github.com/rotisserie/eris"
 
 	"primrosehook/judge"
+	"primrosehook/reserver"
 	"primrosehook/sender"
+	"primrosehook/weigher"
 )
 
 // Limits of an answer, in bytes.
 const (
-	maxReadAnswer   = 64 << 20
+	// maxReadAnswer has room for two records of the largest size, recordValues for the values of one.
+	maxReadAnswer   = 4 << 20
+	recordValues    = 8
 	maxAppendAnswer = 1 << 10
 )
 
 // Client calls the log service over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	memory *reserver.Reserver
 }
 
+// Option sets one option of a client.
+type Option func(*Client)
+
+// WithMemory sets the budget that answers are charged to while they are decoded.
+func WithMemory(m *reserver.Reserver) Option { return func(c *Client) { c.memory = m } }
+
 // NewClient returns a client of the log service at a base URL such as
 // "http://127.0.0.1:7000".
-func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: base, http: client}
+func NewClient(base string, client *http.Client, set ...Option) *Client {
+	c := &Client{base: base, http: client}
+	for _, f := range set {
+		f(c)
+	}
+	return c
 }
 
 // Append implements Log.
@@ -68,8 +84,21 @@
 	return r
 }
 
-// Read implements Log.
+// Read implements Log. If the records are too large together it reads fewer.
 func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Batch, error) {
+	for {
+		batch, err := c.readOnce(ctx, stream, from, limit, wait)
+		if !errors.Is(err, weigher.ErrTooLarge) || limit <= 1 {
+			return batch, err
+		}
+		limit = max(limit/fewerRecords, 1)
+	}
+}
+
+// fewerRecords divides the number of records that are read once they are too large together.
+const fewerRecords = 8
+
+func (c *Client) readOnce(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Batch, error) {
 	target := fmt.Sprintf("%s/streams/%s/records?from=%d&max=%d&wait=%d",
 		c.base, url.PathEscape(stream), from, limit, wait.Milliseconds())
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
@@ -85,7 +114,8 @@
 		return Batch{}, refusalOf(p)
 	}
 	var batch Batch
-	if err := json.NewDecoder(io.LimitReader(p.Body, maxReadAnswer)).Decode(&batch); err != nil {
+	limits := weigher.Limits{Bytes: maxReadAnswer, Values: recordValues * (limit + 1)}
+	if err := weigher.Decode(ctx, p.Body, limits, c.memory, &batch); err != nil {
 		return Batch{}, eris.Wrap(err, "log read answer was cut")
 	}
 	return batch, nil
--- a/recorder/client_test.go
+++ b/recorder/client_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -93,6 +97,20 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against a sequence of records, each within its limit, that can never be read.
+	It("reads fewer records if they are too large together", func(ctx context.Context) {
+		one := `{"offset":0,"data":"` + base64.StdEncoding.EncodeToString(make([]byte, 1<<20)) + `"}`
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			limit, _ := strconv.Atoi(q.FormValue("max"))
+			_, _ = fmt.Fprintf(w, `{"first":0,"next":32,"records":[%s%s]}`, one, strings.Repeat(","+one, limit-1))
+		}))
+		DeferCleanup(s.Close)
+		batch, err := recorder.NewClient(s.URL, sender.NewClient()).Read(ctx, "s", 0, 32, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.Records).To(HaveLen(1))
+		Expect(batch.Records[0].Data).To(HaveLen(1 << 20))
+	})
+
 	It("fails on a refusal", func(ctx context.Context) {
 		client, _ := start(&fakeLog{status: http.StatusServiceUnavailable})
 		_, err := client.Read(ctx, "a", 0, 10, time.Second)
--- a/serveassembler/serveassembler.go
+++ b/serveassembler/serveassembler.go
@@ -126,8 +126,8 @@
 	i.http = sender.NewClient()
 	i.http.Transport = &tracer.Transport{Base: i.http.Transport}
 	i.platform = sender.NewClient(sender.WithMeter(&i.meter))
-	i.instanceList = lister.NewClient(s.List, i.platform)
-	i.recordLog = recorder.NewClient(s.Log, i.platform)
+	i.instanceList = lister.NewClient(s.List, i.platform, lister.WithMemory(i.memory))
+	i.recordLog = recorder.NewClient(s.Log, i.platform, recorder.WithMemory(i.memory))
 	i.buildPeers()
 	i.buildWriter()
 	i.buildJobs()
--- a/weigher/weigher.go
+++ b/weigher/weigher.go
@@ -34,18 +34,40 @@
 	ErrTooLarge = errors.New("text is too large")
 	ErrTooMany  = errors.New("text has too many values")
 	ErrMemory   = errors.New("no memory for the text")
+	ErrMore     = errors.New("text has more than one value")
 )
 
 // Decode decodes the first JSON value of a text. What it takes is charged to a budget as an answer, in
 // turn, until Decode returns; nil charges nothing. A text that does not fit until the context ends is
 // not decoded.
 func Decode(ctx context.Context, text io.Reader, limits Limits, memory *reserver.Reserver, into any) error {
+	_, err := decode(ctx, text, limits, memory, into)
+	return err
+}
+
+// DecodeWhole is Decode for a text that must have no more than one value.
+func DecodeWhole(ctx context.Context, text io.Reader, limits Limits, memory *reserver.Reserver, into any) error {
+	d, err := decode(ctx, text, limits, memory, into)
+	if err != nil {
+		return err
+	}
+	if _, err = d.Token(); err == nil {
+		return ErrMore
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+func decode(ctx context.Context, text io.Reader, limits Limits, memory *reserver.Reserver, into any) (*json.Decoder, error) {
 	r := &reader{ctx: ctx, text: text, left: limits.Bytes, maxValues: limits.Values}
 	if memory != nil {
 		r.held, _ = memory.Acquire(reserver.Answer, 0) // nothing always fits
 		defer r.held.Release()
 	}
-	return json.NewDecoder(r).Decode(into)
+	d := json.NewDecoder(r)
+	return d, d.Decode(into)
 }
 
 // Check returns an error if a text exceeds limits.
--- a/weigher/weigher_test.go
+++ b/weigher/weigher_test.go
@@ -55,6 +55,9 @@
 		var into struct{ List []struct{ Name string } }
 		text := &endless{rest: `{"list":[{"name":"a,b:c[{\\"},{"name":"d"}]}`, repeat: "x"}
 		Expect(weigher.Decode(context.Background(), text, limits, nil, &into)).To(Succeed())
+		Expect(weigher.DecodeWhole(context.Background(), &endless{rest: "{}", repeat: "x"}, limits, nil, &into)).NotTo(Succeed())
+		Expect(weigher.DecodeWhole(context.Background(), &endless{rest: "{}", repeat: "{}"}, limits, nil, &into)).To(MatchError(weigher.ErrMore))
+		Expect(weigher.DecodeWhole(context.Background(), strings.NewReader("{} \n"), limits, nil, &into)).To(Succeed())
 		Expect(into.List).To(HaveLen(2))
 		Expect(into.List[0].Name).To(Equal(`a,b:c[{\`))
 	})
