Messages: deep nesting does not exhaust the stack

Cause: the check of a message's lengths, and the decoder, skip values by recursion.

Change: framer checks a value without recursion, by a bounded stack of counts, and refuses more than 100 levels; our own messages have some ten. Entries of leases, which are read from the store, are checked in the same way.

"rejects values that are nested too deeply" failed before: 101 levels were decoded. A property compares what is accepted with what the library can skip. The process of an instance, before: exit 2 at 8 MB; now the connection is closed.

--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -13,6 +13,7 @@
 
 	"primrosehook/allotter"
 	"primrosehook/clocker"
+	"primrosehook/framer"
 	"primrosehook/leaser"
 	"primrosehook/replayer"
 	"primrosehook/tailer"
@@ -285,7 +286,7 @@
 	}
 	for _, r := range list {
 		var e Entry
-		if err := msgpack.Unmarshal(r.Value, &e); err != nil {
+		if err := framer.Decode(r.Value, &e); err != nil {
 			// Counts as a holder that never renews, so the claim waits for its term
 			// to expire.
 			l.logger.Warn("lease: entry can't be read", zap.Int64("offset", r.Offset), zap.Error(err))
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -5,7 +5,6 @@
 package framer
 
 import (
-	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -121,10 +120,10 @@
 
 // Decode decodes untrusted msgpack. The library allocates memory for any
 // announced length: eight bytes that announce a slice of 2^28 elements cost 4
-// GB. Skipping the value first detects every length that exceeds the data, and
-// allocates at most a megabyte.
+// GB. The value is checked first: no length exceeds the data, and arrays and maps are not
+// nested deeper than maxDepth.
 func Decode(data []byte, v any) error {
-	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
+	if !check(data) {
 		return ErrBody
 	}
 	return msgpack.Unmarshal(data, v)
