Answers: charge large heads

What callers saw: instances whose servers answered every request with a head of many fields and then a body that came slowly held several times their memory, so that the system ended the processes; and with them the requests to all other servers. The same for heads without end, while they are read.

Cause: a head is limited to 64 KiB of bytes, which says little of what it takes: as fields with names of a few bytes it is over a megabyte once it is parsed, which is held until the answer ends, for each request in flight. Nothing was charged.

Change: what is read for the head of an answer is weighed while it arrives, by its bytes and lines. A head for which there is no memory breaks the attempt, as one that is too large does.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -25,9 +25,10 @@
 var errOtherTooLarge = errors.New("an answer to another request is too large")
 
 type connection struct {
-	conn   net.Conn
-	source *headchecker.Reader
-	reader *bufio.Reader
+	conn    net.Conn
+	weigher *headWeigher
+	source  *headchecker.Reader
+	reader  *bufio.Reader
 	// openedAt is when the connection was opened, idleSince when it last became idle.
 	openedAt  time.Time
 	idleSince time.Time
@@ -106,6 +107,7 @@
 		c.bodyWritten = make(chan struct{})
 		go c.runBodyWrite(q)
 	}
+	c.weigher.begin(q.GrowHead)
 	return c.readHead(q.Method, matches)
 }
 
@@ -168,6 +170,8 @@
 	if err := c.source.Await(buffered); err != nil {
 		return nil, err
 	}
+	c.weigher.awaiting = true
+	defer func() { c.weigher.awaiting = false }()
 	r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -81,7 +81,10 @@
 	// Wanted, if set, is asked right before each write. Once it reports false, nothing more is
 	// written.
 	Wanted func() bool
-	Body   []byte
+	// GrowHead, if set, is asked before more bytes are held for the head of the answer, once it is a
+	// large one. If it reports false, the answer is not read. The bytes are free once the answer is closed.
+	GrowHead func(n int64) bool
+	Body     []byte
 	// OpenedBefore allows only connections that were opened before a time, zero for any:
 	// their peer is the process that took connections then.
 	OpenedBefore time.Time
@@ -270,8 +273,9 @@
 		return nil, eris.Wrap(err, "dial")
 	}
 	n = confirmer.Wrap(n)
-	source := headchecker.NewReader(n)
-	return &connection{conn: n, source: source, reader: bufio.NewReaderSize(source, readerBytes), openedAt: p.clock.Now()}, nil
+	weigher := &headWeigher{source: n}
+	source := headchecker.NewReader(weigher)
+	return &connection{conn: n, weigher: weigher, source: source, reader: bufio.NewReaderSize(source, readerBytes), openedAt: p.clock.Now()}, nil
 }
 
 // DirectDialer opens TCP connections.
--- a/crowder/endless_test.go
+++ b/crowder/endless_test.go
@@ -24,9 +24,10 @@
 )
 
 // endless is a server that answers with bytes that repeat until its caller closes the connection.
-// What other answers if it is set: only requests for generation.
+// What other answers if it is set: only requests for generation. With a pause it sends slowly.
 type endless struct {
 	begin, repeat string
+	pause         time.Duration
 	other         http.Handler
 }
 
@@ -41,11 +42,24 @@
 		return
 	}
 	defer conn.Close()
-	piece := strings.Repeat(e.repeat, 1+(32<<10)/len(e.repeat))
+	piece := e.repeat
+	if e.pause == 0 {
+		piece = strings.Repeat(piece, 1+(32<<10)/len(piece))
+	}
 	begin := strings.NewReplacer("ID", q.Header.Get("Primrosehook-Request-Id"), "NAME", q.Header.Get("Primrosehook-Expect-Instance"))
 	for _, err = begin.WriteString(conn, e.begin); err == nil; {
 		_, err = fmt.Fprint(conn, piece)
+		time.Sleep(e.pause)
+	}
+}
+
+// manyFields returns the fields of a head, with names of a few bytes, just within its limit.
+func manyFields() string {
+	var fields strings.Builder
+	for i := 0; fields.Len() < 62<<10; i++ {
+		_, _ = fmt.Fprintf(&fields, "%x:\r\n", i)
 	}
+	return fields.String()
 }
 
 // plainHead begins an answer, signedHead one to a request.
@@ -135,6 +149,7 @@
 			n.expectWithinLimits()
 		},
 		Entry("heads", endless{begin: signedHead, repeat: "X: y\r\n"}),
+		Entry("heads of many fields, and bodies slowly", endless{begin: signedHead + "Content-Type: text/event-stream\r\n" + manyFields() + "\r\n", repeat: ":", pause: 100 * time.Millisecond}),
 		Entry("bodies", endless{begin: signedHead + "\r\n", repeat: "x"}),
 		Entry("streams of one event", endless{begin: signedHead + "Content-Type: text/event-stream\r\n\r\n", repeat: "data: x\n"}),
 		Entry("reports of empty models", endless{begin: plainHead + `{"models":[{}`, repeat: ",{}"}),
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -68,8 +68,8 @@
 	// answerBody is its beginning then, afterBody what was read behind that.
 	passes    bool
 	afterBody []byte
-	// answerHeld is the memory of answerBody.
-	answerHeld *reserver.Reservation
+	// answerHeld is the memory of answerBody, headHeld that of a large head.
+	answerHeld, headHeld *reserver.Reservation
 	// awaitsMemory is set while the answer is not read since it waits for memory, memoryCame is when
 	// it last had waited, nil if it never has.
 	awaitsMemory atomic.Bool
@@ -101,6 +101,7 @@
 	t.turn, x.turn = x.turn, nil
 	t.attemptContext, t.cancel = context.WithCancel(x.context)
 	t.attemptContext, t.span = x.tracer.Start(t.attemptContext, "attempt")
+	t.headHeld, _ = t.memory.Acquire(reserver.Answer, 0) // nothing always fits
 	return t
 }
 
@@ -113,6 +114,7 @@
 	t.pass.End(false)
 	t.turn.End(t.broken)
 	t.answerHeld.Release()
+	t.headHeld.Release()
 	t.span.End()
 }
 
@@ -132,6 +134,7 @@
 		LateHeader:   func() http.Header { return t.codec.TimeLeftHeader(t.deadline.Sub(t.clock.Now())) },
 		Proceed:      t.proceed,
 		Wanted:       t.wanted,
+		GrowHead:     t.headHeld.Grow,
 		OpenedBefore: t.assignment.OpenedBefore(),
 	}, t.ownsAnswer)
 	if t.err != nil {
