Registry: a position is passed on only together with the removals before it

What callers saw: 502 and slow answers from instances that went on sending to a server that had left for good. An instance was such a one if the store rejected it while the lease holder restarted and the server left; or if the removal was deleted from the registry's stream before the instance that feeds it had read it. One that started later was given the server by the others, which had dropped it.

Cause: an instance that reads the newest record of each key learns what is registered, not what was removed since others last read. It passed on its position all the same, and they read on behind the removals. Nor did it drop the records of the keys that were gone, which it passed on to instances without a position. The same held for removals that it dropped when there were too many.

Change: an instance knows from which position on its records are complete. Keys that it misses in a read of the newest records count as removed just before that read. The first feed of an instance replaces, too, since it has all records.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -97,10 +97,14 @@
 	droppedOverlays int
 	// records are the newest registry records by key, all of them of the same era of
 	// the store.
-	records  map[string]tailer.Record
-	era      int64
-	servers  []registrar.Server
-	linkMbps float64
+	records map[string]tailer.Record
+	era     int64
+	// completeFrom is the position from which on records are complete: an instance that has everything
+	// before a lower one may know servers whose removals are not among them. It is noPosition while
+	// there is none.
+	completeFrom int64
+	servers      []registrar.Server
+	linkMbps     float64
 	// configRecord is the newest configuration, configVersion its version, noConfig if there is
 	// none.
 	configRecord  tailer.Record
@@ -114,7 +118,7 @@
 func newClusterState(clock clockwork.Clock, linkMbps float64) *clusterState {
 	return &clusterState{
 		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, totalPaces: map[string]balancer.Pace{}, demand: map[demandKey]*demandRates{}, holdings: map[string]*holding{}, requestedAt: map[modelKey]time.Time{},
-		records: map[string]tailer.Record{}, configVersion: noConfig, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
+		records: map[string]tailer.Record{}, configVersion: noConfig, completeFrom: noPosition, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
 	}
 }
 
@@ -240,12 +244,7 @@
 	if c.addressesDigest != r.Members {
 		out.Members = c.addresses
 	}
-	for _, x := range c.records {
-		if x.Offset >= r.Registry {
-			out.Registry = append(out.Registry, x)
-		}
-	}
-	slices.SortFunc(out.Registry, func(a, b tailer.Record) int { return int(a.Offset - b.Offset) })
+	out.Registry, out.RegistryWhole = c.recordsFrom(r.Registry)
 	switch {
 	case r.Config >= c.configVersion:
 	case len(c.configRecord.Value) > c.maxConfigBytes(r):
@@ -308,41 +307,6 @@
 	}
 }
 
-// updateRegistry applies new registry records and the servers that result.
-func (c *clusterState) updateRegistry(list []tailer.Record, servers []registrar.Server) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, x := range list {
-		c.startEra(x.Offset)
-		if old, ok := c.records[x.Key]; !ok || x.Offset > old.Offset {
-			c.records[x.Key] = x
-		}
-	}
-	if len(c.records) > maxRemovals+len(servers) {
-		maps.DeleteFunc(c.records, func(_ string, x tailer.Record) bool { return x.Value == nil })
-	}
-	c.recordStarts(c.clock.Now(), servers)
-	c.seen.update(c.clock.Now(), servers)
-	c.servers = servers
-	if len(list) > 0 {
-		c.triggerPlan()
-	}
-}
-
-// startEra drops the records of earlier eras when one of a new era arrives. c.mu must
-// be held.
-func (c *clusterState) startEra(position int64) {
-	era, _ := tailer.SplitPosition(position)
-	if era <= c.era {
-		return
-	}
-	c.era = era
-	maps.DeleteFunc(c.records, func(_ string, x tailer.Record) bool {
-		recordEra, _ := tailer.SplitPosition(x.Offset)
-		return recordEra < era
-	})
-}
-
 func (c *clusterState) updateConfig(x tailer.Record, version int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -137,6 +137,9 @@
 	Registry      []tailer.Record `msgpack:"r"`
 	Next          int64           `msgpack:"x"`
 	RegistryFresh bool            `msgpack:"rf"`
+	// RegistryWhole is set if Registry has the newest record of each key and replaces all that the
+	// instance has: the sender's removals do not reach back to the report's offset.
+	RegistryWhole bool `msgpack:"rw,omitempty"`
 	// RegistryAge is the time since the read of the registry began whose records the
 	// sender has, zero if it does not say.
 	RegistryAge time.Duration `msgpack:"ra"`
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -215,6 +215,12 @@
 	return max(minRetryLimit, time.Duration(c.Instances())*retryLimitPerInstance)
 }
 
+// ReplaceRecords applies the newest registry record of each key, which were read up to the position
+// next. UpdateRegistry follows with the servers that result.
+func (c *Coordinator) ReplaceRecords(list []tailer.Record, next int64) {
+	c.cluster.replaceRecords(list, next)
+}
+
 // UpdateRegistry applies new registry records and the servers that result.
 func (c *Coordinator) UpdateRegistry(list []tailer.Record, servers []registrar.Server) {
 	c.cluster.updateRegistry(list, servers)
@@ -423,7 +429,11 @@
 
 // feedRegistry applies the registry of a reply to a report that was sent at a time.
 func (c *Coordinator) feedRegistry(r Reply, sent time.Time) {
-	c.Registry.Feed(r.Registry, r.Next, r.RegistryFresh)
+	if r.RegistryWhole {
+		c.Registry.FeedWhole(r.Registry, r.Next, r.RegistryFresh)
+	} else {
+		c.Registry.Feed(r.Registry, r.Next, r.RegistryFresh)
+	}
 	if r.RegistryFresh && r.RegistryAge > 0 {
 		c.Registry.RecordPeerRead(sent.Add(-r.RegistryAge))
 	}
--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -204,7 +204,7 @@
 	})
 	e.exposeMetrics(o.values)
 	e.config.onConfig = e.coordinator.UpdateConfig
-	e.registry.onRecords = e.updateRegistry
+	e.registry.onFull, e.registry.onRecords = e.coordinator.ReplaceRecords, e.updateRegistry
 	return e
 }
 
--- a/entryassembler/sinks.go
+++ b/entryassembler/sinks.go
@@ -53,7 +53,9 @@
 	fleet *balancer.Fleet
 	clock clockwork.Clock
 	log   *zap.Logger
-	// onRecords is called with the records read and the resulting servers.
+	// onFull is called with the newest record of each key, and onRecords with the records read and the
+	// resulting servers.
+	onFull    func(list []tailer.Record, next int64)
 	onRecords func(list []tailer.Record, servers []registrar.Server)
 
 	mu   sync.Mutex
@@ -96,6 +98,7 @@
 		r.applyRecord(now, x)
 	}
 	r.core.Retain(now, present, next)
+	r.onFull(list, next)
 	r.publish(now, list)
 }
 
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -353,13 +353,26 @@
 
 // Feed applies records that a peer has read, up to the offset next. fresh is set
 // if the peer reads the store at its usual pace; this instance then need not.
-func (t *Tailer) Feed(list []Record, next int64, fresh bool) {
+func (t *Tailer) Feed(list []Record, next int64, fresh bool) { t.feed(list, next, fresh, false) }
+
+// FeedWhole is Feed with the newest record of each key, where Feed has those from this instance's
+// position on.
+func (t *Tailer) FeedWhole(list []Record, next int64, fresh bool) { t.feed(list, next, fresh, true) }
+
+func (t *Tailer) feed(list []Record, next int64, fresh, whole bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.begun {
+		// An instance without a position is sent all records.
+		whole = true
+	}
+	whole = whole && next > t.next && (t.complete() || len(list) > 0)
 	oldEra, _ := SplitPosition(t.next)
-	if era, _ := SplitPosition(next); t.next != offsetUnread && era > oldEra {
-		// In a new era the peer passes on all records, since their positions are
-		// higher than all of the era before.
+	era, _ := SplitPosition(next)
+	// In a new era the peer passes on all records, since their positions are
+	// higher than all of the era before.
+	if whole || t.next != offsetUnread && era > oldEra {
+		t.logBegin("peer", len(list), next)
 		t.sink.Full(list, next)
 		t.next, list = next, nil
 	}
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -210,6 +210,21 @@
 		Expect(t.Next()).To(Equal(tailer.Position(1, 2)))
 	})
 
+	// Guards against keeping what the records that a peer passes on no longer have, and against a
+	// peer that is behind.
+	It("replaces all that it has by a peer's whole stream, and only by a newer one", func() {
+		start()
+		before, _ := dst.counts()
+		next := t.Next()
+		t.FeedWhole([]tailer.Record{{Offset: 0, Key: "a"}}, next, false)
+		fulls, _ := dst.counts()
+		Expect(fulls).To(Equal(before))
+		t.FeedWhole([]tailer.Record{{Offset: 0, Key: "a"}}, next+1, false)
+		fulls, _ = dst.counts()
+		Expect(fulls).To(Equal(before + 1))
+		Expect(t.Next()).To(Equal(next + 1))
+	})
+
 	Describe("whose sink lacks what it must have", func() {
 		var complete atomic.Bool
 		BeforeEach(func() {
--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -66,7 +66,7 @@
 		},
 		"exchange reply": coordinator.Reply{
 			HoldsLease: true, Fence: 5, Instances: 9, Members: []string{"10.1.0.38:7380"}, InFlight: inFlight,
-			Registry: []tailer.Record{record}, Next: 42, RegistryFresh: true, RegistryAge: time.Second, ConfigFresh: true,
+			Registry: []tailer.Record{record}, Next: 42, RegistryFresh: true, RegistryWhole: true, RegistryAge: time.Second, ConfigFresh: true,
 			Config: []tailer.Record{record}, ConfigNext: 43, ConfigInStore: true,
 			Overlays: []balancer.Overlay{{Server: "s1", Incarnation: "s1-a", Key: "m0", Loaded: true}}, Overlay: 13, Suspects: []quarantiner.Suspect{suspect},
 			Parts: quarantiner.PartReply{
