Limits: threads take less data and address space

What callers saw: under load an instance ended with exit code 2 at a limit of 284 MB of data beside 64 cores, at one of 144 MB beside 8, and at 1 GB of address space.

Cause: with cgo each thread has a stack of 8 MB, which counts as data as a whole, and reserves 64 MB of address space for an allocator of its own.

Change: package shrinker, a constructor like that of ignorer, sets stacks of 1 MB and one allocator. Go code uses neither. Other C libraries and builds without cgo stay as they were.

"An instance with limits of its process serves under load" failed before in all three cases: "pthread_create failed: Resource temporarily unavailable" and "runtime: cannot allocate memory".

--- a/cmd/primrosehook/main.go
+++ b/cmd/primrosehook/main.go
@@ -14,6 +14,7 @@
 	"github.com/google/subcommands"
 
 	_ "primrosehook/ignorer"
+	_ "primrosehook/shrinker"
 )
 
 func main() {
