Stand-ins: streams of a given length that echo the request; processes that are not awaited

What a soak of real processes needs. faker.ModelServer calls Ran for each request that begins to run, and its streams have a number of events, a pause between them and the request's body in each, so that a client can tell whose answer it got. launcher.Launch starts a process without waiting for its port, which an instance may be signalled before; Reload sends SIGHUP, Ending describes an end.

--- a/faker/model_server.go
+++ b/faker/model_server.go
@@ -30,6 +30,13 @@
 	Capacity int
 	WorkTime time.Duration
 	Brittle  string
+	// Events is how many events a stream has, three if it is zero, EventGap the pause between two,
+	// and Echo adds the body of the request to each.
+	Events   int
+	EventGap time.Duration
+	Echo     bool
+	// Ran is called with each request that begins to run, nil for none.
+	Ran func(*http.Request)
 
 	mu         sync.Mutex
 	models     map[string][]string
@@ -295,6 +302,9 @@
 		return
 	}
 	defer p.finish()
+	if p.Ran != nil {
+		p.Ran(q)
+	}
 	time.Sleep(p.WorkTime)
 	h.Set("Primrosehook-Server-Signature", p.ID)
 	if model == "" {
@@ -303,10 +313,30 @@
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
+	p.stream(w, q, body)
+}
+
+// stream writes the events from the one after Last-Event-Id on.
+func (p *ModelServer) stream(w http.ResponseWriter, q *http.Request, body []byte) {
+	data := strings.TrimSpace(p.ID + " " + p.Build)
+	if p.Echo {
+		data += " " + string(body)
+	}
+	events := p.Events
+	if events == 0 {
+		events = 3
+	}
 	from := 0
 	_, _ = fmt.Sscan(q.Header.Get("Last-Event-Id"), &from)
-	for i := from; i < 3; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, strings.TrimSpace(p.ID+" "+p.Build))
+	for i := from; i < events; i++ {
+		if i > from && p.EventGap > 0 {
+			select {
+			case <-q.Context().Done():
+				return
+			case <-time.After(p.EventGap):
+			}
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, data)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -61,6 +61,12 @@
 	return p, nil
 }
 
+// Launch starts a program that serves on an address, and does not wait until it does. A file as output
+// is passed to the program itself. The caller ends the process.
+func Launch(addr, path string, env []string, output io.Writer, args ...string) (*Process, error) {
+	return startProcess(addr, path, env, args, output)
+}
+
 func (p *Process) runWait() {
 	p.err = p.cmd.Wait()
 	close(p.done)
@@ -147,6 +153,19 @@
 	}
 }
 
+// Reload asks the process to read its settings again (SIGHUP).
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
+// Ending describes how the process ended, such as "exit status 2". It is empty while it runs.
+func (p *Process) Ending() string {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.String()
+	default:
+		return ""
+	}
+}
+
 func (p *Process) signal(s os.Signal) error {
 	err := p.cmd.Process.Signal(s)
 	if errors.Is(err, os.ErrProcessDone) {
