--- a/cmd/primrosehook/docs_test.go
+++ b/cmd/primrosehook/docs_test.go
@@ -57,7 +57,7 @@
 }
 
 // skippedDirs are directories without output that operators see.
-var skippedDirs = []string{"faker", "launcher", "bencher", "standin", "docs", "testdata"}
+var skippedDirs = []string{"faker", "launcher", "soaker", "bencher", "standin", "docs", "testdata"}
 
 // visitCode calls visit with each syntax node of the program's code, without tests.
 func visitCode(visit func(n ast.Node)) {
