--- a/soaker/client.go
+++ b/soaker/client.go
@@ -245,7 +245,7 @@
 	for _, block := range blocks[:len(blocks)-1] {
 		id, data, _ := strings.Cut(block, "\ndata: ")
 		_, text, _ := strings.Cut(data, " ")
-		if id != fmt.Sprintf("id: %d", x.last+1) || text != x.text {
+		if id != fmt.Sprintf("id: %d", x.last+1) || text != build+" "+x.text {
 			return fmt.Sprintf("event %q follows event %d", block, x.last)
 		}
 		x.last++
--- a/soaker/server.go
+++ b/soaker/server.go
@@ -46,7 +46,7 @@
 	id := fmt.Sprintf("s%d.%d", s.number, s.lifetimes)
 	m := faker.NewModelServer(id, models...)
 	m.LoadTime, m.MaxModels, m.WorkTime = loadTime, roomForModels, workTime
-	m.Events, m.EventGap, m.Echo = events, eventGap, true
+	m.Events, m.EventGap, m.Echo, m.Build = events, eventGap, true, build
 	m.Ran = func(q *http.Request) {
 		name, run := q.Header.Get(headerID), auditor.Run{Server: id, At: s.world.clock.Now()}
 		s.world.record.Change(func() { s.world.record.Runs[name] = append(s.world.record.Runs[name], run) })
--- a/soaker/wire.go
+++ b/soaker/wire.go
@@ -34,6 +34,8 @@
 	// events and eventGap are the length of a stream and the pause between its events.
 	events, eventGap = 10, 30 * time.Millisecond
 	workTime         = 30 * time.Millisecond
+	// build is the version of the servers' software. A stream goes on at servers of the same one only.
+	build = "b1"
 	// roomForModels is how many models fit a server, of the sizes in the configuration.
 	roomForModels = 3
 	loadTime      = 1200 * time.Millisecond
