Soak: a client that comes back after the last event gets an empty answer

Now an answer without a byte is right there. As strict as before otherwise: the last event must have arrived, and no part of another may follow.

--- a/soaker/client.go
+++ b/soaker/client.go
@@ -263,7 +263,10 @@
 	switch {
 	case x.model == "" && body != x.want(p):
 		return fmt.Sprintf("the body ends as complete after %q", body)
-	case x.model != "" && (x.last != events || !strings.HasSuffix(body, "\n\n")):
+	case x.model != "" && body != "" && !strings.HasSuffix(body, "\n\n"):
+		return fmt.Sprintf("the stream ends as complete within the event after %d", x.last)
+	case x.model != "" && x.last != events:
+		// Nothing follows the last event if the client comes back after it.
 		return fmt.Sprintf("the stream ends as complete after event %d of %d", x.last, events)
 	}
 	return ""
