--- a/Makefile
+++ b/Makefile
@@ -31,18 +31,19 @@
 
 # -count=1 bypasses the test cache: some tests start the built programs, which the
 # go tool does not track as inputs, so a cached pass could hide a regression.
-# The tests of memory under many clients run apart from the others, whose load would be theirs.
-APART := /crowder$$
-OTHERS = $(shell go list ./... | grep -v '$(APART)')
+# The tests of memory under many clients and the soak of real processes run apart from the others,
+# whose load would be theirs.
+APART := /(crowder|soaker)$$
+OTHERS = $(shell go list ./... | grep -vE '$(APART)')
 
 test: ## run all tests
-	@failed=0; go test -count=1 $(OTHERS) || failed=1; go test -count=1 ./crowder || failed=1; exit $$failed
+	@failed=0; go test -count=1 $(OTHERS) || failed=1; go test -count=1 -p 1 ./crowder ./soaker || failed=1; exit $$failed
 
 load: ## run both deployments as real processes under load and failures (about four minutes)
 	go run ./scripts/load
 
 race: ## run all tests under the race detector
-	@failed=0; go test -count=1 -race $(OTHERS) || failed=1; go test -count=1 -race ./crowder || failed=1; exit $$failed
+	@failed=0; go test -count=1 -race $(OTHERS) || failed=1; go test -count=1 -race -p 1 ./crowder ./soaker || failed=1; exit $$failed
 
 soak: ## run ten times as many seeded schedules as the tests, from other seeds (minutes)
 	CLAIMER_SEED=$(SOAK) CLAIMER_RUNS=40000 ORDERER_SEED=$(SOAK) ORDERER_RUNS=4000 \
