Panics: a request or a message of a peer does not end the process

What callers saw: nothing so far; no input is known that reaches a panic. A fault in the handler of a peer's message would end each instance that gets the message.

Cause: messages are handled in goroutines that recover nothing. Those of requests were recovered by net/http, without a stack in the log of the right part and without a count.

Change: package recoverer calls both, logs the stack ("recover: panic"), counts in panics_recovered, and fails just that call. A check that takes the handlers' locks follows; if one stays held, the process ends with code 1.

--- a/entryassembler/entryassembler.go
+++ b/entryassembler/entryassembler.go
@@ -35,6 +35,7 @@
 	"primrosehook/pinner"
 	"primrosehook/platform"
 	"primrosehook/quarantiner"
+	"primrosehook/recoverer"
 	"primrosehook/registrar"
 	"primrosehook/relayer"
 	"primrosehook/reserver"
@@ -110,6 +111,7 @@
 	replacements    *registrar.Replacements
 	metrics         *exporter.Registry
 	memory          *reserver.Reserver
+	recoverer       *recoverer.Recoverer
 	closedConns     acceptor.Counts
 	stopping        atomic.Bool
 	work            sync.WaitGroup
@@ -158,6 +160,7 @@
 	log = log.With(zap.String("instance", s.Instance))
 	e := &Entry{initial: s, source: o.settingsSource, clock: clock, log: log, metrics: exporter.New()}
 	e.memory = reserver.New(machineOf(s).Budget(), reserver.WithClock(clock))
+	e.recoverer = recoverer.New(clock, log, e.takeLocks)
 	e.current.Store(&s)
 	e.store = platform.NewStore(s.Store, sender.NewClient(), platform.WithMemory(e.memory))
 	toPeers := []messenger.Option{messenger.WithMaxSilence(time.Second), messenger.WithMemory(e.memory), messenger.WithMaxQueuedBytes(machineOf(s).MaxPeerQueue())}
@@ -257,13 +260,13 @@
 	clients := acceptor.New("front", machineOf(e.initial).MaxConnections(), e.memory, &e.closedConns, e.clock, e.log)
 	checkers := acceptor.New("ready", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
 	clientServer := &http.Server{
-		Handler: acceptor.Handler(http.HandlerFunc(e.front), e.clock), ConnContext: peeker.WithClient, ConnState: acceptor.Observe, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: acceptor.Handler(e.recoverer.Handler(http.HandlerFunc(e.front)), e.clock), ConnContext: peeker.WithClient, ConnState: acceptor.Observe, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: logger.NewStandard(e.log),
 	}
 	checks := e.checkServer(http.HandlerFunc(e.ready))
 	readers := acceptor.New("metrics", maxCheckConnections, reserver.New(checkBudget, reserver.WithClock(e.clock)), &e.closedConns, e.clock, e.log)
 	metricsServer := e.checkServer(e.metrics)
-	messages := messenger.NewServer(e.log, messenger.WithMaxConns(machineOf(e.initial).MaxPeerConnections()), messenger.WithMemory(e.memory), messenger.WithMaxQueuedBytes(machineOf(e.initial).MaxPeerQueue()))
+	messages := messenger.NewServer(e.log, messenger.WithGuard(e.recoverer.Call), messenger.WithMaxConns(machineOf(e.initial).MaxPeerConnections()), messenger.WithMemory(e.memory), messenger.WithMaxQueuedBytes(machineOf(e.initial).MaxPeerQueue()))
 	e.coordinator.Serve(messages)
 	e.pacer.Serve(messages)
 	e.throttler.Serve(messages)
@@ -300,6 +303,8 @@
 	case <-ctx.Done():
 	case err := <-failed:
 		return err
+	case err := <-e.recoverer.Stuck():
+		return err
 	}
 	e.stop(clientServer, gated, clients)
 	cancel()
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -30,6 +30,7 @@
 		"servers_slow":            func() int64 { return int64(e.fleet.SlowServers()) },
 		"server_connections_made": e.fleet.Dials.Count,
 		"memory_bytes":            memoryBytes,
+		"panics_recovered":        e.recoverer.Count,
 		"allot_fraction_permille": func() int64 { return permille(e.allotter.Status().Fraction) },
 		"allot_arbiter_age_ms":    func() int64 { return e.allotter.Status().Age.Milliseconds() },
 		"allot_members":           func() int64 { return int64(e.allotter.Status().Members) },
--- a/entryassembler/readiness.go
+++ b/entryassembler/readiness.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"primrosehook/reserver"
 )
 
 // unreadiness is why an instance is not ready, empty if it is.
@@ -73,3 +75,14 @@
 			zap.Int64("registry_next", e.tails.registry.Next()), zap.Duration("registry_age", e.tails.registry.Age()))
 	}
 }
+
+// takeLocks takes and releases locks that a handler may hold.
+func (e *Entry) takeLocks() {
+	for _, read := range e.values() {
+		read()
+	}
+	for _, kind := range reserver.Kinds() {
+		e.memory.Held(kind)
+	}
+	e.throttler.Retain(func(string) bool { return true })
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -60,6 +60,7 @@
 	concurrentPerConn int
 	conns             int
 	memory            *reserver.Reserver
+	guard             func(kind string, f func()) bool
 }
 
 // Option sets one option of a Client or a Server.
@@ -111,6 +112,12 @@
 // are handled, and those that wait to be written. Without one they are bounded by connection only.
 func WithMemory(m *reserver.Reserver) Option { return func(o *options) { o.memory = m } }
 
+// WithGuard sets what calls the handlers of a Server, by default directly. It reports whether
+// f returned; a message whose handler did not is answered as one that may have run.
+func WithGuard(call func(kind string, f func()) bool) Option {
+	return func(o *options) { o.guard = call }
+}
+
 // WithMaxConns limits the open connections of a Server.
 func WithMaxConns(count int) Option { return func(o *options) { o.conns = count } }
 
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -240,7 +240,13 @@
 		})
 		return
 	}
-	out, err := h.handler(extractTrace(ctx, a.message.Trace), a.message.Body)
+	var out any
+	var err error
+	if !a.conn.server.options.call(a.message.Kind, func() {
+		out, err = h.handler(extractTrace(ctx, a.message.Trace), a.message.Body)
+	}) {
+		err = &judge.Refusal{Verdict: judge.MayHaveRun, Status: http.StatusInternalServerError, Code: "internal", Reason: "the message was not handled to its end"}
+	}
 	if err != nil {
 		a.conn.send(a.message.ID, refusalReply(judge.As(err)))
 		return
@@ -254,3 +260,12 @@
 	}
 	a.conn.send(a.message.ID, reply{Body: body})
 }
+
+// call calls a handler.
+func (o *options) call(kind string, f func()) bool {
+	if o.guard != nil {
+		return o.guard(kind, f)
+	}
+	f()
+	return true
+}
