Lease: a holder that the store gives no records leaves it to one that has them

What callers saw: 503 for models that no server had loaded, on all instances, and an instance that was never ready, as long as the store gave the lease holder no configuration or no registry, although its peers had both.

Cause: the holder feeds all others and nobody feeds it, and it plans from its own configuration and registry. Neither counted in who claims the lease, nor in how long it is kept.

Change: instances that lack one of them claim after all others. A holder that lacks one releases the lease three seconds after an instance first reports that it has both, as at a planned stop, so that the order gap is kept, and does not claim it again for five seconds while it lacks it. If no other instance claims the lease, its time with it doubles up to a minute. While nobody has both the lease stays. The next holder feeds it. Weighed: a holder that takes records from its peers would rely for good on reads that nobody is bound to make; its successor reads the store itself.

The model of the order gap has an entry in which instances leave the lease at random; it passes.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -104,7 +104,9 @@
 	// there is none.
 	completeFrom int64
 	servers      []registrar.Server
-	linkMbps     float64
+	// hasRegistry is set once the registry is known.
+	hasRegistry bool
+	linkMbps    float64
 	// configRecord is the newest configuration, configVersion its version, noConfig if there is
 	// none.
 	configRecord  tailer.Record
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -88,6 +88,12 @@
 	stopping bool
 	// yields delays this instance's claims until after those of others.
 	yields bool
+	// complete reports whether this instance has what a holder needs.
+	complete func() bool
+	// leaving is set while the lease is to be released for another instance. Before claimFrom this
+	// instance then claims it only if it is complete.
+	leaving   bool
+	claimFrom time.Time
 	// retryAt is when the log is called again after a failed call, backoff the
 	// pause before it.
 	retryAt time.Time
@@ -118,7 +124,7 @@
 	settings := leaser.Settings{Term: leaseTerm, Margin: leaseMargin, RankDelay: claimRankDelay}
 	return &Lease{
 		self: self, log: log, boot: boot, clock: clock, logger: logger, orderGap: orderGap, onTerm: onTerm, maxBackoff: maxBackoff,
-		elector: leaser.NewElector(self.Instance, settings),
+		elector: leaser.NewElector(self.Instance, settings), complete: func() bool { return true },
 	}
 }
 
@@ -199,6 +205,9 @@
 		return
 	}
 	switch {
+	case l.takeLeaving():
+		l.leave(ctx)
+		return
 	case l.appendUnconfirmed():
 		l.read(ctx, 0)
 	case !l.isHolder():
@@ -428,9 +437,15 @@
 // claimRank returns this instance's rank among claims, in a different order for
 // each term. The former process of this machine is succeeded at once, since others have to
 // wait for its term and the order gap. Instances that may not send orders yet come after those
-// that may: one that has started knows only that entries are no newer than its first read.
+// that may: one that has started knows only that entries are no newer than its first read. Those
+// that lack the configuration or the registry come last. The rank is negative for an instance that
+// must not claim.
 func (l *Lease) claimRank(now time.Time, last Entry) int {
-	if l.isFormerSelf(last) {
+	complete := l.complete()
+	switch {
+	case !complete && now.Before(l.claimFrom):
+		return -1
+	case l.isFormerSelf(last):
 		return 0
 	}
 	h := fnv.New32a()
@@ -443,6 +458,9 @@
 	if l.yields {
 		rank += 2 * claimRanks
 	}
+	if !complete {
+		rank += 4 * claimRanks
+	}
 	return rank
 }
 
@@ -461,24 +479,12 @@
 	l.mu.Lock()
 	isHolder := l.elector.IsHolder()
 	l.stopping = true
-	e := l.self
-	e.Release, e.Fence = true, l.lastEntry.Fence
-	now := l.boot.Now()
-	e.Clear = l.elector.Valid(now) && !now.Before(l.orderFrom)
-	e.Entitled, e.Late = l.lastEntry.Entitled, l.lastEntry.Late
-	at := l.nextOffset
-	e.Era, _ = tailer.SplitPosition(at)
-	if isHolder {
-		l.elector.Release()
-	}
+	e, at := l.releaseEntry()
 	l.mu.Unlock()
 	if !isHolder {
 		return
 	}
-	if e.updateLate(l.lateOrders) && e.Late != nil {
-		e.Late.Exact = true
-	}
-	if err := l.append(ctx, e, at); err != nil {
+	if err := l.appendRelease(ctx, e, at); err != nil {
 		l.logger.Info("lease: release failed, the term lapses", zap.Error(err))
 	}
 }
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -328,7 +328,7 @@
 	// Instances freeze, some are restarted, and the log becomes unavailable, loses replies and
 	// executes appends late. An instance may send orders only if none of another machine could
 	// within the order gap.
-	DescribeTable("never lets two machines send orders within the order gap", func(restarts bool) {
+	DescribeTable("never lets two machines send orders within the order gap", func(restarts, leaves bool) {
 		for seed := range uint64(200) {
 			random := rand.New(rand.NewPCG(seed, 2))
 			clock = &manualClock{time.Unix(1000, 0)}
@@ -359,6 +359,9 @@
 					if clock.Before(frozenUntil[i]) {
 						continue
 					}
+					if leaves && random.IntN(30) == 0 {
+						l.Leave()
+					}
 					// An instance that was frozen may send orders before its next step.
 					if l.MayOrder() {
 						orders++
@@ -375,7 +378,8 @@
 			Expect(orders).To(BeNumerically(">", 0))
 		}
 	},
-		Entry("that freeze", false),
-		Entry("that freeze and are restarted", true),
+		Entry("that freeze", false, false),
+		Entry("that freeze and are restarted", true, false),
+		Entry("that freeze, are restarted and leave the lease", true, true),
 	)
 })
--- a/coordinator/records.go
+++ b/coordinator/records.go
@@ -41,7 +41,7 @@
 	}
 	c.recordStarts(c.clock.Now(), servers)
 	c.seen.update(c.clock.Now(), servers)
-	c.servers = servers
+	c.servers, c.hasRegistry = servers, true
 	if len(list) > 0 {
 		c.triggerPlan()
 	}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -125,6 +125,8 @@
 	deputyStarts atomic.Bool
 	// holderLost is set while the lease holder does not reply.
 	holderLost bool
+	// completeness tells when a holder without records leaves the lease.
+	completeness completeness
 }
 
 // New returns a coordinator.
@@ -138,7 +140,7 @@
 	c.builds.Store(&map[string]int{})
 	self := Entry{Instance: d.Instance, Machine: d.Machine, Address: d.Address}
 	c.lease = NewLease(self, d.OrderGap, d.LeaseLog, d.Boot, d.Clock, d.Log, c.leaseAcquired, c.MaxRetryInterval)
-	c.lease.entitled = c.entitled
+	c.lease.entitled, c.lease.complete = c.entitled, c.isComplete
 	if d.LinkMbps > 0 && d.LinkMbps < wideLinkMbps {
 		c.lease.Yield()
 	}
@@ -234,6 +236,7 @@
 // leaseAcquired is called at the start of each term of this instance.
 func (c *Coordinator) leaseAcquired(h Handover) {
 	c.cluster.reset()
+	c.completeness.startTerm()
 	if c.Accounts != nil {
 		c.Accounts.BeginTerm(h.HadHolder, h.Entitled)
 	}
@@ -366,6 +369,9 @@
 	default:
 		return Reply{}
 	}
+	if holds {
+		c.leaveIfIncomplete(r)
+	}
 	c.Suspects.Merge(r.Suspects)
 	c.mergeLimits(r.Limits)
 	parts := c.Parts.ServeReport(r.Parts)
