--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -48,7 +48,7 @@
 		{Name: "kill-all", Text: "SIGKILL to all instances, and a start at once", instances: all},
 		{Name: "freeze", Text: "SIGSTOP, and SIGCONT later", instances: one, longest: 3 * time.Second},
 		{Name: "reader-stops", Text: "nobody reads the log for a time", instances: one, longest: 4 * time.Second},
-		{Name: "reader-ends", Text: "the reader of the log closes the pipe", instances: one, known: true, longest: 4 * time.Second},
+		{Name: "reader-ends", Text: "the reader of the log closes the pipe", instances: one, longest: 4 * time.Second},
 		{Name: "server-kill", Text: "server ends without a word, and another one starts at its address", servers: one, longest: 2 * time.Second},
 		{Name: "server-reset", Text: "server resets connections in the middle of answers", servers: one, longest: 2 * time.Second},
 	}
