Usage caps: log and measure what former lease holders may have assigned

The logs showed neither which lease holder could not assign the parts of the caps, nor whether it waited for former assignments or for reports, so that a wait after the loss of all instances looked the same as arbiters that change all the time.

The holder logs the beginning of each term with the part of the caps that is unknown, and each time that it has halved. The gauge allot_unknown_permille shows it.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -71,6 +71,9 @@
 	// calls late.
 	unansweredWait = 600 * time.Millisecond
 	askAgainWait   = 10 * time.Millisecond
+	// unknownLogged is the part of the caps below which what former holders may have assigned is not
+	// logged any more.
+	unknownLogged = 0.01
 	// maxCaches bounds the accounts whose usage at this instance is kept.
 	maxCaches = 4096
 )
@@ -124,8 +127,10 @@
 	term, grace time.Duration
 	window      Window
 
-	mu      sync.Mutex
-	shares  *Shares
+	mu     sync.Mutex
+	shares *Shares
+	// unknown is what was last logged of Shares.Unknown, zero once it is small.
+	unknown float64
 	holding Holding
 	// role grants from what others delegate to this instance, own from its own fraction.
 	role, own *Arbiter
@@ -370,7 +375,10 @@
 func (a *Allotter) BeginTerm(hadHolder bool, former Entitled) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.shares.Begin(a.boot.Now(), hadHolder, former)
+	now := a.boot.Now()
+	a.shares.Begin(now, hadHolder, former)
+	a.unknown = a.shares.Unknown(now)
+	a.log.Info("allot: term begins", zap.Bool("had_holder", hadHolder), zap.Int("former_instances", len(former.Addresses)), zap.Float64("unknown", a.unknown))
 }
 
 // Entitled returns the instances that have an entitlement that this one assigned.
@@ -390,7 +398,22 @@
 	if !holdsLease {
 		return Entitlement{}
 	}
-	return a.shares.Assign(now, address, s.Held, s.Restarted, instances)
+	e := a.shares.Assign(now, address, s.Held, s.Restarted, instances)
+	a.logUnknown(now)
+	return e
+}
+
+// logUnknown logs each time that what former holders may have assigned has halved, and once it is known
+// wholly. a.mu must be held.
+func (a *Allotter) logUnknown(now time.Time) {
+	unknown := a.shares.Unknown(now)
+	if a.unknown == 0 || unknown > a.unknown/2 {
+		return
+	}
+	if a.unknown = unknown; unknown < unknownLogged {
+		a.unknown = 0
+	}
+	a.log.Info("allot: assigned by former holders", zap.Float64("unknown", unknown))
 }
 
 // Status is what operators see of the entitlement and the role of this instance.
@@ -405,6 +428,9 @@
 	// Members is how many instances delegate to this one, Delegated the sum of their fractions.
 	Members   int
 	Delegated float64
+	// Unknown is the part of the caps that this instance can't assign as the lease holder, since former
+	// holders may have.
+	Unknown float64
 }
 
 // Status returns the present status.
@@ -418,6 +444,7 @@
 		s.Age = now.Sub(a.repliedAt)
 	}
 	s.Members, s.Delegated = a.role.Members(now)
+	s.Unknown = a.shares.Unknown(now)
 	return s
 }
 
--- a/allotter/shares.go
+++ b/allotter/shares.go
@@ -71,7 +71,7 @@
 		}
 		s.inherited = min(s.inherited+freed, 1)
 	}
-	assigned := s.unknown(now)
+	assigned := s.Unknown(now)
 	for name, m := range s.members {
 		switch {
 		case name == address:
@@ -99,8 +99,9 @@
 	return e
 }
 
-// unknown returns how much former holders may have assigned to instances that have not reported.
-func (s *Shares) unknown(now time.Time) float64 {
+// Unknown returns how much former holders may have assigned to instances that have not reported. It
+// can't be assigned until they have, or until it has expired.
+func (s *Shares) Unknown(now time.Time) float64 {
 	if !now.Before(s.unknownUntil) {
 		return 0
 	}
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -35,6 +35,7 @@
 		"allot_arbiter_age_ms":    func() int64 { return e.allotter.Status().Age.Milliseconds() },
 		"allot_members":           func() int64 { return int64(e.allotter.Status().Members) },
 		"allot_members_permille":  func() int64 { return permille(e.allotter.Status().Delegated) },
+		"allot_unknown_permille":  func() int64 { return permille(e.allotter.Status().Unknown) },
 	}
 }
 
