Usage caps: a lease holder takes over all parts from the last entry

Cause: a new lease holder counts as in use what former holders have assigned, until the instances report it or a window (8 s) has passed. An instance that has started again reports nothing; what its former process had was taken from the last entry of the lease, which had one number for all: the smallest part. One machine that came while nothing was left had 2.2e-16, so that nothing was freed. The next holder, 11 s later, knew nothing more: the entry did not say that the one before had assigned next to nothing, and the wait began anew. The same held after a store that was away for longer than parts last: instances that had nothing any more did not free what they had had.

Change: an entry names the part of each instance, those included that have not reported to its writer yet. An instance that reports frees what the entry names for it beyond what it holds. An entry is older than the last assignment, so what it names stays reserved until an entry that names less is in the log; this also ends a gap of one renewal in which a restarted instance could free what others had been given. A holder whose lease has ended while a reply waited assigns nothing.

Without the reservation "reserve what the last entry of the lease names" fails.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -264,7 +264,7 @@
 type Statement struct {
 	Held      Entitlement `msgpack:"h"`
 	Delegated Entitlement `msgpack:"d"`
-	// Restarted is set if an earlier process ran at the instance's address.
+	// Restarted is set if an earlier process ran at the instance's address. Builds before formats 6 read it.
 	Restarted bool `msgpack:"r,omitempty"`
 }
 
@@ -370,8 +370,8 @@
 	}
 }
 
-// BeginTerm begins a term of this instance as the lease holder. former are the instances that had
-// an entitlement of the former one.
+// BeginTerm begins a term of this instance as the lease holder. former is what the last entry of the
+// lease says of entitlements.
 func (a *Allotter) BeginTerm(hadHolder bool, former Entitled) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -381,13 +381,20 @@
 	a.log.Info("allot: term begins", zap.Bool("had_holder", hadHolder), zap.Int("former_instances", len(former.Addresses)), zap.Float64("unknown", a.unknown))
 }
 
-// Entitled returns the instances that have an entitlement that this one assigned.
+// Entitled returns the instances that have an entitlement, for an entry of the lease.
 func (a *Allotter) Entitled() Entitled {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.shares.Entitled(a.boot.Now())
 }
 
+// Entered records that an entry of the lease with what Entitled last returned is in the log.
+func (a *Allotter) Entered() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shares.Entered()
+}
+
 // Reported applies the statement of an instance that reports to this one. The lease holder
 // assigns an entitlement, a deputy none.
 func (a *Allotter) Reported(instance, address string, s Statement, holdsLease bool, instances int) Entitlement {
@@ -398,7 +405,7 @@
 	if !holdsLease {
 		return Entitlement{}
 	}
-	e := a.shares.Assign(now, address, s.Held, s.Restarted, instances)
+	e := a.shares.Assign(now, address, s.Held, instances)
 	a.logUnknown(now)
 	return e
 }
@@ -444,7 +451,9 @@
 		s.Age = now.Sub(a.repliedAt)
 	}
 	s.Members, s.Delegated = a.role.Members(now)
-	s.Unknown = a.shares.Unknown(now)
+	if now.Before(a.shares.unlistedUntil) {
+		s.Unknown = a.shares.Unknown(now)
+	}
 	return s
 }
 
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -50,7 +52,27 @@
 		for _, m := range w.nodes {
 			w.start(m)
 		}
+	case 11:
+		if w.up(n) {
+			w.replace(n)
+		}
+	case 12, 13:
+		w.away = event == 12
+	case 14: // all that are up, and the holder after them
+		w.restart()
+	}
+}
+
+// hashOfA is the hash of the address "a" in entries of the lease.
+var hashOfA = uint32(xxhash.Sum64String("a"))
+
+// seedEntries returns a table's entries for the first seeds.
+func seedEntries(n uint64) []TableEntry {
+	var entries []TableEntry
+	for seed := range n {
+		entries = append(entries, Entry(fmt.Sprint("seed ", seed), seed))
 	}
+	return entries
 }
 
 var _ = Describe("The usage cap of an account", func() {
@@ -69,6 +91,9 @@
 					w.step()
 				}
 			}
+			if w.mostHeld > 1+1e-9 {
+				t.Fatalf("the parts of all instances add up to %.6f", w.mostHeld)
+			}
 			if most := w.most(time.Time{}); most > bound(rate, rate) {
 				t.Fatalf("%.0f in a window, %.0f are allowed", most, bound(rate, rate))
 			}
@@ -154,6 +179,43 @@
 		Expect(w.most(time.Time{})).To(BeNumerically("<=", bound(100000, 100000)))
 	})
 
+	// Guards against an incident (SHORT): after the loss of all instances every request was refused for a
+	// window, because one instance had had almost nothing of the caps.
+	DescribeTable("is granted again soon after all instances have started again, whatever parts they had", func(seed uint64) {
+		w := newWorld(seed, 76, 100000, 100000, 55000)
+		w.loseUnevenly()
+		w.run(leaseGap + 1500*time.Millisecond)
+		Expect(w.refusedShare(2 * time.Second)).To(BeNumerically("<", 0.1))
+		Expect(w.most(time.Time{})).To(BeNumerically("<=", bound(100000, 100000)))
+	}, seedEntries(8))
+
+	// Guards against an incident (SHORT): a holder that was lost before its wait was over made the
+	// next one wait for a whole window, with every request refused.
+	DescribeTable("is granted soon after holders that are lost one after the other", func(seed uint64) {
+		w := newWorld(seed, 76, 100000, 100000, 55000)
+		w.loseUnevenly()
+		for range 3 {
+			w.run(leaseGap + 2*time.Second)
+			w.holder, w.nextAt = nil, w.now.Add(leaseGap)
+		}
+		w.run(leaseGap + 1500*time.Millisecond)
+		Expect(w.refusedShare(2 * time.Second)).To(BeNumerically("<", 0.1))
+		Expect(w.most(time.Time{})).To(BeNumerically("<=", bound(100000, 100000)))
+	}, seedEntries(8))
+
+	// Guards against requests that are refused for a window more after the store was away for longer
+	// than entitlements last.
+	DescribeTable("is granted soon after the store has come back", func(seed uint64) {
+		w := newWorld(seed, 76, 100000, 100000, 55000)
+		w.run(10 * time.Second)
+		w.away = true
+		w.run(14 * time.Second)
+		w.away = false
+		w.run(1500 * time.Millisecond)
+		Expect(w.refusedShare(2 * time.Second)).To(BeNumerically("<", 0.1))
+		Expect(w.most(time.Time{})).To(BeNumerically("<=", bound(100000, 100000)))
+	}, seedEntries(4))
+
 	It("that is lowered binds one window later", func() {
 		w := newWorld(4, 80, 100000, 100000, 300000)
 		for range int(12 * time.Second / step) {
@@ -174,29 +236,93 @@
 		now := time.Unix(1000, 0)
 		s := allotter.NewShares(term)
 		s.Begin(now, false, allotter.Entitled{})
-		a := s.Assign(now, "a", allotter.Entitlement{}, false, 1)
+		a := s.Assign(now, "a", allotter.Entitlement{}, 1)
 		Expect(a.Fraction).To(Equal(1.0))
-		Expect(s.Assign(now, "b", allotter.Entitlement{}, false, 2).Fraction).To(BeZero())
-		Expect(s.Assign(now, "a", a, false, 2).Fraction).To(Equal(0.5))
-		Expect(s.Assign(now, "b", allotter.Entitlement{}, false, 2).Fraction).To(BeZero(), "the reply to a may be lost")
-		s.Assign(now, "a", allotter.Entitlement{Fraction: 0.5, Left: term}, false, 2)
-		Expect(s.Assign(now, "b", allotter.Entitlement{}, false, 2).Fraction).To(Equal(0.5))
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(BeZero())
+		Expect(s.Assign(now, "a", a, 2).Fraction).To(Equal(0.5))
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(BeZero(), "the reply to a may be lost")
+		s.Assign(now, "a", allotter.Entitlement{Fraction: 0.5, Left: term}, 2)
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(Equal(0.5))
 	})
 
 	It("of a new holder leave what former ones assigned to those that have not reported", func() {
 		now := time.Unix(1000, 0)
 		s := allotter.NewShares(term)
 		s.Begin(now, true, allotter.Entitled{})
-		Expect(s.Assign(now, "new", allotter.Entitlement{}, false, 4).Fraction).To(BeZero())
-		Expect(s.Assign(now, "old", allotter.Entitlement{Fraction: 0.6, Left: term}, false, 4).Fraction).To(Equal(0.25))
-		Expect(s.Assign(now.Add(term), "new", allotter.Entitlement{}, false, 4).Fraction).To(Equal(0.25))
+		Expect(s.Assign(now, "new", allotter.Entitlement{}, 4).Fraction).To(BeZero())
+		Expect(s.Assign(now, "old", allotter.Entitlement{Fraction: 0.6, Left: term}, 4).Fraction).To(Equal(0.25))
+		Expect(s.Assign(now.Add(term), "new", allotter.Entitlement{}, 4).Fraction).To(Equal(0.25))
+	})
+
+	// Guards against a sum above one after a hand-over: the next holder takes for free what the last
+	// entry says that restarted instances had, so it must not have been assigned to others since.
+	It("reserve what the last entry of the lease names", func() {
+		now := time.Unix(1000, 0)
+		held := func(f float64) allotter.Entitlement { return allotter.Entitlement{Fraction: f, Left: term} }
+		s := allotter.NewShares(term)
+		s.Begin(now, false, allotter.Entitled{})
+		s.Assign(now, "a", allotter.Entitlement{}, 1)
+		first := s.Entitled(now)
+		s.Entered()
+		s.Assign(now, "a", held(1), 2)
+		s.Assign(now, "a", held(0.5), 2)
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(BeZero(), "the entry names a with 1")
+		s.Entitled(now)
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(BeZero(), "the next one may not be in the log")
+		s.Entered()
+		Expect(s.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(Equal(0.5))
+
+		expired := now.Add(term)
+		Expect(s.Assign(expired, "b", held(0.5), 1).Fraction).To(Equal(0.5), "an entry names a with 0.5")
+		s.Entitled(expired)
+		s.Entered()
+		Expect(s.Assign(expired, "b", held(0.5), 1).Fraction).To(Equal(1.0))
+
+		next := allotter.NewShares(term)
+		next.Begin(now, true, first)
+		Expect(next.Assign(now, "a", allotter.Entitlement{}, 2).Fraction).To(Equal(0.5))
+		Expect(next.Assign(now, "b", allotter.Entitlement{}, 2).Fraction).To(BeZero(), "the entry of the term before names a with 1")
+	})
+
+	// Guards against a wait for what the holder before had not assigned either.
+	It("of a holder that follows another one soon are those of the holder before", func() {
+		now := time.Unix(1000, 0)
+		s := allotter.NewShares(term)
+		s.Begin(now, false, allotter.Entitled{})
+		for _, address := range []string{"a", "b", "c", "d", "a"} {
+			s.Assign(now, address, allotter.Entitlement{}, 4)
+		}
+		entry := s.Entitled(now)
+		for range 3 {
+			now = now.Add(term / 2)
+			s = allotter.NewShares(term)
+			s.Begin(now, true, entry)
+			Expect(s.Assign(now, "b", allotter.Entitlement{}, 1).Fraction).To(BeNumerically("~", 0.25, 1e-5))
+			entry = s.Entitled(now)
+		}
+		Expect(s.Assign(now, "a", allotter.Entitlement{}, 4).Fraction).To(BeNumerically("~", 0.25, 1e-5))
+		Expect(s.Unknown(now)).To(BeNumerically("~", 0.5, 1e-4))
 	})
 
+	DescribeTable("take an entry that can't be right for one that names nobody", func(former allotter.Entitled) {
+		now := time.Unix(1000, 0)
+		s := allotter.NewShares(term)
+		s.Begin(now, true, former)
+		Expect(s.Assign(now, "a", allotter.Entitlement{}, 4).Fraction).To(BeZero())
+		Expect(s.Unknown(now)).To(Equal(1.0))
+	},
+		Entry("no part", allotter.Entitled{Addresses: []uint32{hashOfA}}),
+		Entry("a part that is no number", allotter.Entitled{Addresses: []uint32{hashOfA}, Part: math.NaN()}),
+		Entry("fewer fractions than instances", allotter.Entitled{Addresses: []uint32{hashOfA, 1}, Part: 0.1, Parts: []uint32{1 << 17}}),
+		Entry("a sum above one", allotter.Entitled{Addresses: []uint32{hashOfA, 1}, Part: 0.6}),
+		Entry("two instances with the same hash", allotter.Entitled{Addresses: []uint32{hashOfA, hashOfA}, Part: 0.25}),
+	)
+
 	DescribeTable("and arbiters pass over what another build or a faulty one states", func(e allotter.Entitlement) {
 		now := time.Unix(1000, 0)
 		s := allotter.NewShares(term)
 		s.Begin(now, false, allotter.Entitled{})
-		Expect(s.Assign(now, "a", e, false, 4).Fraction).To(Equal(0.25))
+		Expect(s.Assign(now, "a", e, 4).Fraction).To(Equal(0.25))
 		r := allotter.NewArbiter(counted)
 		r.Delegate(now, "a", e)
 		_, sum := r.Members(now)
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -253,10 +253,10 @@
 		now := time.Unix(1000, 0)
 		s := allotter.NewShares(term)
 		s.Begin(now, false, allotter.Entitled{})
-		s.Assign(now, "cut off", allotter.Entitlement{}, false, 2)
+		s.Assign(now, "cut off", allotter.Entitlement{}, 2)
 		s.Begin(now.Add(3*time.Second), false, allotter.Entitled{})
-		Expect(s.Assign(now.Add(3*time.Second), "other", allotter.Entitlement{}, false, 1).Fraction).To(BeZero())
-		Expect(s.Assign(now.Add(11*time.Second), "other", allotter.Entitlement{}, false, 1).Fraction).To(Equal(1.0))
+		Expect(s.Assign(now.Add(3*time.Second), "other", allotter.Entitlement{}, 1).Fraction).To(BeZero())
+		Expect(s.Assign(now.Add(11*time.Second), "other", allotter.Entitlement{}, 1).Fraction).To(Equal(1.0))
 	})
 })
 
--- a/allotter/shares.go
+++ b/allotter/shares.go
@@ -21,91 +21,161 @@
 func (e Entitlement) valid() bool { return e.Fraction >= 0 && e.Fraction <= 1 && e.Left >= 0 }
 
 // Shares assigns entitlements to the instances that report to the lease holder. The fractions
-// that instances may have add up to one at most at any time, whichever replies are lost. It is
-// not safe for concurrent use.
+// that instances may have add up to one at most at any time, whichever replies are lost and whichever
+// holders follow each other. It is not safe for concurrent use.
+//
+// A holder takes over what former ones have assigned from the last entry of the lease. That may be
+// older than the last assignment, so a fraction that an entry names stays reserved for its
+// instance until a later entry that names a lower one is certainly in the log. What the entry does not
+// name may have been assigned to anyone.
 type Shares struct {
 	term    time.Duration
-	members map[string]share
-	// inherited is the sum of the fractions, assigned by former holders, that were reported in
-	// this term, or whose instances have ended. The rest of one may still be in use until
-	// unknownUntil. former are the instances that had one.
-	inherited    float64
-	former       Entitled
-	unknownUntil time.Time
+	members map[string]*share
+	// former are the shares that the entry of the former holder names, by the hash of the address, of
+	// instances that have not reported in this term.
+	former map[uint32]*share
+	// unlisted is what former holders may have assigned beyond their entry to instances that have not
+	// reported. It may be in use until unlistedUntil.
+	unlisted      float64
+	unlistedUntil time.Time
 	// begun is set once a term has begun here.
 	begun bool
 }
 
-// share is what an instance may have at most.
+// share is what is reserved for an instance.
 type share struct {
+	// fraction is what it may have at most, until expires.
 	fraction float64
 	expires  time.Time
+	// entered is the largest fraction that the last entry of the lease may name, entering the one in
+	// the entry that was last composed.
+	entered, entering float64
+}
+
+// reserved returns the fraction that can't be assigned to another instance.
+func (s *share) reserved(now time.Time) float64 {
+	if now.Before(s.expires) {
+		return max(s.fraction, s.entered)
+	}
+	return s.entered
+}
+
+// enter records the fraction that an entry names.
+func (s *share) enter(fraction float64) {
+	s.entered, s.entering = max(s.entered, fraction), fraction
+}
+
+// unused reports whether nothing is reserved, nor will be by an entry that is under way.
+func (s *share) unused(now time.Time) bool {
+	return s.entered == 0 && !now.Before(s.expires)
 }
 
 // NewShares returns shares whose entitlements are valid for a term.
-func NewShares(term time.Duration) *Shares { return &Shares{term: term, members: map[string]share{}} }
+func NewShares(term time.Duration) *Shares {
+	return &Shares{term: term, members: map[string]*share{}, former: map[uint32]*share{}}
+}
 
 // Begin begins a term of this instance as the lease holder. Entitlements that an earlier holder
-// assigned may still be valid, and so may those of an earlier term of this instance; former are the
-// instances that had one as far as it is known.
+// assigned may still be valid, and so may those of an earlier term of this instance; former is what the
+// last entry of the lease says of them.
 func (s *Shares) Begin(now time.Time, hadHolder bool, former Entitled) {
 	clear(s.members)
-	s.inherited, s.former, s.unknownUntil = 0, former, time.Time{}
+	clear(s.former)
+	s.unlisted, s.unlistedUntil = 0, now.Add(s.term)
 	if hadHolder || s.begun {
-		s.unknownUntil = now.Add(s.term)
+		s.unlisted = 1
+		for hash, f := range former.fractions() {
+			s.former[hash] = &share{fraction: f, expires: s.unlistedUntil, entered: f, entering: f}
+			s.unlisted -= f
+		}
 	}
 	s.begun = true
 }
 
 // Assign returns the entitlement of the instance at an address that reports the one that it holds,
 // as one of a number of instances. Earlier processes at that address have ended, and what they held
-// with them; restarted is set if there was one.
-func (s *Shares) Assign(now time.Time, address string, held Entitlement, restarted bool, instances int) Entitlement {
+// with them.
+func (s *Shares) Assign(now time.Time, address string, held Entitlement, instances int) Entitlement {
 	if !held.valid() || held.Left == 0 {
 		held = Entitlement{}
 	}
-	if _, known := s.members[address]; !known {
-		freed := held.Fraction
-		if freed == 0 && restarted {
-			freed = s.former.part(address)
-		}
-		s.inherited = min(s.inherited+freed, 1)
+	own, known := s.members[address]
+	if !known {
+		own = s.takeFormer(addressHash(address))
+		s.unlisted -= max(held.Fraction-own.fraction, 0)
+		s.members[address] = own
 	}
 	assigned := s.Unknown(now)
 	for name, m := range s.members {
 		switch {
-		case name == address:
-		case now.Before(m.expires):
-			assigned += m.fraction
-		default:
+		case m == own:
+		case m.unused(now):
 			delete(s.members, name)
+		default:
+			assigned += m.reserved(now)
 		}
 	}
 	next := max(min(1/float64(max(instances, 1)), 1-assigned), 0)
 	// A lower fraction is in force only once the instance reports it: the reply may be lost.
-	s.members[address] = share{fraction: max(next, held.Fraction), expires: now.Add(s.term)}
+	own.fraction, own.expires = max(next, held.Fraction), now.Add(s.term)
 	return Entitlement{Fraction: next, Left: s.term}
 }
 
-// Entitled returns the instances that have an entitlement of this term.
+// takeFormer removes and returns the share of the former term.
+func (s *Shares) takeFormer(hash uint32) *share {
+	if f, ok := s.former[hash]; ok {
+		delete(s.former, hash)
+		return f
+	}
+	return &share{}
+}
+
+// Entitled returns the instances that have an entitlement, for an entry of the lease. Those that have
+// not reported yet in this term are named with what the entry before says.
 func (s *Shares) Entitled(now time.Time) Entitled {
 	e := Entitled{Part: 1}
-	for address, m := range s.members {
-		if m.fraction > 0 && now.Before(m.expires) {
-			e.Addresses = append(e.Addresses, addressHash(address))
-			e.Part = min(e.Part, m.fraction)
+	enter := func(hash uint32, m *share) {
+		if now.Before(m.expires) && e.add(hash, m.fraction) {
+			m.enter(m.fraction)
+		} else {
+			m.enter(0)
 		}
 	}
+	for address, m := range s.members {
+		enter(addressHash(address), m)
+	}
+	for hash, m := range s.former {
+		enter(hash, m)
+	}
+	e.compact()
 	return e
 }
 
+// Entered records that the entry that was last composed is in the log, and the last one there.
+func (s *Shares) Entered() {
+	for _, m := range s.members {
+		m.entered = m.entering
+	}
+	for _, m := range s.former {
+		m.entered = m.entering
+	}
+}
+
 // Unknown returns how much former holders may have assigned to instances that have not reported. It
 // can't be assigned until they have, or until it has expired.
 func (s *Shares) Unknown(now time.Time) float64 {
-	if !now.Before(s.unknownUntil) {
-		return 0
+	unknown := 0.0
+	if now.Before(s.unlistedUntil) {
+		unknown = max(s.unlisted, 0)
+	}
+	for hash, m := range s.former {
+		if m.unused(now) {
+			delete(s.former, hash)
+			continue
+		}
+		unknown += m.reserved(now)
 	}
-	return 1 - s.inherited
+	return min(unknown, 1)
 }
 
 // transitMargin is the longest time that a report is under way to the arbiter that counts it.
--- a/allotter/world_test.go
+++ b/allotter/world_test.go
@@ -19,8 +19,9 @@
 	deadAfter = 500 * time.Millisecond
 	// memberTTL is how long an instance counts after its last report.
 	memberTTL = 3 * time.Second
-	// renewal is the time between two entries of the lease.
-	renewal = 700 * time.Millisecond
+	// renewal is the time between two entries of the lease, which is valid for leaseTerm after one.
+	renewal   = 700 * time.Millisecond
+	leaseTerm = 3 * time.Second
 	// usage of each request, and the bounds of the pages beside the cap.
 	usage   = 1500.0
 	overage = 0.1
@@ -60,16 +61,23 @@
 	holder *node
 	nextAt time.Time
 	hadOne bool
-	// former is what the holder last wrote of the instances that are entitled.
+	// former is what the last entry of the lease says of the instances that are entitled.
 	former  allotter.Entitled
 	writeAt time.Time
-	pause   time.Duration
-	version int64
-	rate    float64
-	burst   float64
-	demand  float64
-	sent    []time.Time
-	refused int
+	// away is set while the lease's log does not answer. The holder has the lease until validUntil.
+	away       bool
+	validUntil time.Time
+	pause      time.Duration
+	version    int64
+	rate       float64
+	burst      float64
+	demand     float64
+	sent       []time.Time
+	refused    int
+	// replaced is how many machines were replaced.
+	replaced int
+	// mostHeld is the largest sum of the fractions that processes had at one time.
+	mostHeld float64
 }
 
 func newWorld(seed uint64, instances int, rate, burst, demand float64) *world {
@@ -119,6 +127,13 @@
 			w.report(n)
 		}
 	}
+	held := 0.0
+	for _, n := range w.nodes {
+		if !n.killed {
+			held += n.holding.Held(w.now).Fraction
+		}
+	}
+	w.mostHeld = max(w.mostHeld, held)
 	for range w.arrivals() {
 		w.request(w.nodes[w.pick()])
 	}
@@ -126,16 +141,16 @@
 
 // elect gives the lease to some instance that can have it, a while after the last one was lost.
 func (w *world) elect() {
-	if w.holder != nil && w.up(w.holder) && w.holder.group == 0 {
-		if !w.now.Before(w.writeAt) {
-			w.former, w.writeAt = w.holder.shares.Entitled(w.now), w.now.Add(renewal)
+	if w.holder != nil && w.up(w.holder) && w.holder.group == 0 && (!w.away || w.now.Before(w.validUntil)) {
+		if !w.away && !w.now.Before(w.writeAt) {
+			w.write()
 		}
 		return
 	}
 	if w.holder != nil {
 		w.holder, w.nextAt = nil, w.now.Add(leaseGap)
 	}
-	if w.now.Before(w.nextAt) {
+	if w.now.Before(w.nextAt) || w.away {
 		return
 	}
 	// Only the instances of one side reach the store.
@@ -143,12 +158,71 @@
 		if n := w.nodes[i]; w.up(n) && n.group == 0 {
 			w.holder = n
 			n.shares.Begin(w.now, w.hadOne, w.former)
-			w.hadOne, w.writeAt = true, w.now.Add(renewal)
+			w.hadOne, w.writeAt, w.validUntil = true, w.now.Add(renewal), w.now.Add(leaseTerm)
 			return
 		}
 	}
 }
 
+// write renews the lease. Some entries do not reach the log, and of some the holder does not learn that
+// they have.
+func (w *world) write() {
+	entry, luck := w.holder.shares.Entitled(w.now), w.random.IntN(10)
+	w.writeAt = w.now.Add(renewal)
+	if luck == 0 {
+		return
+	}
+	w.former, w.validUntil = entry, w.now.Add(leaseTerm)
+	if luck != 1 {
+		w.holder.shares.Entered()
+	}
+}
+
+// replace removes a machine for good, and adds one at another address.
+func (w *world) replace(n *node) {
+	n.killed = true
+	w.replaced++
+	m := &node{name: fmt.Sprint("r", w.replaced), group: n.group, share: n.share}
+	n.share = 0
+	w.nodes = append(w.nodes, m)
+	w.start(m)
+}
+
+// loseUnevenly replaces a machine while a new holder does not know yet what the one before had
+// assigned, so that there is next to nothing for the new machine. Then all instances start again.
+func (w *world) loseUnevenly() {
+	w.run(10 * time.Second)
+	w.holder, w.nextAt = nil, w.now.Add(leaseGap)
+	w.replace(w.nodes[w.random.IntN(len(w.nodes))])
+	w.run(leaseGap + 4*time.Second)
+	w.restart()
+}
+
+// run passes a time.
+func (w *world) run(d time.Duration) {
+	for range int(d / step) {
+		w.step()
+	}
+}
+
+// refusedShare returns which part of the requests of a time is refused.
+func (w *world) refusedShare(d time.Duration) float64 {
+	refused, sent := w.refused, len(w.sent)
+	w.run(d)
+	refused, sent = w.refused-refused, len(w.sent)-sent
+	return float64(refused) / float64(max(refused+sent, 1))
+}
+
+// restart starts all machines that are up again, which leaves the lease without a holder for a while.
+func (w *world) restart() {
+	for _, n := range w.nodes {
+		if w.up(n) {
+			w.start(n)
+		}
+	}
+	w.holder, w.nextAt = nil, w.now.Add(leaseGap)
+}
+
 // report sends a report to the lease holder, or to the first instance of the own side.
 func (w *world) report(n *node) {
 	n.reportAt = w.now.Add(w.pause)
@@ -183,7 +257,7 @@
 				delete(to.reporters, id)
 			}
 		}
-		e := to.shares.Assign(w.now, n.name, held, n.born > 1, len(to.reporters))
+		e := to.shares.Assign(w.now, n.name, held, len(to.reporters))
 		// Some replies are lost.
 		if w.random.IntN(20) > 0 {
 			n.holding.Assigned(w.now, e)
--- a/coordinator/accounts.go
+++ b/coordinator/accounts.go
@@ -76,3 +76,10 @@
 	}
 	return &e
 }
+
+// entitledEntered records that an entry of the lease with what entitled last returned is in the log.
+func (c *Coordinator) entitledEntered() {
+	if c.Accounts != nil {
+		c.Accounts.Entered()
+	}
+}
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -74,6 +74,8 @@
 	orderFrom, othersUntil time.Time
 	// entitled returns the instances that have a part of the caps of client accounts.
 	entitled func() *allotter.Entitled
+	// entitledEntered is called once an entry with what entitled returned is in the log.
+	entitledEntered func()
 	// lateOrders returns the orders that may still be executed. It reports false if this instance has
 	// sent none in this term.
 	lateOrders func() (*LateOrders, bool)
@@ -422,6 +424,9 @@
 	}
 	l.nextOffset = at + 1
 	l.observe(l.boot.Now(), at, e)
+	if renewal && l.entitledEntered != nil {
+		l.entitledEntered()
+	}
 	if l.lastEntry.Fence == l.termFence {
 		return
 	}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -140,7 +140,7 @@
 	c.builds.Store(&map[string]int{})
 	self := Entry{Instance: d.Instance, Machine: d.Machine, Address: d.Address}
 	c.lease = NewLease(self, d.OrderGap, d.LeaseLog, d.Boot, d.Clock, d.Log, c.leaseAcquired, c.MaxRetryInterval)
-	c.lease.entitled, c.lease.complete = c.entitled, c.isComplete
+	c.lease.entitled, c.lease.entitledEntered, c.lease.complete = c.entitled, c.entitledEntered, c.isComplete
 	if d.LinkMbps > 0 && d.LinkMbps < wideLinkMbps {
 		c.lease.Yield()
 	}
@@ -395,7 +395,8 @@
 	// feed arrives.
 	reply.ConfigFresh = c.Config.Fresh() && !reply.ConfigInStore
 	reply.Parts = parts
-	reply.Entitlement = c.assignEntitlement(r, holds, reply.Instances)
+	// The lease may have ended while the reply waited for overlays.
+	reply.Entitlement = c.assignEntitlement(r, holds && c.lease.Valid(), reply.Instances)
 	reply.Suspects, reply.Limits = c.Suspects.ExportRecent(suspectsResend), c.exportLimits()
 	if !holds {
 		return c.deputyReply(reply)
--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -76,7 +76,7 @@
 			Limits: []throttler.Statement{limit}, Holder: "10.1.0.39:7380", LeaseFresh: true, Queues: queues, Builds: map[string]int{"1a2b3c4d5e6f (formats 1)": 9},
 			Entitlement: &entitlement,
 		},
-		"lease entry":    coordinator.Entry{Instance: "front-1.5f", Machine: "front-1", Address: "10.1.0.38:7380", Era: 2, Fence: 5, Release: true, Clear: true, Late: &late},
+		"lease entry":    coordinator.Entry{Instance: "front-1.5f", Machine: "front-1", Address: "10.1.0.38:7380", Era: 2, Fence: 5, Release: true, Clear: true, Late: &late, Entitled: &allotter.Entitled{Addresses: []uint32{7, 8}, Part: 0.125, Parts: []uint32{131072, 262144}}},
 		"config request": coordinator.ConfigQuery{Offset: 41, From: 100},
 		"config reply":   coordinator.ConfigPart{Version: 7, Offset: 41, Key: "config", Size: 300, From: 100, Bytes: []byte("part")},
 		"pin request": pinner.PinRequest{
