Reports: the receiver is kept while no deputy reads the store

Cause: usage caps are granted by the instance that answers reports, and a part that is delegated to one is granted by nobody until that delegation has lapsed. While the store rejects the lease holder and its deputies (35 in 100 machines), each of 76 instances changed its receiver every 0.16 s: 240 to 440 changes in two seconds. A deputy that does not read the store was left after two reports for the next one, for one second only; and the next one was often the new holder, which was forgotten with its reply, since the instance could not read the lease's log: the entry of the former holder counted, which was asked again each second.

Change: package reporter chooses the receiver, without I/O. If none does, the first that replies is kept. A holder that has replied is kept until it does not reply or the lease's log names another one.

The suites of coordinator and entryassembler pass.

--- a/coordinator/deputy.go
+++ b/coordinator/deputy.go
@@ -13,9 +13,6 @@
 	// maxDeputies is how many instances may act as deputy for a lease holder
 	// that does not reply: enough that one is left when a zone is lost.
 	maxDeputies = 3
-	// peerBackoff is how long no report is sent to an instance that has not
-	// replied, or does not hold the lease.
-	peerBackoff = time.Second
 	// maxLeaseReadAge is how old a deputy's last read of the lease may be for
 	// peers to rely on it: its longest read, and a margin.
 	maxLeaseReadAge = 600 * time.Millisecond
@@ -42,25 +39,6 @@
 	return addresses
 }
 
-// reportTarget returns the address to report to: the lease holder, or while it
-// does not reply the first deputy that does. Without deputies every instance
-// would read the store itself, and none would know its peers' in-flight counts.
-func (c *Coordinator) reportTarget() (address string, deputy bool) {
-	holder := c.lease.Holder()
-	if c.holderHint != "" {
-		holder = c.holderHint
-	}
-	if holder != "" && !c.backsOffFrom(holder) {
-		return holder, false
-	}
-	for _, a := range c.deputies() {
-		if !c.backsOffFrom(a) {
-			return a, true
-		}
-	}
-	return "", false
-}
-
 // deputies returns the addresses of the deputies in their order: seeds, from a different one
 // on for each instance, until it knows the members.
 func (c *Coordinator) deputies() []string {
@@ -74,18 +52,6 @@
 	return slices.Concat(c.Seeds[first:], c.Seeds[:first])
 }
 
-func (c *Coordinator) backsOffFrom(address string) bool {
-	return c.Clock.Now().Before(c.backoffUntil[address])
-}
-
-// backOffFrom sends no reports to an instance for peerBackoff.
-func (c *Coordinator) backOffFrom(address string) {
-	if address == c.holderHint {
-		c.holderHint = ""
-	}
-	c.backoffUntil[address] = c.Clock.Now().Add(peerBackoff)
-}
-
 // deputyReply turns the reply of this instance into that of a deputy.
 func (c *Coordinator) deputyReply(reply Reply) Reply {
 	reply.HoldsLease, reply.Members, reply.Overlays, reply.Overlay = false, nil, nil, 0
@@ -95,22 +61,17 @@
 }
 
 // applyDeputyReply applies the reply of a deputy, which may be this instance, to a report
-// that was sent at a time. It reports false if the deputy is none: it has been asked before and
-// does not read the store at its usual pace, since the store refuses it, for example.
+// that was sent at a time. It reports false if another deputy is better: this one has been asked before
+// and does not read the store at its usual pace, since the store refuses it, for example.
 func (c *Coordinator) applyDeputyReply(r Reply, sent time.Time, deputy string) bool {
-	fresh := r.RegistryFresh && r.LeaseFresh
-	serves := fresh || c.staleDeputy != deputy
-	c.staleDeputy = ""
-	if !fresh {
-		c.staleDeputy = deputy
-	}
+	serves, starts := c.receivers.DeputyReplied(deputy, r.RegistryFresh && r.LeaseFresh, c.deputies())
 	if float64(r.Instances) >= minReportedShare*float64(len(c.deputyOrder)) {
 		c.Fleet.UpdatePeers(r.InFlight, r.Starts)
 		c.Fleet.UpdatePeerQueues(r.Queues)
 		c.applySpeeds(r)
 	}
 	c.Parts.ApplyReply(r.Parts)
-	c.deputyStarts.Store(!fresh)
+	c.deputyStarts.Store(starts)
 	if deputy == c.Address {
 		return serves
 	}
@@ -118,7 +79,7 @@
 		c.lease.HolderReplied(c.ReplyTTL())
 	}
 	if r.LeaseFresh || c.lease.Holder() == "" {
-		c.holderHint = r.Holder
+		c.receivers.SetHolder(r.Holder, c.lease.Holder())
 	}
 	c.Suspects.Merge(r.Suspects)
 	c.mergeLimits(r.Limits)
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -21,6 +21,7 @@
 	"primrosehook/messenger"
 	"primrosehook/quarantiner"
 	"primrosehook/registrar"
+	"primrosehook/reporter"
 	"primrosehook/tailer"
 	"primrosehook/throttler"
 	"primrosehook/upgrader"
@@ -101,12 +102,10 @@
 	fence        int64
 	// membersDigest is the digest of the last received member addresses.
 	membersDigest uint64
-	// deputyOrder are the addresses in the order of deputies, backoffUntil is
-	// until when no report is sent to an address, and holderHint is the lease
-	// holder that a deputy reported. Only runReports uses them.
-	deputyOrder  []string
-	backoffUntil map[string]time.Time
-	holderHint   string
+	// deputyOrder are the addresses in the order of deputies, receivers those that get reports. Only
+	// runReports uses them.
+	deputyOrder []string
+	receivers   *reporter.Receivers
 	// peerAddresses are the addresses of all instances, for loopConfig.
 	peerAddresses atomic.Pointer[[]string]
 	// configAnnounced receives a value when a reply announces a configuration that
@@ -117,11 +116,8 @@
 	// build is the build of this instance, builds how many instances run each one.
 	build  upgrader.Build
 	builds atomic.Pointer[map[string]int]
-	// staleDeputy is the deputy that replied last without reading the store at its usual pace,
-	// empty if it does. Only runReports uses it.
-	staleDeputy string
 	// deputyStarts is set while the deputy that replies does not read the store at its usual
-	// pace.
+	// pace yet.
 	deputyStarts atomic.Bool
 	// holderLost is set while the lease holder does not reply.
 	holderLost bool
@@ -134,7 +130,7 @@
 	if d.Parts == nil {
 		d.Parts = quarantiner.NewPartGuard(d.Clock)
 	}
-	c := &Coordinator{Dependencies: d, cluster: newClusterState(d.Clock, d.LinkMbps), backoffUntil: map[string]time.Time{}, configAnnounced: make(chan struct{}, 1)}
+	c := &Coordinator{Dependencies: d, cluster: newClusterState(d.Clock, d.LinkMbps), receivers: reporter.New(d.Clock), configAnnounced: make(chan struct{}, 1)}
 	c.peerAddresses.Store(&[]string{})
 	c.build = upgrader.Current()
 	c.builds.Store(&map[string]int{})
@@ -266,7 +262,7 @@
 func (c *Coordinator) exchange(ctx context.Context) {
 	var demand []balancer.Demand
 	for range 20 {
-		address, deputy := c.reportTarget()
+		address, deputy := c.receivers.Next(c.lease.Holder(), c.deputies())
 		if address == "" || ctx.Err() != nil {
 			return
 		}
@@ -283,7 +279,7 @@
 		reply, err := c.sendReport(ctx, address, r)
 		if err != nil {
 			c.Meter.Add(MetricExchangesUnanswered, 1)
-			c.backOffFrom(address)
+			c.receivers.BackOff(address)
 			c.rejectArbiter(address)
 			if !c.holderLost && !deputy {
 				c.holderLost = true
@@ -298,12 +294,12 @@
 				c.applyEntitlement(r, reply, accountsSent, address)
 				return
 			}
-			c.backOffFrom(address)
+			c.receivers.BackOff(address)
 			c.rejectArbiter(address)
 			continue
 		}
 		if !reply.HoldsLease {
-			c.backOffFrom(address)
+			c.receivers.BackOff(address)
 			c.rejectArbiter(address)
 			continue
 		}
@@ -312,6 +308,7 @@
 			c.Log.Info("coordinator: holder replies again", zap.String("holder", address), zap.Int64("fence", reply.Fence))
 		}
 		c.Meter.Add(MetricExchanges, 1)
+		c.receivers.SetHolder(address, c.lease.Holder())
 		c.applyReply(reply, sent)
 		c.applyEntitlement(r, reply, accountsSent, address)
 		if !r.Waiting || len(reply.Overlays) == 0 {
