Usage caps: a delegation lasts until the next report of a slow exchange

Cause: a part of the caps is delegated for the usual pause between two reports (0.3 s at 76 instances) and 0.25 s. An arbiter that is short of processor time receives or answers reports later than that, and loses the parts of all members at once: it had 0.43 to 0.67 of the caps at such moments. Its buckets then lost the credit above the smaller capacity, and filled slowly for a window.

Change: a delegation lasts as long as the longest time between two answered reports of the last 5 s, up to 0.5 s more than the pause, and 0.25 s. It takes that much longer until the parts of a lost arbiter are granted again, where answers were late before; as before where they were not.

--- a/coordinator/accounts.go
+++ b/coordinator/accounts.go
@@ -7,10 +7,6 @@
 	"primrosehook/allotter"
 )
 
-// delegationMargin is how much longer than the pause between two reports an entitlement is
-// delegated. While it lasts, nobody grants from it if the one that has it is lost.
-const delegationMargin = 250 * time.Millisecond
-
 // stateAccounts adds what this instance may use of the caps of client accounts to a report that
 // is sent now, unless the configuration has no accounts. It returns the time by which that is
 // counted. An instance that starts states it before it has a configuration: it would refuse
@@ -22,7 +18,7 @@
 	}
 	c.Accounts.Release(ctx, address)
 	sent := c.Accounts.Now()
-	s := c.Accounts.State(address, c.usualPause()+delegationMargin)
+	s := c.Accounts.State(address, c.renewals.TTL(c.usualPause()))
 	r.Accounts = &s
 	return sent
 }
@@ -31,6 +27,7 @@
 // for.
 func (c *Coordinator) applyEntitlement(r Report, reply Reply, sent time.Time, address string) {
 	if r.Accounts != nil {
+		c.renewals.Answered(sent, address)
 		c.Accounts.Replied(sent, address, reply.Entitlement, reply.HoldsLease, reply.Instances)
 	}
 }
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -106,6 +106,8 @@
 	// runReports uses them.
 	deputyOrder []string
 	receivers   *reporter.Receivers
+	// renewals tell for how long this instance's entitlement is delegated. Only runReports uses them.
+	renewals allotter.Renewals
 	// peerAddresses are the addresses of all instances, for loopConfig.
 	peerAddresses atomic.Pointer[[]string]
 	// configAnnounced receives a value when a reply announces a configuration that
