--- a/allotter/entitled.go
+++ b/allotter/entitled.go
@@ -1,14 +1,17 @@
 package allotter
 
 import (
-	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// partUnit is the precision of Entitled.Parts.
-const partUnit = 1.0 / (1 << 20)
+const (
+	// partUnit is the precision of Entitled.Parts.
+	partUnit = 1.0 / (1 << 20)
+	// sumTolerance is how far the fractions of an entry may add up to more than one for rounding.
+	sumTolerance = 1e-3
+)
 
 // Entitled are the instances that have an entitlement, as the lease holder writes them into the entries
 // of the lease. Whatever these do not name may be assigned to anyone, the rest of the caps included.
@@ -24,7 +27,7 @@
 // add appends an instance, unless its fraction is too small to be told from none. It reports whether
 // it did.
 func (e *Entitled) add(hash uint32, fraction float64) bool {
-	units := uint32(fraction / partUnit)
+	units := uint32(min(fraction, 1) / partUnit)
 	if units == 0 {
 		return false
 	}
@@ -61,7 +64,7 @@
 		fractions[hash] = f
 		sum += f
 	}
-	if sum > 1+math.Sqrt(partUnit) {
+	if sum > 1+sumTolerance {
 		return nil
 	}
 	for _, hash := range collided {
