Logs name the models and adapters that are requested and not served

Reports to the lease holder say by model and adapter how many requests were served and refused (map fields, formats 7). Package tallier counts them, and the receiver of the reports logs "demand: not served" with the planner's reason and "demand: first served". "explain -log FILE unserved" lists the keys that no instance saw served; metric keys_not_served.

No decision is changed.

--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -39,6 +39,8 @@
 	awaitingReplica map[demandKey]int
 	// finished are the requests that servers have finished since the last report.
 	finished map[demandKey]finishedRequests
+	// refused are the requests that got no server since the last report.
+	refused map[demandKey]refusedRequests
 	// missed counts the requests that were refused since no replica is there in time, since the
 	// last report. absentSince is when one of a model or adapter was first missing.
 	missed      map[demandKey]int
@@ -61,7 +63,7 @@
 	f := &Fleet{
 		zone: zone, seed: seed, clock: clock, started: clock.Now(),
 		cores: map[string]*Core{}, pools: map[string]*connector.Pool{},
-		arrived: map[demandKey]int{}, finished: map[demandKey]finishedRequests{}, awaitingReplica: map[demandKey]int{}, missed: map[demandKey]int{}, absentSince: map[demandKey]time.Time{}, models: map[string]map[string]matcher.Model{},
+		arrived: map[demandKey]int{}, finished: map[demandKey]finishedRequests{}, refused: map[demandKey]refusedRequests{}, awaitingReplica: map[demandKey]int{}, missed: map[demandKey]int{}, absentSince: map[demandKey]time.Time{}, models: map[string]map[string]matcher.Model{},
 		queues: map[string]*WaitQueue{}, registryWasRead: make(chan struct{}), noReplica: make(chan struct{}, 1),
 		dialer: connector.DirectDialer{},
 	}
@@ -472,7 +474,7 @@
 	if c, ok := a.core(); ok {
 		now := f.clock.Now()
 		c.RecordDone(now, a.ID, a.request, a.firstEventSeen, failed, now.Sub(a.sent))
-		f.recordFinished(a, now.Sub(a.sent))
+		f.recordFinished(a, now.Sub(a.sent), failed)
 		f.recordPlainHolding(a, now.Sub(a.sent))
 		f.dispatch(a.service)
 	}
--- a/cmd/primrosehook/explain.go
+++ b/cmd/primrosehook/explain.go
@@ -41,11 +41,14 @@
 primrosehook explain [-admin IP:PORT] order ID
 primrosehook explain -log FILE request ID
 primrosehook explain -log FILE [-seed N] failures
+primrosehook explain -log FILE unserved
 primrosehook explain [-admin IP:PORT] [-file LIST] rules kind=chat model=M hour=17 ...
 
 request   with -log: the lines that instances on the platform wrote on it; else
           the rule that matched, the engines weighed, why each lost, each try
 failures  three requests that failed, drawn from the log, each with its cause
+unserved  models and adapters that were requested and never served, since when,
+          and why they were not loaded
 requests  the newest requests that this instance remembers
 model     the rule that keeps it ready, its demand, copies and newest requests
 order     why an order to an engine was given and how it ended
@@ -71,6 +74,8 @@
 		err = e.printLogLines(args[1])
 	case len(args) == 1 && args[0] == "failures" && e.log != "":
 		err = e.failures()
+	case len(args) == 1 && args[0] == "unserved" && e.log != "":
+		err = e.printUnserved()
 	case len(args) == 2 && args[0] == "request":
 		err = e.request(ctx, args[1])
 	case len(args) >= 1 && args[0] == "requests":
--- a/cmd/primrosehook/log_lines_test.go
+++ b/cmd/primrosehook/log_lines_test.go
@@ -32,6 +32,20 @@
 			"        chosen among 2 holders; 7 requests and 90 prompt tokens in flight there (told 40 ms ago, registration read 500 ms ago)\n"))
 	})
 
+	// Guards against a model or adapter that is never served and that the logs can't name.
+	It("lists what was requested and never served", func() {
+		log := writeTempFile(`  9.0 front-1 {"ts":9,"msg":"demand: not served","instance":"front-1","service":"llm","key":"m/a1","asked":3,"absent":2,"full":1,"for":4,"why":"servers carry out other orders"}
+{"ts":13,"msg":"demand: not served","instance":"front-1","service":"llm","key":"m/a1","asked":5,"absent":4,"full":1,"for":8,"why":"servers carry out other orders"}
+{"ts":15,"msg":"demand: not served","instance":"front-2","service":"llm","key":"m/a1","asked":2,"absent":2,"full":0,"for":3}
+{"ts":9,"msg":"demand: not served","instance":"front-1","service":"llm","key":"m","asked":2,"absent":0,"full":2,"for":2}
+{"ts":14,"msg":"demand: first served","instance":"front-2","service":"llm","key":"m"}
+`)
+		s := runCommand(0, "explain", "-log", log, "unserved")
+		Expect(string(s.Out.Contents())).To(Equal("SERVICE  KEY   REQUESTED  ABSENT  FULL  SECONDS  WHY NOT LOADED\n" +
+			"llm      m/a1  7          6       1     10.0     servers carry out other orders (2)\n" +
+			"1 never served, of 2 that were not served for two seconds or more\n"))
+	})
+
 	// Guards against a client whose request was refused with 401 or 429 and nobody can say why.
 	It("says why the account of a request was refused", func() {
 		log := writeTempFile(`{"ts":1,"msg":"relay: key is missing or unknown","instance":"front-1","request":"q1","missing":false,"route":"chat","config":7}
--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -16,6 +16,7 @@
 	"primrosehook/registrar"
 	"primrosehook/serviceplanner"
 	"primrosehook/tailer"
+	"primrosehook/tallier"
 )
 
 // Half-lives of the demand rates, of which the larger one counts: the fast rate
@@ -113,6 +114,8 @@
 	configVersion int64
 	// overlaysAdded is closed and replaced when overlays are added.
 	overlaysAdded chan struct{}
+	// unserved tells what is requested and not served.
+	unserved unserved
 	// planNow receives a value if the next plan must not wait for planInterval.
 	planNow chan struct{}
 }
@@ -121,6 +124,7 @@
 	return &clusterState{
 		clock: clock, linkMbps: linkMbps, members: map[string]*member{}, totalInFlight: map[string]balancer.InFlight{}, totalQueues: balancer.Queues{}, totalPaces: map[string]balancer.Pace{}, demand: map[demandKey]*demandRates{}, holdings: map[string]*holding{}, requestedAt: map[modelKey]time.Time{},
 		records: map[string]tailer.Record{}, configVersion: noConfig, completeFrom: noPosition, overlaysAdded: make(chan struct{}), planNow: make(chan struct{}, 1),
+		unserved: unserved{tallies: map[string]*tallier.Tally{}},
 	}
 }
 
@@ -175,6 +179,7 @@
 		rates.fast.Add(now, fastHalfLife, float64(d.Arrived))
 		rates.slow.Add(now, slowHalfLife, float64(d.Arrived))
 		c.addHolding(now, d)
+		c.addServed(now, d)
 		if d.Waiting > 0 {
 			m.waiting[demandKey{d.Service, d.Key, d.Build}] = d.Waiting
 			waiting = true
--- a/coordinator/reconciler.go
+++ b/coordinator/reconciler.go
@@ -206,9 +206,11 @@
 				state.Servers = append(state.Servers, known.plannerInput(now, unavailable[known.registration.Incarnation]))
 			}
 		}
-		for _, o := range serviceplanner.Plan(state) {
+		absent := map[string]string{}
+		for _, o := range serviceplanner.Plan(state, serviceplanner.WithAbsent(func(key, reason string) { absent[key] = reason })) {
 			r.startOrder(ctx, name, service.Engine, o)
 		}
+		r.cluster.setAbsent(name, absent)
 	}
 }
 
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -375,6 +375,7 @@
 	c.mergeLimits(r.Limits)
 	parts := c.Parts.ServeReport(r.Parts)
 	c.cluster.addReport(r)
+	c.logUnserved()
 	if r.Fence != c.lease.Fence() {
 		r.Overlay = 0
 	}
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -128,8 +128,11 @@
 func (s *serverState) plannerInput(now time.Time, unavailable bool) serviceplanner.Server {
 	in := serviceplanner.Server{
 		ID: s.registration.ID, Zone: s.registration.Zone, Build: s.registration.Build, Leaving: s.registration.Draining || unavailable,
-		Busy: s.pending != nil || now.Before(s.busyUntil) || now.Before(s.lateUntil), Loaded: s.loaded, Pending: s.pending, Warm: map[string]bool{},
+		Loaded: s.loaded, Pending: s.pending, Warm: map[string]bool{},
 	}
+	in.Late = s.pending == nil && now.Before(s.lateUntil)
+	in.Failed = s.pending == nil && !in.Late && now.Before(s.busyUntil)
+	in.Busy = s.pending != nil || in.Late || in.Failed
 	for _, u := range s.unsettled {
 		if now.Before(u.until) {
 			in.Unsettled = append(in.Unsettled, u.order)
--- a/entryassembler/metrics.go
+++ b/entryassembler/metrics.go
@@ -24,6 +24,7 @@
 		"build_formats":           func() int64 { return upgrader.Formats },
 		"lease_held":              func() int64 { return boolValue(e.coordinator.HoldsLease()) },
 		"demand_growth_predicted": e.coordinator.PredictedGrowth,
+		"keys_not_served":         e.coordinator.Unserved,
 		"requests_waiting":        func() int64 { return int64(e.fleet.QueueLen()) },
 		"servers_behind_peers":    func() int64 { return int64(e.detourer.BrokenPaths()) },
 		"servers_unreachable":     func() int64 { return int64(len(e.fleet.Unavailable())) },
--- a/relayer/handle.go
+++ b/relayer/handle.go
@@ -258,6 +258,7 @@
 			if assignment == nil {
 				x.backlog = x.fleet.RetryDelay(x.service, x.query, status)
 				x.awaitsTurn = status == balancer.NotLoaded || status == balancer.Full && x.account != nil
+				x.fleet.RecordRefusal(x.service, x.query, status)
 				x.giveUp("no server", append(x.refusalFields(), zap.Stringer("status", status), zap.Duration("backlog", x.backlog))...)
 				return
 			}
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -55,8 +55,9 @@
 	Build string
 	// Leaving servers take no orders and do not count as replicas.
 	Leaving bool
-	// Busy servers take no orders at present.
-	Busy bool
+	// Busy servers take no orders at present. Late is set if that is so since orders to a former
+	// process of the server may still be executed, Failed if an order failed a moment ago.
+	Busy, Late, Failed bool
 	// Loaded maps each model that the server is known to have loaded to its
 	// loaded adapters.
 	Loaded map[string][]string
@@ -213,11 +214,16 @@
 	// capacity is the demand per replica, in requests a second, above which requests are
 	// refused, and comfort that above which another replica noticeably shortens waits.
 	capacity, comfort float64
+	// reportAbsent is called with what is in demand and not loaded, nil if nobody asks.
+	reportAbsent func(key, reason string)
 }
 
 // Plan returns orders that may all be sent at once, at most one per server.
-func Plan(state State) []Order {
+func Plan(state State, options ...Option) []Order {
 	p := &planner{State: state, modelDemand: map[string]float64{}, waiting: map[string]int{}, replicas: map[string]int{}, kept: map[string]int{}}
+	for _, option := range options {
+		option(p)
+	}
 	p.capacity = capacityOf(state)
 	p.comfort = p.capacity * replicaDemand / replicaCapacity
 	for _, known := range state.Servers {
@@ -253,6 +259,7 @@
 	p.addAdapterReplicas()
 	p.loadIdle()
 	p.loadMissingAdapters(false)
+	p.explainAbsent()
 	return p.orders
 }
 
--- a/upgrader/golden_test.go
+++ b/upgrader/golden_test.go
@@ -55,7 +55,7 @@
 		"allot reply":   allotter.AllotReply{NotArbiter: true, Grants: []allotter.Grant{{Amount: 1800, Wait: time.Second}}, Causes: []allotter.Cause{allotter.CauseLate}},
 		"exchange request": coordinator.Report{
 			Instance: "front-1.5f", Address: "10.1.0.38:7380", Link: 20, Members: 99,
-			Demand:   []balancer.Demand{{Service: "llm", Key: "m0/a1", Arrived: 3, Waiting: 2, Build: "v2"}},
+			Demand:   []balancer.Demand{{Service: "llm", Key: "m0/a1", Arrived: 3, Waiting: 2, Build: "v2", Served: 1, Absent: 1, Full: 1}},
 			InFlight: inFlight, Registry: 40, Config: 7, Overlay: 12, Fence: 5, Suspects: []quarantiner.Suspect{suspect},
 			Parts: quarantiner.PartReport{
 				Crashes:   []quarantiner.PartCrash{{Engine: "s1-a", Age: time.Second, Requests: []quarantiner.CutRequest{{ID: 1, Parts: []uint64{9, 10}}}}},
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -9,7 +9,7 @@
 
 // Formats is the number of the formats of messages and records that this build writes. A landing
 // that changes one of them raises it. Builds before it was introduced write zero.
-const Formats = 6
+const Formats = 7
 
 // Build identifies the build of an instance.
 type Build struct {
