Adapters in demand are loaded before replicas, several in one plan

Cause: a plan gave servers away to further replicas first and looked at adapters last, with one order for a server and plan. A load of a model keeps its server from other orders for 2 to 9 s, that of an adapter for some milliseconds. After crashes all servers of an adapter's model were busy with loads of models most of the time, plan after plan; the logged reason was "servers carry out other orders" in 743 of 770 lines on adapters.

The loads that take milliseconds go first now, and a plan orders up to four adapters for a server, one after the other. A server that loads adapters is free for a replica in the next plan.

--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -29,6 +29,9 @@
 	// demandPerWaiting is the demand, in requests a second, that one waiting
 	// request counts as.
 	demandPerWaiting = 2.0
+	// maxAdapterLoads bounds the loads of adapters that one plan orders at a server. Each takes some
+	// milliseconds, and the server takes no other order meanwhile.
+	maxAdapterLoads = 4
 )
 
 // Op is the operation of an order.
@@ -169,6 +172,10 @@
 	// kept is the part of Loaded that no order unloads, whichever of the orders
 	// are executed.
 	kept map[string][]string
+	// adapterLoads is how many loads of adapters the plan orders one after the other, lastLoad the last
+	// of them.
+	adapterLoads int
+	lastLoad     *Order
 }
 
 func newServer(known Server) *server {
@@ -211,6 +218,8 @@
 	kept        map[string]int
 	models      []string
 	orders      []Order
+	// adapterOrders are the first of the loads of adapters at each server, which others follow.
+	adapterOrders []*Order
 	// capacity is the demand per replica, in requests a second, above which requests are
 	// refused, and comfort that above which another replica noticeably shortens waits.
 	capacity, comfort float64
@@ -252,14 +261,17 @@
 	p.models = slices.Sorted(maps.Keys(state.Engine.Models))
 	slices.SortStableFunc(p.models, func(a, b string) int { return cmp.Compare(p.modelDemand[b], p.modelDemand[a]) })
 	p.unloadUnnamed()
-	p.addUnserved()
 	p.loadMissingAdapters(true)
+	p.addUnserved()
 	p.loadMissingAtBuilds()
 	p.addReplicas()
 	p.addAdapterReplicas()
 	p.loadIdle()
 	p.loadMissingAdapters(false)
 	p.explainAbsent()
+	for _, o := range p.adapterOrders {
+		p.orders = append(p.orders, *o)
+	}
 	return p.orders
 }
 
@@ -435,7 +447,7 @@
 	room := 0
 	for _, s := range p.servers {
 		list, ok := s.planned[m]
-		if !ok || slices.Contains(list, a) || s.Busy || !s.runs(build) || p.usedMemory(s)+spec.AdapterSizeMB > p.Engine.MemoryMB {
+		if !ok || slices.Contains(list, a) || !s.takesAdapterLoad() || !s.runs(build) || p.usedMemory(s)+spec.AdapterSizeMB > p.Engine.MemoryMB {
 			continue
 		}
 		if n := p.freeSlots(s); n > room {
@@ -443,9 +455,7 @@
 		}
 	}
 	if best != nil {
-		p.orders = append(p.orders, Order{Server: best.ID, Op: Load, Model: m, Adapter: a, Reason: "no server has the adapter loaded"})
-		best.planned[m] = append(slices.Clone(best.planned[m]), a)
-		best.Busy = true
+		p.orderAdapter(best, m, a)
 		return
 	}
 	if mayEvict {
@@ -453,6 +463,26 @@
 	}
 }
 
+// takesAdapterLoad reports whether an adapter may be loaded at a server: it takes orders, or the plan
+// loads other adapters there.
+func (s *server) takesAdapterLoad() bool {
+	return !s.Busy || s.adapterLoads > 0 && s.adapterLoads < maxAdapterLoads
+}
+
+// orderAdapter orders the load of an adapter, after those that the plan orders at the server before.
+func (p *planner) orderAdapter(s *server, m, a string) {
+	order := &Order{Server: s.ID, Op: Load, Model: m, Adapter: a, Reason: "no server has the adapter loaded"}
+	s.planned[m] = append(slices.Clone(s.planned[m]), a)
+	s.Busy = true
+	s.adapterLoads++
+	if s.lastLoad == nil {
+		p.adapterOrders = append(p.adapterOrders, order)
+	} else {
+		s.lastLoad.Next = order
+	}
+	s.lastLoad = order
+}
+
 // evictAdapter unloads an adapter at a replica of m of a build, to make room for the adapter
 // a of m. It does nothing unless there is one in clearly less demand than a. That
 // may be the only copy of the adapter: there may be more adapters than slots, and
