--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOAK_SEED ?= 213
 SOAK_LENGTH ?= 1h
 
-.PHONY: help afterwards bench build capacity demo load soak soak-short soak-long test race lint format tools ci
+.PHONY: help afterwards bench build capacity demo load placement soak soak-short soak-long test race lint format tools ci
 
 help: ## list all tasks
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -42,6 +42,9 @@
 load: ## run both deployments as real processes under load and failures (about four minutes)
 	go run ./scripts/load
 
+placement: ## play days of an emulated fleet with the planner for the platform (half a minute)
+	go run ./scripts/placement
+
 race: ## run all tests under the race detector
 	@failed=0; go test -count=1 -race $(OTHERS) || failed=1; go test -count=1 -race -p 1 ./crowder ./soaker || failed=1; exit $$failed
 
