Logs of unserved keys: an instance that plans no more names no reason

A former lease holder that gets reports as a deputy logged what its last plan had said of a model or adapter, for as long as it was a deputy. By reading; the lines of a holder are as before.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -140,6 +140,7 @@
 	c.overlays, c.droppedOverlays = nil, 0
 	clear(c.requestedAt)
 	c.requestedSince = time.Time{}
+	c.forgetAbsent()
 }
 
 // addReport applies an instance's report.
--- a/coordinator/unserved.go
+++ b/coordinator/unserved.go
@@ -21,7 +21,7 @@
 	lookedAt time.Time
 }
 
-// add adds the demand of a report. c.mu must be held.
+// addServed adds what became of the requests of a report. c.mu must be held.
 func (c *clusterState) addServed(now time.Time, d balancer.Demand) {
 	t, ok := c.unserved.tallies[d.Service]
 	if !ok {
@@ -42,6 +42,13 @@
 	}
 }
 
+// forgetAbsent forgets what was loaded in an earlier term. c.mu must be held.
+func (c *clusterState) forgetAbsent() {
+	for _, t := range c.unserved.tallies {
+		t.SetAbsent(c.clock.Now(), nil)
+	}
+}
+
 // takeUnserved returns what was served for the first time, and what is not served, by service, since
 // the last look. Both are empty if that was a short time ago.
 func (c *clusterState) takeUnserved() (first []modelKey, due map[string][]tallier.Unserved) {
@@ -75,7 +82,7 @@
 // the lines of all instances together name each of them.
 func (c *Coordinator) logUnserved() {
 	first, due := c.cluster.takeUnserved()
-	now := c.Clock.Now()
+	now, holds := c.Clock.Now(), c.lease.Valid()
 	for _, k := range first {
 		c.Log.Info("demand: first served", zap.String("service", k.service), zap.String("key", k.model))
 	}
@@ -83,9 +90,10 @@
 		for _, u := range list {
 			fields := []zap.Field{
 				zap.String("service", service), zap.String("key", u.Key), zap.Int("asked", u.Asked), zap.Int("absent", u.Absent), zap.Int("full", u.Full),
-				zap.Duration("for", now.Sub(u.Since)), zap.Bool("served_before", u.Ever), zap.Bool("holder", c.lease.Valid()),
+				zap.Duration("for", now.Sub(u.Since)), zap.Bool("served_before", u.Ever), zap.Bool("holder", holds),
 			}
-			if !u.AbsentSince.IsZero() {
+			// An instance that plans no more does not know what is loaded.
+			if holds && !u.AbsentSince.IsZero() {
 				fields = append(fields, zap.Duration("no_replica_for", now.Sub(u.AbsentSince)), zap.String("why", u.Reason))
 			}
 			c.Log.Info("demand: not served", fields...)
--- a/serviceplanner/absent.go
+++ b/serviceplanner/absent.go
@@ -12,8 +12,8 @@
 	// ReasonColdLoads: only servers without a copy of the weights take orders, and no further load
 	// from the weight store may start.
 	ReasonColdLoads = "no load from the weight store may start"
-	// ReasonBusy to ReasonFailed say why no suited server takes an order. The first one that applies to
-	// a server counts.
+	// ReasonBusy, ReasonLate and ReasonFailed say why no suited server takes an order: the first of
+	// them that applies to any of these servers.
 	ReasonBusy    = "servers carry out other orders"
 	ReasonLate    = "orders to former processes of the servers may still be executed"
 	ReasonFailed  = "orders to the servers failed a moment ago"
@@ -75,6 +75,7 @@
 		case s.Late && busy != ReasonBusy:
 			busy = ReasonLate
 		}
+		// s.Busy is also set for servers that this plan gives an order.
 		idle = idle || !s.Busy
 		warm = warm || !s.Busy && s.Warm[model]
 	}
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -218,7 +218,8 @@
 	kept        map[string]int
 	models      []string
 	orders      []Order
-	// adapterOrders are the first of the loads of adapters at each server, which others follow.
+	// adapterOrders are the first of the loads of adapters at each server. Others may follow it, so that
+	// they are added to orders last.
 	adapterOrders []*Order
 	// capacity is the demand per replica, in requests a second, above which requests are
 	// refused, and comfort that above which another replica noticeably shortens waits.
