--- a/coordinator/world_machine_test.go
+++ b/coordinator/world_machine_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -102,7 +103,7 @@
 			}
 			return table
 		}, Clock: clock, Boot: bootClock{},
-		Log: zap.NewNop(), Peers: messenger.NewClient(clock), OnMembers: func([]string) {},
+		Log: cmp.Or(w.logger, zap.NewNop()), Peers: messenger.NewClient(clock), OnMembers: func([]string) {},
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	i.coordinator, i.stop = c, stop
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"primrosehook/coordinator"
 	"primrosehook/matcher"
 	"primrosehook/registrar"
@@ -95,6 +97,8 @@
 	// firstOrders are when each term's first order was accepted, since the kill before.
 	killedAt    time.Time
 	firstOrders []time.Duration
+	// logger gets the lines of instances that start, unless it is nil.
+	logger *zap.Logger
 	// configDelay is how long after its start an instance gets its configuration.
 	configDelay time.Duration
 }
