Adapters that replace others are loaded after unserved demand again

Cause, by reading: an adapter that needs the slot of another one waits for that one's requests and for the instances to know of it, 0.4 s to seconds, so that it is not one of the orders that take milliseconds. Servers of the busiest model, with more adapters in demand than slots, were kept from replicas by them.

Only loads into free slots come before unserved demand now.

--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -262,13 +262,14 @@
 	p.models = slices.Sorted(maps.Keys(state.Engine.Models))
 	slices.SortStableFunc(p.models, func(a, b string) int { return cmp.Compare(p.modelDemand[b], p.modelDemand[a]) })
 	p.unloadUnnamed()
-	p.loadMissingAdapters(true)
+	p.loadMissingAdapters(true, false)
 	p.loadMissingAtBuilds()
 	p.addUnserved()
+	p.loadMissingAdapters(true, true)
 	p.addReplicas()
 	p.addAdapterReplicas()
 	p.loadIdle()
-	p.loadMissingAdapters(false)
+	p.loadMissingAdapters(false, false)
 	p.explainAbsent()
 	for _, o := range p.adapterOrders {
 		p.orders = append(p.orders, *o)
@@ -415,9 +416,10 @@
 	return p.Engine.AdapterSlots - n
 }
 
-// loadMissingAdapters loads the adapters that no server has loaded: those in
-// demand, which may replace idle ones, or all others.
-func (p *planner) loadMissingAdapters(demanded bool) {
+// loadMissingAdapters loads the adapters that no server has loaded: those in demand, which may replace
+// idle ones if mayEvict is set, or all others. A load into a free slot takes some milliseconds, one that
+// replaces another adapter waits for its requests.
+func (p *planner) loadMissingAdapters(demanded, mayEvict bool) {
 	for _, m := range p.models {
 		if p.replicas[m] == 0 {
 			continue
@@ -435,7 +437,7 @@
 			if loaded[a] || inDemand != demanded {
 				continue
 			}
-			p.loadAdapter(m, a, "", demanded)
+			p.loadAdapter(m, a, "", mayEvict)
 		}
 	}
 }
