--- a/serviceplanner/adapters.go
+++ b/serviceplanner/adapters.go
@@ -8,10 +8,6 @@
 	"primrosehook/balancer"
 )
 
-// maxAdapterLoads bounds the loads of adapters that one plan orders at a server. Each takes some
-// milliseconds, and the server takes no other order meanwhile.
-const maxAdapterLoads = 4
-
 // adapterPass says which adapters loadMissingAdapters loads.
 type adapterPass int
 
@@ -57,7 +53,7 @@
 	room := 0
 	for _, s := range p.servers {
 		list, ok := s.planned[m]
-		if !ok || slices.Contains(list, a) || !s.takesAdapterLoad() || !s.runs(build) || p.usedMemory(s)+spec.AdapterSizeMB > p.Engine.MemoryMB {
+		if !ok || slices.Contains(list, a) || s.Busy || !s.runs(build) || p.usedMemory(s)+spec.AdapterSizeMB > p.Engine.MemoryMB {
 			continue
 		}
 		if n := p.freeSlots(s); n > room {
@@ -65,7 +61,9 @@
 		}
 	}
 	if best != nil {
-		p.orderAdapter(best, m, a)
+		p.orders = append(p.orders, Order{Server: best.ID, Op: Load, Model: m, Adapter: a, Reason: "no server has the adapter loaded"})
+		best.planned[m] = append(slices.Clone(best.planned[m]), a)
+		best.Busy = true
 		return
 	}
 	if mayEvict {
@@ -73,26 +71,6 @@
 	}
 }
 
-// takesAdapterLoad reports whether an adapter may be loaded at a server: it takes orders, or the plan
-// loads other adapters there.
-func (s *server) takesAdapterLoad() bool {
-	return !s.Busy || s.adapterLoads > 0 && s.adapterLoads < maxAdapterLoads
-}
-
-// orderAdapter orders the load of an adapter, after those that the plan orders at the server before.
-func (p *planner) orderAdapter(s *server, m, a string) {
-	order := &Order{Server: s.ID, Op: Load, Model: m, Adapter: a, Reason: "no server has the adapter loaded"}
-	s.planned[m] = append(slices.Clone(s.planned[m]), a)
-	s.Busy = true
-	s.adapterLoads++
-	if s.lastLoad == nil {
-		p.adapterOrders = append(p.adapterOrders, order)
-	} else {
-		s.lastLoad.Next = order
-	}
-	s.lastLoad = order
-}
-
 // evictAdapter unloads an adapter at a replica of m of a build, to make room for the adapter
 // a of m. It does nothing unless there is one in clearly less demand than a. That
 // may be the only copy of the adapter: there may be more adapters than slots, and
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -168,10 +168,6 @@
 	// kept is the part of Loaded that no order unloads, whichever of the orders
 	// are executed.
 	kept map[string][]string
-	// adapterLoads is how many loads of adapters the plan orders one after the other, lastLoad the last
-	// of them.
-	adapterLoads int
-	lastLoad     *Order
 }
 
 func newServer(known Server) *server {
@@ -214,9 +210,6 @@
 	kept        map[string]int
 	models      []string
 	orders      []Order
-	// adapterOrders are the first of the loads of adapters at each server. Others may follow it, so that
-	// they are added to orders last.
-	adapterOrders []*Order
 	// capacity is the demand per replica, in requests a second, above which requests are
 	// refused, and comfort that above which another replica noticeably shortens waits.
 	capacity, comfort float64
@@ -267,9 +260,6 @@
 	p.loadIdle()
 	p.loadMissingAdapters(withoutDemand)
 	p.explainAbsent()
-	for _, o := range p.adapterOrders {
-		p.orders = append(p.orders, *o)
-	}
 	return p.orders
 }
 
