Usage caps: status names an arbiter only once it has answered a report

The status showed the receiver of a report as the arbiter from the moment the report was composed, while the fraction follows with the reply. The documentation of the field says that the arbiter answers.

The status now names the arbiter once it has answered the last report; what requests ask is unchanged. The addition to the spec of the status failed before.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -426,7 +426,7 @@
 // Status is what operators see of the entitlement and the role of this instance.
 type Status struct {
 	// Fraction is this instance's part of every cap, for Left. Arbiter answers its requests for
-	// credit, empty while none does.
+	// credit, empty while none does, and until it has answered a report.
 	Fraction float64
 	Left     time.Duration
 	Arbiter  string
@@ -446,7 +446,10 @@
 	defer a.mu.Unlock()
 	now := a.boot.Now()
 	held := a.holding.Held(now)
-	s := Status{Fraction: held.Fraction, Left: held.Left, Arbiter: a.arbiter(now), Age: -time.Millisecond}
+	s := Status{Fraction: held.Fraction, Left: held.Left, Age: -time.Millisecond}
+	if arbiter := a.arbiter(now); arbiter == a.replied {
+		s.Arbiter = arbiter
+	}
 	if !a.repliedAt.IsZero() {
 		s.Age = now.Sub(a.repliedAt)
 	}
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -178,6 +178,8 @@
 	It("shows operators its fraction, its arbiter and the age of the last answer", func() {
 		fresh := allotter.New("a.1", "self", &heldPeer{}, clockwork.NewRealClock(), clocker.SystemClock{}, zap.NewNop())
 		Expect(fresh.Status().Age).To(BeNumerically("<", 0), "nobody has answered")
+		fresh.State("peer", 10*time.Second)
+		Expect(fresh.Status()).To(HaveField("Arbiter", ""), "the first report is under way")
 		s := newDelegating(&heldPeer{}).Status()
 		Expect(s).To(And(HaveField("Fraction", 0.5), HaveField("Arbiter", "peer"), HaveField("Members", 0)))
 		Expect(s.Age).To(And(BeNumerically(">=", 0), BeNumerically("<", 5*time.Second)))
