Tallier, planner: usual terms for checks and repeated reports

Names and comments only: keys are reported rather than told of, and checked rather than looked at. No change of behavior; tests of tallier, serviceplanner and emulator pass.

--- a/coordinator/cluster.go
+++ b/coordinator/cluster.go
@@ -114,7 +114,7 @@
 	configVersion int64
 	// overlaysAdded is closed and replaced when overlays are added.
 	overlaysAdded chan struct{}
-	// unserved tells what is requested and not served.
+	// unserved records what is requested and not served.
 	unserved unserved
 	// planNow receives a value if the next plan must not wait for planInterval.
 	planNow chan struct{}
@@ -140,7 +140,7 @@
 	c.overlays, c.droppedOverlays = nil, 0
 	clear(c.requestedAt)
 	c.requestedSince = time.Time{}
-	c.forgetAbsent()
+	c.clearAbsent()
 }
 
 // addReport applies an instance's report.
--- a/coordinator/unserved.go
+++ b/coordinator/unserved.go
@@ -9,16 +9,16 @@
 	"primrosehook/tallier"
 )
 
-// unservedInterval is the pause between looks for models and adapters that are not served.
+// unservedInterval is the pause between checks for models and adapters that are not served.
 const unservedInterval = 500 * time.Millisecond
 
-// unserved tells which models and adapters are requested and not served, by the reports that this
+// unserved records which models and adapters are requested and not served, by the reports that this
 // instance has received.
 type unserved struct {
 	tallies map[string]*tallier.Tally
-	// first are the models and adapters that were served for the first time since the last look.
-	first    []modelKey
-	lookedAt time.Time
+	// first are the models and adapters that were served for the first time since the last check.
+	first     []modelKey
+	checkedAt time.Time
 }
 
 // addServed adds what became of the requests of a report. c.mu must be held.
@@ -42,27 +42,27 @@
 	}
 }
 
-// forgetAbsent forgets what was loaded in an earlier term. c.mu must be held.
-func (c *clusterState) forgetAbsent() {
+// clearAbsent discards what was planned in an earlier term. c.mu must be held.
+func (c *clusterState) clearAbsent() {
 	for _, t := range c.unserved.tallies {
 		t.SetAbsent(c.clock.Now(), nil)
 	}
 }
 
 // takeUnserved returns what was served for the first time, and what is not served, by service, since
-// the last look. Both are empty if that was a short time ago.
+// the last check. Both are empty if that was a short time ago.
 func (c *clusterState) takeUnserved() (first []modelKey, due map[string][]tallier.Unserved) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	if now.Sub(c.unserved.lookedAt) < unservedInterval {
+	if now.Sub(c.unserved.checkedAt) < unservedInterval {
 		return nil, nil
 	}
 	due = map[string][]tallier.Unserved{}
 	for service, t := range c.unserved.tallies {
 		due[service] = t.Due(now)
 	}
-	first, c.unserved.first, c.unserved.lookedAt = c.unserved.first, nil, now
+	first, c.unserved.first, c.unserved.checkedAt = c.unserved.first, nil, now
 	return first, due
 }
 
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -35,9 +35,9 @@
 	// many may begin in it beyond the rate.
 	coldLoadWindow = 5 * time.Second
 	coldLoadSlack  = 2
-	// holdingTime is how long a request holds a slot, as the planner is told.
+	// holdingTime is how long a request holds a slot, as the planner is given it.
 	holdingTime = 1700 * time.Millisecond
-	// minDemand is the demand in requests a second below which a key is forgotten.
+	// minDemand is the demand in requests a second below which a key is dropped.
 	minDemand = 0.002
 )
 
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -52,7 +52,7 @@
 	return r
 }
 
-// reset forgets what became of the requests so far.
+// reset discards the outcomes so far.
 func (f *Fleet) reset() {
 	for _, o := range f.outcomes {
 		*o = outcome{first: f.now}
--- a/serviceplanner/absent.go
+++ b/serviceplanner/absent.go
@@ -22,7 +22,7 @@
 	ReasonNoSlot  = "adapters in as much demand take all slots"
 )
 
-// Option changes what Plan tells.
+// Option configures Plan.
 type Option func(*planner)
 
 // WithAbsent makes Plan call a function with each model and adapter in demand that no server has
--- a/serviceplanner/serviceplanner.go
+++ b/serviceplanner/serviceplanner.go
@@ -213,7 +213,7 @@
 	// capacity is the demand per replica, in requests a second, above which requests are
 	// refused, and comfort that above which another replica noticeably shortens waits.
 	capacity, comfort float64
-	// reportAbsent is called with what is in demand and not loaded, nil if nobody asks.
+	// reportAbsent is called with what is in demand and not loaded, nil if that is not needed.
 	reportAbsent func(key, reason string)
 }
 
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -1,5 +1,5 @@
 // Package tallier counts, by model and adapter, which requests were served and which were refused,
-// and tells which models and adapters are requested but not served. It does no I/O and reads no
+// and reports which models and adapters are requested but not served. It does no I/O and reads no
 // clock.
 //
 // Example:
@@ -22,7 +22,7 @@
 	// answer until it counts as not served.
 	minAsked = 2
 	minSpan  = 2 * time.Second
-	// repeatAfter is the pause until the same key is told of again.
+	// repeatAfter is the pause until the same key is reported again.
 	repeatAfter = 4 * time.Second
 	// maxKeys bounds the keys that are remembered.
 	maxKeys = 8192
@@ -53,7 +53,7 @@
 // record is what is known of a key.
 type record struct {
 	Unserved
-	toldAt time.Time
+	reportedAt time.Time
 }
 
 // Tally counts requests by key. It is not safe for concurrent use.
@@ -75,7 +75,7 @@
 	if c.Served > 0 {
 		first := !k.Ever
 		// Those that arrived since are not served yet.
-		k.Counts, k.Since, k.Ever, k.toldAt = Counts{}, time.Time{}, true, time.Time{}
+		k.Counts, k.Since, k.Ever, k.reportedAt = Counts{}, time.Time{}, true, time.Time{}
 		return first
 	}
 	if k.Since.IsZero() && c.Asked > 0 {
@@ -113,12 +113,12 @@
 	return n
 }
 
-// Due returns the keys that are not served and were not told of lately, sorted by key.
+// Due returns the keys that are not served and were not reported lately, sorted by key.
 func (t *Tally) Due(now time.Time) []Unserved {
 	var due []Unserved
 	for _, k := range t.keys {
-		if k.counts(now) && (k.toldAt.IsZero() || now.Sub(k.toldAt) >= repeatAfter) {
-			k.toldAt = now
+		if k.counts(now) && (k.reportedAt.IsZero() || now.Sub(k.reportedAt) >= repeatAfter) {
+			k.reportedAt = now
 			due = append(due, k.Unserved)
 		}
 	}
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -29,13 +29,13 @@
 		Expect(t.Due(now)).To(ConsistOf(tallier.Unserved{
 			Key: "m/a1", Counts: tallier.Counts{Asked: 3, Absent: 2, Full: 1}, Since: start, AbsentSince: start.Add(time.Second), Reason: "no slot",
 		}))
-		Expect(t.Due(now.Add(time.Second))).To(BeEmpty(), "told a second ago")
+		Expect(t.Due(now.Add(time.Second))).To(BeEmpty(), "reported a second ago")
 		Expect(t.Count(now)).To(Equal(1))
 		t.SetAbsent(now, nil)
 		Expect(t.Due(now.Add(5 * time.Second))).To(ConsistOf(And(HaveField("AbsentSince", BeZero()), HaveField("Reason", ""))))
 	})
 
-	It("forgets what was not served once something is, which it tells the first time", func() {
+	It("resets its counts once a key is served, and reports the first time", func() {
 		t := tallier.New()
 		t.Add(start, "m", tallier.Counts{Asked: 5, Full: 5})
 		Expect(t.Add(start.Add(3*time.Second), "m", tallier.Counts{Asked: 1, Served: 1})).To(BeTrue())
