--- a/serviceplanner/serviceplanner_test.go
+++ b/serviceplanner/serviceplanner_test.go
@@ -185,18 +185,6 @@
 		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Server", "b"), HaveField("Model", "m0"), HaveField("Adapter", "a1"))))
 	})
 
-	// Guards against refusing streams of a build whose only server that has their model gets a further
-	// replica of another model, plan after plan.
-	It("loads an adapter that requests wait for at one build before further replicas", func() {
-		old := server("a", "m0")
-		old.Build, old.Warm["m1"] = "v1", true
-		state := serviceplanner.State{
-			Engine: engine(2, 2), Servers: []serviceplanner.Server{old, server("b", "m0", "m1")}, Demand: map[string]float64{"m1": 90},
-			WaitingBuilds: map[serviceplanner.BuildKey]int{{Key: "m0/a1", Build: "v1"}: 1},
-		}
-		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Server", "a"), HaveField("Adapter", "a1"))))
-	})
-
 	It("makes no room for a load beyond the limit on cold loads", func() {
 		state := serviceplanner.State{
 			Engine:  engine(4, 0),
--- a/serviceplanner/unserved_test.go
+++ b/serviceplanner/unserved_test.go
@@ -5,6 +5,7 @@
 	. "github.com/onsi/gomega"
 
 	"primrosehook/emulator"
+	"primrosehook/serviceplanner"
 )
 
 var _ = Describe("A fleet that loses a third of its servers four times, and the lease holder twice", func() {
@@ -18,3 +19,17 @@
 		Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 6", uint64(6)),
 	)
 })
+
+var _ = Describe("Plan", func() {
+	// Guards against refusing streams of a build whose only server that has their model gets a further
+	// replica of another model, plan after plan.
+	It("loads an adapter that requests wait for at one build before further replicas", func() {
+		old := server("a", "m0")
+		old.Build, old.Warm["m1"] = "v1", true
+		state := serviceplanner.State{
+			Engine: engine(2, 2), Servers: []serviceplanner.Server{old, server("b", "m0", "m1")}, Demand: map[string]float64{"m1": 90},
+			WaitingBuilds: map[serviceplanner.BuildKey]int{{Key: "m0/a1", Build: "v1"}: 1},
+		}
+		Expect(serviceplanner.Plan(state)).To(ContainElement(And(HaveField("Server", "a"), HaveField("Adapter", "a1"))))
+	})
+})
